--- /dev/null
+++ b/include/ferrytray/control/swap_planner.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint> // for uint32_t
+#include <map>     // for map
+#include <span>    // for span
+#include <string>  // for string
+#include <vector>  // for vector
+
+#include "ferrytray/base/time.hpp" // for Duration, TimePoint
+
+namespace ferrytray::control {
+
+/// @brief A worker as its last report shows it.
+struct WorkerVersion
+{
+  std::string m_worker;
+  std::string m_incarnation;
+  std::string m_version;   ///< loaded now; empty while it swaps
+  bool m_swapping = false;
+  bool m_leaving = false;
+  std::uint32_t m_queuedMillis = 0;
+};
+
+/// @brief "Run this version": absolute, so that repeating it is harmless.
+struct SwapOrder
+{
+  std::string m_worker;
+  std::string m_incarnation;
+  std::string m_version;
+};
+
+struct SwapOptions
+{
+  std::uint32_t m_maxConcurrent = 1;
+  base::Duration m_confirmTimeout = std::chrono::seconds(30); ///< after which an order is sent again
+};
+
+/// @brief Decides which workers of a fleet are ordered to swap next.
+///
+/// A worker counts as swapping from its order until a report shows it swapped or failed, so lag
+/// in the reports cannot let too many swap at once.
+class SwapPlanner
+{
+public:
+  explicit SwapPlanner(SwapOptions aOptions)
+    : m_options(aOptions)
+  {
+  }
+
+  void SetMaxConcurrent(std::uint32_t aMax) { m_options.m_maxConcurrent = aMax; }
+
+  /// @brief Level-triggered: compares what should run with what does.
+  /// @param aWorkers the fleet's workers in every availability zone
+  std::vector<SwapOrder> Plan(const std::string& aVersion,
+                              std::span<const WorkerVersion> aWorkers,
+                              base::TimePoint aNow);
+  /// @brief Forgets orders sent (a new holder reads the actual state instead).
+  void Reset() { m_ordered.clear(); }
+
+private:
+  struct Ordered
+  {
+    std::string m_version;
+    std::string m_incarnation;
+    base::TimePoint m_at;
+  };
+
+  void ForgetSettled(std::span<const WorkerVersion> aWorkers, base::TimePoint aNow);
+
+  SwapOptions m_options;
+  std::map<std::string, Ordered> m_ordered;
+};
+
+} // namespace ferrytray::control
--- /dev/null
+++ b/include/ferrytray/gate/context_log.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>       // for size_t
+#include <list>          // for list
+#include <map>           // for map
+#include <optional>      // for optional
+#include <string>        // for string
+#include <unordered_map> // for unordered_map
+
+#include "ferrytray/base/digest.hpp"  // for Digest128
+#include "ferrytray/routing/keep.hpp" // for ReturnGaps
+
+namespace ferrytray::gate {
+
+/// @brief When contexts were last seen here, and what that says of each account's return gaps.
+class ContextLog
+{
+public:
+  explicit ContextLog(std::size_t aCapacity)
+    : m_capacity(aCapacity)
+  {
+  }
+
+  /// @brief A request with this context came.
+  /// @return the gap since the last one, if it was seen here
+  std::optional<base::Duration> OnRequest(const std::string& aAccount,
+                                          const base::Digest128& aContext,
+                                          base::TimePoint aNow);
+  [[nodiscard]] const routing::ReturnGaps& Gaps(const std::string& aAccount) { return m_gaps[aAccount]; }
+
+private:
+  struct Seen
+  {
+    base::Digest128 m_context;
+    std::string m_account;
+    base::TimePoint m_at;
+  };
+
+  std::size_t m_capacity;
+  std::list<Seen> m_recent;
+  std::unordered_map<base::Digest128, std::list<Seen>::iterator, base::DigestHash> m_byContext;
+  std::map<std::string, routing::ReturnGaps> m_gaps;
+};
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/gate/engine_attempt.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional> // for function
+#include <memory>     // for enable_shared_from_this
+#include <string>     // for string
+#include <variant>    // for variant
+
+#include "ferrytray/gate/engine_stream.hpp"   // for EngineStream
+#include "ferrytray/gate/gate_core.hpp"       // for GateCore
+#include "ferrytray/once/stream_assembler.hpp" // for StreamAssembler
+
+namespace ferrytray::gate {
+
+/// @brief The whole answer was delivered.
+struct AttemptComplete
+{
+  Usage m_usage;
+};
+/// @brief The engine certainly started nothing.
+struct AttemptNotStarted
+{
+  std::string m_message;
+  bool m_leaving = false;
+};
+/// @brief The engine answered with another weight version; nothing was delivered.
+struct AttemptWrongVersion
+{
+};
+/// @brief It may have run, and the rest of its answer cannot be had.
+struct AttemptBroken
+{
+  std::string m_message;
+};
+
+using AttemptEnd = std::variant<AttemptComplete, AttemptNotStarted, AttemptWrongVersion, AttemptBroken>;
+
+/// @brief What one attempt needs.
+struct AttemptRequest
+{
+  std::string m_engine;   ///< IP:PORT
+  std::string m_attempt;
+  std::string m_version;  ///< the weight version that must answer
+  std::string m_body;     ///< JSON for the engine
+  base::Duration m_timeout{};
+};
+
+/// @brief One request sent to one engine: sent once, its stream resumed where it broke.
+class EngineAttempt : public std::enable_shared_from_this<EngineAttempt>
+{
+public:
+  struct Handlers
+  {
+    std::function<void(const std::string& aText)> m_onText;
+    std::function<void(const AttemptEnd&)> m_onEnd;
+  };
+
+  EngineAttempt(GateCore& aCore, AttemptRequest aRequest, Handlers aHandlers);
+  void Start();
+  /// @brief Cancels it at the engine; no handler is called any more.
+  void Cancel();
+
+private:
+  void Send(net::ClientRequest aRequest);
+  void OnBytes(std::string_view aBytes);
+  void OnEvent(const EnginePiece& aPiece);
+  void OnEvent(const EngineRefusal& aRefusal);
+  void OnWireEnd(const net::ClientOutcome& aOutcome);
+  void Resume();
+  void End(const AttemptEnd& aEnd);
+
+  GateCore& m_core;
+  AttemptRequest m_request;
+  Handlers m_handlers;
+  EngineStream m_stream;
+  once::StreamAssembler m_assembler;
+  Usage m_usage;
+  std::string m_errorBody;
+  net::CallId m_call = 0;
+  net::TimerHandle m_resumeTimer;
+  int m_status = 0;
+  int m_resumes = 0;
+  bool m_versionChecked = false;
+  bool m_ended = false;
+};
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/gate/gate_core.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional> // for function
+#include <memory>     // for unique_ptr
+#include <string>     // for string
+
+#include "ferrytray/gate/claims_link.hpp"       // for ClaimsLink
+#include "ferrytray/gate/context_log.hpp"       // for ContextLog
+#include "ferrytray/gate/decision_log.hpp"      // for DecisionLog
+#include "ferrytray/gate/fleet_view.hpp"        // for FleetView
+#include "ferrytray/gate/keeper_link.hpp"       // for KeeperLink
+#include "ferrytray/limits/account_limiter.hpp" // for AccountLimiter
+#include "ferrytray/limits/retry_budget.hpp"    // for RetryBudget
+#include "ferrytray/once/ticket_table.hpp"      // for TicketTable
+#include "ferrytray/telemetry/metrics.hpp"      // for Metrics
+
+namespace ferrytray::gate {
+
+/// @brief What every request at one gate shares.
+struct GateCore
+{
+  GateCore(net::Loop& aLoop, const GateOptions& aOptions);
+
+  net::Loop& m_loop;
+  GateOptions m_options;
+  std::unique_ptr<net::HttpClient> m_http;
+  FleetView m_view;
+  ContextLog m_contexts;
+  DecisionLog m_decisions;
+  ClaimsLink m_claims;
+  once::TicketTable m_tickets;
+  limits::AccountLimiter m_limiter;
+  limits::RetryBudget m_retries;
+  telemetry::Metrics m_metrics;
+  std::unique_ptr<KeeperLink> m_keeper;
+  std::uint64_t m_openWork = 0;
+  std::uint64_t m_attempts = 0;
+
+  /// @brief A name for one attempt, unique over all gates and starts.
+  std::string NextAttempt() { return m_options.m_incarnation + "-" + std::to_string(++m_attempts); }
+};
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/gate/keeper_link.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional> // for function
+#include <map>        // for map
+#include <memory>     // for shared_ptr
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include "ferrytray/gate/options.hpp"      // for GateOptions
+#include "ferrytray/net/frame_channel.hpp" // for FrameChannel
+#include "ferrytray/replay/registry.hpp"   // for Registry
+#include "ferrytray/wire/frames.hpp"       // for Frame
+
+namespace ferrytray::gate {
+
+/// @brief The gate's line to its keeper. What came last stays in use while the keeper is away.
+class KeeperLink
+{
+public:
+  struct Handlers
+  {
+    std::function<void()> m_onConfig;
+    std::function<void(const wire::EndpointUpdate&)> m_onEndpoints;
+    std::function<void(const wire::ShareUpdate&)> m_onShares;
+    std::function<wire::GateReport()> m_makeReport;
+  };
+
+  KeeperLink(net::Loop& aLoop, const GateOptions& aOptions, Handlers aHandlers);
+  void Start();
+  /// @brief Sends a report now instead of with the next round.
+  void ReportNow();
+
+  [[nodiscard]] const replay::Registry& Registry() const { return m_registry; }
+  [[nodiscard]] bool HasConfig() const { return m_hasConfig; }
+  [[nodiscard]] std::uint64_t Position() const { return m_position; }
+  [[nodiscard]] const std::vector<membership::Member>& Members() const { return m_members; }
+  /// @brief The live member at which a gate incarnation's tickets are, or null.
+  [[nodiscard]] const membership::Member* TicketHome(const std::string& aIncarnation) const;
+  [[nodiscard]] bool Connected() const { return m_channel != nullptr; }
+
+private:
+  void Connect();
+  void OnFrame(std::string_view aBytes);
+  void Handle(const wire::StateUpdate& aUpdate);
+  void Handle(const wire::EndpointUpdate& aUpdate);
+  void Handle(const wire::PeerUpdate& aUpdate);
+  void Handle(const wire::ShareUpdate& aUpdate);
+  template<typename Other>
+  void Handle(const Other&)
+  {
+  }
+
+  net::Loop& m_loop;
+  GateOptions m_options;
+  Handlers m_handlers;
+  std::shared_ptr<net::FrameChannel> m_channel;
+  replay::Registry m_registry;
+  std::map<std::string, std::uint64_t> m_accepted;
+  std::uint64_t m_position = 0;
+  bool m_hasConfig = false;
+  std::vector<membership::Member> m_members;
+  net::TimerHandle m_retry;
+  net::TimerHandle m_reports;
+};
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/gate/options.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef> // for size_t
+#include <string>  // for string
+
+#include "ferrytray/base/time.hpp"   // for Duration
+#include "ferrytray/net/address.hpp" // for Address
+
+namespace ferrytray::gate {
+
+/// @brief Settings of one gate.
+struct GateOptions
+{
+  std::string m_host;
+  std::string m_zone;
+  std::string m_incarnation;                  ///< unique over all starts; no dot in it
+  std::string m_platform;                     ///< "http://IP:PORT"
+  net::Address m_listen{ "127.0.0.1", 8080 }; ///< callers (HTTP)
+  net::Address m_control{ "127.0.0.1", 0 };   ///< ticket tables from peers (TCP)
+  net::Address m_keeper{ "127.0.0.1", 0 };    ///< this host's keeper (TCP)
+  std::size_t m_maxBodyBytes = 8U << 20U;     ///< longer bodies are refused
+  std::size_t m_maxHeaderBytes = 32U << 10U;
+  std::size_t m_maxSlowCallerBytes = 4U << 20U; ///< unread answer at which a caller is dropped
+  std::size_t m_keptAnswerBytes = 16U << 20U;
+  std::size_t m_queueCapacity = 4096;         ///< held requests of a fleet
+  base::Duration m_holdAbove = std::chrono::milliseconds(300); ///< engine queue at which requests are held here
+  base::Duration m_defaultDeadline = std::chrono::minutes(5);
+  base::Duration m_longestDeadline = std::chrono::minutes(30);
+  base::Duration m_drainWait = std::chrono::seconds(2); ///< for the balancer to notice a stop
+  base::Duration m_loadTrust = std::chrono::seconds(10);
+  base::Duration m_claimTimeout = std::chrono::seconds(2);
+  base::Duration m_claimWindow = std::chrono::hours(1);
+};
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/gate/pass_through.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <memory> // for shared_ptr
+#include <string> // for string
+
+#include "ferrytray/gate/gate_core.hpp"  // for GateCore
+#include "ferrytray/net/http_server.hpp" // for HttpRequest, HttpReply
+
+namespace ferrytray::gate {
+
+/// @brief Passes a request on to another gate and its answer back, piece by piece.
+/// @param aAddress IP:PORT of a known member's gate
+/// @param aRequestId for the error answer when the other gate cannot be reached
+void PassToGate(GateCore& aCore,
+                const std::string& aAddress,
+                const net::HttpRequest& aRequest,
+                const std::string& aRequestId,
+                std::shared_ptr<net::HttpReply> aReply);
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/include/ferrytray/keeper/config_sync.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional> // for function
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include "ferrytray/replay/config_replay.hpp" // for ConfigReplay
+#include "ferrytray/wire/frames.hpp"          // for StateUpdate
+#include "ferrytray/wire/log_client.hpp"      // for LogFollower
+
+namespace ferrytray::keeper {
+
+/// @brief Keeps the configuration state in step with the platform's log, or with peers while the
+/// log is away.
+class ConfigSync
+{
+public:
+  using OnChange = std::function<void()>;
+
+  ConfigSync(net::Loop& aLoop, net::HttpClient& aHttp, const std::string& aPlatform);
+  /// @param aOnChange the position or a scope changed
+  void Start(OnChange aOnChange);
+  /// @brief A peer's state came.
+  void OnPeerState(const wire::StateUpdate& aUpdate);
+  /// @brief Appends a scope again before its last copy leaves the log.
+  /// @param aMine whether this host is the one to do it
+  void RenewDue(base::Duration aAge, bool aMine);
+
+  [[nodiscard]] const replay::ConfigReplay& Replay() const { return m_replay; }
+  /// @brief Whether some state is known: the log was read to its end, or a peer told.
+  [[nodiscard]] bool Ready() const { return m_follower.CaughtUp() || m_toldByPeer; }
+  [[nodiscard]] bool LogReachable() const { return m_follower.Reachable(); }
+
+private:
+  void OnPage(const wire::LogPage& aPage);
+
+  wire::LogFollower m_follower;
+  wire::LogClient m_appender;
+  replay::ConfigReplay m_replay;
+  std::vector<replay::PlacedRecord> m_bootRecords;
+  OnChange m_onChange;
+  bool m_booted = false;
+  bool m_toldByPeer = false;
+  bool m_renewing = false;
+};
+
+} // namespace ferrytray::keeper
--- /dev/null
+++ b/include/ferrytray/keeper/endpoint_watch.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional> // for function
+#include <map>        // for map
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include "ferrytray/control/leaving_set.hpp"   // for LeavingSet
+#include "ferrytray/keeper/options.hpp"        // for KeeperOptions
+#include "ferrytray/membership/member.hpp"     // for LoadDigest
+#include "ferrytray/net/http_client.hpp"       // for HttpClient
+#include "ferrytray/wire/endpoint.hpp"         // for ListedHost
+#include "ferrytray/wire/frames.hpp"           // for EndpointStatus
+
+namespace ferrytray::keeper {
+
+/// @brief Follows the platform's host list and the engines' load reports.
+class EndpointWatch
+{
+public:
+  using OnHosts = std::function<void(const std::vector<wire::ListedHost>& aEntryHosts)>;
+
+  EndpointWatch(net::Loop& aLoop, net::HttpClient& aHttp, const KeeperOptions& aOptions);
+  void Start(OnHosts aOnHosts);
+  /// @brief Any sign that an endpoint leaves.
+  void MarkLeaving(const std::string& aEndpoint, const std::string& aIncarnation);
+  /// @brief Another zone's keeper told of a load.
+  void OnRemoteLoad(const membership::LoadDigest& aDigest, base::TimePoint aNow);
+  /// @brief Polls every zone's engines while this host plans weight swaps.
+  void PollAllZones(bool aAll) { m_allZones = aAll; }
+
+  /// @brief Endpoints with their loads; leaving ones are marked.
+  [[nodiscard]] std::vector<wire::EndpointStatus> Endpoints(base::TimePoint aNow) const;
+  /// @brief Digests of this zone's engines, a few at a time.
+  std::vector<membership::LoadDigest> NextDigests(std::size_t aCount, base::TimePoint aNow);
+  [[nodiscard]] const control::LeavingSet& Leaving() const { return m_leaving; }
+
+private:
+  struct Known
+  {
+    wire::ListedHost m_host;
+    wire::LoadReport m_load;
+    base::TimePoint m_reportedAt{};
+    bool m_polling = false;
+  };
+
+  void PollHostList();
+  void OnHostList(const std::string& aJson);
+  void PollLoads();
+  void OnLoad(const std::string& aName, const std::string& aJson);
+
+  net::Loop& m_loop;
+  net::HttpClient& m_http;
+  KeeperOptions m_options;
+  OnHosts m_onHosts;
+  control::LeavingSet m_leaving;
+  std::map<std::string, Known> m_endpoints;
+  std::string m_digestCursor;
+  bool m_allZones = false;
+  bool m_listing = false;
+  net::TimerHandle m_listTimer;
+  net::TimerHandle m_loadTimer;
+};
+
+} // namespace ferrytray::keeper
--- /dev/null
+++ b/include/ferrytray/keeper/swap_controller.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>    // for map
+#include <string> // for string
+#include <vector> // for vector
+
+#include "ferrytray/control/lease.hpp"        // for LeaseTable, LeaseHolder
+#include "ferrytray/control/swap_planner.hpp" // for SwapPlanner
+#include "ferrytray/config/document.hpp"      // for Fleet
+#include "ferrytray/keeper/options.hpp"       // for KeeperOptions
+#include "ferrytray/wire/frames.hpp"          // for EndpointStatus
+#include "ferrytray/wire/log_client.hpp"      // for LogFollower
+
+namespace ferrytray::keeper {
+
+/// @brief Orders weight swaps, one holder a fleet at a time, by leases in the platform's log.
+class SwapController
+{
+public:
+  SwapController(net::Loop& aLoop, net::HttpClient& aHttp, const KeeperOptions& aOptions);
+  void Start();
+  /// @brief One round: leases taken and renewed, orders sent.
+  /// @param aFleets the fleets in force
+  /// @param aEndpoints every endpoint known
+  /// @param aHosts live hosts; the first in rendezvous order of a fleet takes its lease
+  void OnRound(const std::vector<const config::Fleet*>& aFleets,
+               const std::vector<wire::EndpointStatus>& aEndpoints,
+               const std::vector<std::string>& aHosts,
+               base::TimePoint aNow);
+  /// @brief Whether this host holds any lease.
+  [[nodiscard]] bool HoldsAny(base::TimePoint aNow) const;
+  [[nodiscard]] const control::LeaseTable& Leases() const { return m_leases; }
+
+private:
+  struct FleetControl
+  {
+    FleetControl(const std::string& aHolder, const control::HolderOptions& aOptions)
+      : m_holder(aHolder, aOptions)
+      , m_planner({})
+    {
+    }
+    control::LeaseHolder m_holder;
+    control::SwapPlanner m_planner;
+    control::FencingNumber m_plannedUnder = 0;
+  };
+
+  void OnPage(const wire::LogPage& aPage);
+  void TakeLeases(const std::vector<std::string>& aNames, base::TimePoint aNow);
+  void OrderSwaps(const config::Fleet& aFleet,
+                  FleetControl& aControl,
+                  const std::vector<wire::EndpointStatus>& aEndpoints,
+                  base::TimePoint aNow);
+  void SendOrder(const config::Fleet& aFleet, const control::SwapOrder& aOrder, const std::string& aAddress);
+
+  net::HttpClient& m_http;
+  std::string m_holderName;
+  control::HolderOptions m_holderOptions;
+  wire::LogFollower m_follower;
+  wire::LogClient m_appender;
+  control::LeaseTable m_leases;
+  std::map<std::string, FleetControl> m_fleets;
+  bool m_appending = false;
+};
+
+} // namespace ferrytray::keeper
--- /dev/null
+++ b/include/ferrytray/limits/retry_budget.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <algorithm> // for min
+#include <cstdint>   // for uint32_t
+
+#include "ferrytray/base/error.hpp" // for RunState
+#include "ferrytray/base/time.hpp"  // for Duration, TimePoint
+
+namespace ferrytray::limits {
+
+/// @brief Options of the retry budget.
+struct RetryOptions
+{
+  double m_perSuccess = 0.1;         ///< retries earned by a success
+  double m_reserve = 10;             ///< the most that can be saved up
+  std::uint32_t m_maxAttempts = 3;   ///< attempts of one request, the first included
+};
+
+/// @brief What is known of a request whose attempt has failed.
+struct FailedAttempt
+{
+  base::RunState m_run = base::RunState::Unknown;
+  bool m_idempotent = false;
+  std::uint32_t m_attempts = 1;    ///< attempts made so far
+  base::TimePoint m_deadline;      ///< when the caller stops waiting
+  base::Duration m_expected{};     ///< the time that another attempt needs
+};
+
+/// @brief Decides whether a failed attempt may be tried again.
+///
+/// A retry is paid from a fraction of the successes, so retries cannot multiply an overload.
+class RetryBudget
+{
+public:
+  explicit RetryBudget(RetryOptions aOptions = {})
+    : m_options(aOptions)
+    , m_saved(aOptions.m_reserve)
+  {
+  }
+
+  void OnSuccess() { m_saved = std::min(m_options.m_reserve, m_saved + m_options.m_perSuccess); }
+
+  /// @brief Spends one retry if every rule allows it.
+  bool TryRetry(const FailedAttempt& aFailed, base::TimePoint aNow)
+  {
+    const bool safe = aFailed.m_idempotent || aFailed.m_run == base::RunState::NotRun;
+    const bool inTime = aNow + aFailed.m_expected < aFailed.m_deadline;
+    const bool more = aFailed.m_attempts < m_options.m_maxAttempts;
+    if (!safe || !inTime || !more || m_saved < 1.0) {
+      return false;
+    }
+    m_saved -= 1.0;
+    return true;
+  }
+
+  [[nodiscard]] double Saved() const { return m_saved; }
+
+private:
+  RetryOptions m_options;
+  double m_saved;
+};
+
+} // namespace ferrytray::limits
--- /dev/null
+++ b/include/ferrytray/net/address.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>     // for strong_ordering
+#include <cstdint>     // for uint16_t
+#include <string>      // for string
+#include <string_view> // for string_view
+
+#include "ferrytray/base/error.hpp" // for Result
+
+namespace ferrytray::net {
+
+/// @brief An IP number and a port. Names are never resolved.
+struct Address
+{
+  std::string m_ip;
+  std::uint16_t m_port = 0;
+  auto operator<=>(const Address&) const = default;
+};
+
+/// @brief Reads "10.0.0.1:80" or "[::1]:80".
+/// @return the address, or SettingInvalid when it is anything else
+base::Result<Address> ParseAddress(std::string_view aText);
+
+/// @brief The form that ParseAddress reads.
+std::string ToString(const Address& aAddress);
+
+/// @brief "http://" followed by the address.
+std::string HttpBase(const Address& aAddress);
+
+} // namespace ferrytray::net
--- /dev/null
+++ b/include/ferrytray/once/claim_table.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstddef>       // for size_t
+#include <deque>         // for deque
+#include <optional>      // for optional
+#include <span>          // for span
+#include <unordered_map> // for unordered_map
+#include <unordered_set> // for unordered_set
+#include <vector>        // for vector
+
+#include "ferrytray/base/time.hpp"        // for Duration
+#include "ferrytray/once/claim_entry.hpp" // for Claim, ClaimEntry, LogOffset
+
+namespace ferrytray::once {
+
+/// @brief Where and when the platform kept a record. Times never fall along the stream.
+struct LogPosition
+{
+  LogOffset m_offset = 0;
+  base::Duration m_time{}; ///< the platform's clock
+};
+
+/// @brief A claim that has not been released.
+struct LiveClaim
+{
+  Claim m_claim;
+  LogPosition m_at;
+  bool m_won = false; ///< it came when its key had no live claim
+  bool m_done = false;
+};
+
+/// @brief Replays the log's claim stream.
+///
+/// The state is a function of the last window of the stream alone, so a reader that starts anew
+/// (the log keeps more than a window) agrees with one that has read since the beginning:
+/// - a key is held while any unreleased claim of it is younger than the window;
+/// - a claim wins if its key was not held when it came, and a loser is released by its gate;
+/// - a release may come before its claim (a slow append): the claim is then void when it comes.
+class ClaimTable
+{
+public:
+  /// @param aWindow how long a claim holds its key, in the platform's time
+  explicit ClaimTable(base::Duration aWindow)
+    : m_window(aWindow)
+  {
+  }
+
+  /// @brief Applies one record. Records must come in offset order.
+  void Apply(const LogPosition& aAt, std::span<const ClaimEntry> aEntries);
+
+  /// @brief The oldest live claim of a key, if any.
+  [[nodiscard]] std::optional<LiveClaim> Find(const base::Digest128& aKey) const;
+  /// @brief Whether this claim is live and won.
+  [[nodiscard]] bool Won(const Claim& aClaim) const;
+  [[nodiscard]] std::size_t Size() const { return m_keyOfClaim.size(); }
+
+private:
+  struct Aged
+  {
+    base::Duration m_expires;
+    base::Digest128 m_id;
+  };
+
+  void Expire(base::Duration aTime);
+  void Drop(const base::Digest128& aId);
+  void ApplyEntry(const LogPosition& aAt, const Claim& aClaim);
+  void ApplyEntry(const LogPosition& aAt, const Release& aRelease);
+  void ApplyEntry(const LogPosition& aAt, const Done& aDone);
+
+  base::Duration m_window;
+  std::unordered_map<base::Digest128, std::vector<LiveClaim>, base::DigestHash> m_live;
+  std::unordered_map<base::Digest128, base::Digest128, base::DigestHash> m_keyOfClaim;
+  std::unordered_set<base::Digest128, base::DigestHash> m_void;
+  std::deque<Aged> m_byAge;
+};
+
+} // namespace ferrytray::once
--- /dev/null
+++ b/include/ferrytray/replay/registry.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstddef>       // for size_t
+#include <map>           // for map
+#include <memory>        // for shared_ptr
+#include <string>        // for string
+#include <string_view>   // for string_view
+#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
+
+#include "ferrytray/config/document.hpp" // for Document
+
+namespace ferrytray::replay {
+
+/// @brief Everything in force, found by what a request carries.
+///
+/// Replacing a scope costs the size of that scope alone.
+class Registry
+{
+public:
+  using DocumentPtr = std::shared_ptr<const config::Document>;
+
+  /// @brief Replaces one scope's content.
+  void Put(DocumentPtr aDocument);
+
+  /// @param aKeyDigest SHA-256 of a bearer key, hexadecimal
+  /// @return null when no account has that key
+  [[nodiscard]] const config::ClientAccount* AccountByKey(const std::string& aKeyDigest) const;
+  [[nodiscard]] const config::Fleet* FleetByModel(const std::string& aModel) const;
+  /// @brief The service with the longest prefix of a path, or null.
+  [[nodiscard]] const config::Service* ServiceByPath(std::string_view aPath) const;
+  [[nodiscard]] const config::HalfRule* RuleForFleet(const std::string& aFleet) const;
+  [[nodiscard]] const config::HalfRule* RuleForAccount(const std::string& aAccount) const;
+  [[nodiscard]] std::vector<config::Document> Others(const std::string& aScope) const;
+  [[nodiscard]] std::vector<const config::Fleet*> Fleets() const;
+  /// @brief Every account in force, each once.
+  [[nodiscard]] std::vector<const config::ClientAccount*> Accounts() const;
+  [[nodiscard]] const config::Document* Scope(const std::string& aScope) const;
+  [[nodiscard]] std::size_t AccountCount() const { return m_byKey.size(); }
+
+private:
+  void Unlink(const config::Document& aDocument);
+  void Link(const config::Document& aDocument);
+
+  std::map<std::string, DocumentPtr> m_scopes;
+  std::unordered_map<std::string, const config::ClientAccount*> m_byKey;
+  std::map<std::string, const config::Fleet*> m_byModel;
+  std::map<std::string, const config::Service*> m_byPrefix;
+  std::map<std::string, const config::HalfRule*> m_fleetRules;
+  std::map<std::string, const config::HalfRule*> m_accountRules;
+};
+
+} // namespace ferrytray::replay
--- /dev/null
+++ b/include/ferrytray/settings/settings.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint> // for uint16_t, uint64_t
+#include <map>     // for map
+#include <string>  // for string
+#include <variant> // for variant
+#include <vector>  // for vector
+
+#include "ferrytray/base/error.hpp" // for Result
+#include "ferrytray/base/time.hpp"  // for Duration
+
+namespace ferrytray::settings {
+
+/// @brief What a setting's text must look like.
+enum class SettingKind : std::uint8_t
+{
+  Text,
+  Count,    ///< a whole number, 0 or more
+  Number,   ///< a number, 0 or more
+  Millis,   ///< a whole number of milliseconds
+  Flag,     ///< true or false
+};
+
+/// @brief One row of a program's table of settings.
+struct Setting
+{
+  std::string m_flag;     ///< such as "listen"; given as --listen
+  std::string m_default;
+  std::string m_help;
+  SettingKind m_kind = SettingKind::Text;
+  bool m_required = false;
+};
+
+/// @brief The environment variable of a flag: "zone-name" of "gate" is FERRYTRAY_ZONE_NAME.
+std::string VariableOf(const std::string& aFlag);
+
+/// @brief Checked settings. Reading one that was never declared is a programming error.
+class Settings
+{
+public:
+  explicit Settings(std::map<std::string, std::string> aValues, std::vector<std::string> aArguments)
+    : m_values(std::move(aValues))
+    , m_arguments(std::move(aArguments))
+  {
+  }
+
+  [[nodiscard]] const std::string& Text(const std::string& aFlag) const { return m_values.at(aFlag); }
+  [[nodiscard]] std::uint64_t Count(const std::string& aFlag) const;
+  [[nodiscard]] double Number(const std::string& aFlag) const;
+  [[nodiscard]] base::Duration Millis(const std::string& aFlag) const;
+  [[nodiscard]] bool Flag(const std::string& aFlag) const { return Text(aFlag) == "true"; }
+  /// @brief What stands on the command line besides flags.
+  [[nodiscard]] const std::vector<std::string>& Arguments() const { return m_arguments; }
+
+private:
+  std::map<std::string, std::string> m_values;
+  std::vector<std::string> m_arguments;
+};
+
+/// @brief --help or --version was asked for: print this and exit with 0.
+struct Information
+{
+  std::string m_text;
+};
+
+using Parsed = std::variant<Settings, Information, base::Failure>;
+
+/// @brief Builds a program's table of settings and reads it. A flag wins over its variable.
+///
+/// @code
+/// auto parsed = settings::SettingsBuilder("ferrytray-gate", "Serves callers.")
+///                 .Add({ "listen", "127.0.0.1:8080", "IP:PORT for callers" })
+///                 .Build(argc, argv);
+/// @endcode
+class SettingsBuilder
+{
+public:
+  SettingsBuilder(std::string aProgram, std::string aSummary)
+    : m_program(std::move(aProgram))
+    , m_summary(std::move(aSummary))
+  {
+  }
+
+  SettingsBuilder& Add(Setting aSetting);
+  /// @brief Allows words besides flags, such as a command and its files.
+  SettingsBuilder& AllowArguments(std::string aUsage);
+  [[nodiscard]] Parsed Build(int aArgc, const char* const* aArgv) const;
+
+private:
+  std::string m_program;
+  std::string m_summary;
+  std::string m_argumentsUsage;
+  std::vector<Setting> m_table;
+};
+
+/// @brief Exit codes of every program.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadSettings = 2;
+
+/// @brief Prints what Build gave unless it is settings.
+/// @return the settings, or null with aExitCode set
+const Settings* SettingsOrExit(const Parsed& aParsed, int& aExitCode);
+
+} // namespace ferrytray::settings
--- /dev/null
+++ b/include/ferrytray/wire/log_client.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>    // for uint64_t
+#include <functional> // for function
+#include <memory>     // for unique_ptr
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include "ferrytray/base/error.hpp"      // for Result
+#include "ferrytray/base/time.hpp"       // for Duration
+#include "ferrytray/net/http_client.hpp" // for HttpClient
+
+namespace ferrytray::wire {
+
+/// @brief One record of a stream of the platform's log.
+struct LogRecord
+{
+  std::uint64_t m_offset = 0;
+  base::Duration m_time{}; ///< the platform's clock
+  std::string m_body;
+};
+
+/// @brief The answer to one read.
+struct LogPage
+{
+  std::uint64_t m_firstKept = 1; ///< lower offsets have left the log
+  std::uint64_t m_next = 1;      ///< the offset that the next append gets
+  base::Duration m_now{};        ///< the platform's clock
+  std::vector<LogRecord> m_records;
+};
+
+/// @brief Appends to and reads from one stream of the platform's log, over HTTP.
+class LogClient
+{
+public:
+  using AppendDone = std::function<void(base::Result<std::uint64_t>)>;
+  using ReadDone = std::function<void(base::Result<LogPage>)>;
+
+  /// @param aPlatform "http://IP:PORT"
+  LogClient(net::HttpClient& aHttp, std::string aPlatform, std::string aStream);
+  ~LogClient();
+
+  /// @brief Appends one record.
+  /// @param aDone gets the offset; PlatformUnavailable means that it may have been written
+  void Append(std::string aBody, AppendDone aDone);
+  /// @brief Reads from an offset on; waits for news when there is none.
+  /// @param aWait how long the platform may hold the answer back
+  void Read(std::uint64_t aFrom, base::Duration aWait, ReadDone aDone);
+
+private:
+  net::HttpClient& m_http;
+  std::string m_base;
+  std::shared_ptr<bool> m_alive;
+};
+
+/// @brief Follows a stream for ever: reads, waits, retries with jitter while the log is away.
+class LogFollower
+{
+public:
+  using OnPage = std::function<void(const LogPage&)>;
+  using OnState = std::function<void(bool aReachable)>;
+
+  LogFollower(net::Loop& aLoop, net::HttpClient& aHttp, const std::string& aPlatform, const std::string& aStream);
+  /// @brief Begins. Each page that has records, and the first one, is handed over.
+  void Start(std::uint64_t aFrom, OnPage aOnPage, OnState aOnState);
+  /// @brief Whether the stream's end was reached once.
+  [[nodiscard]] bool CaughtUp() const { return m_caughtUp; }
+  [[nodiscard]] bool Reachable() const { return m_reachable; }
+  /// @brief The platform's clock at the last answer.
+  [[nodiscard]] base::Duration PlatformTime() const { return m_platformTime; }
+
+private:
+  void ReadNext(base::Duration aWait);
+  void OnRead(base::Result<LogPage> aPage);
+
+  net::Loop& m_loop;
+  LogClient m_client;
+  std::uint64_t m_from = 1;
+  OnPage m_onPage;
+  OnState m_onState;
+  net::TimerHandle m_retry;
+  std::uint64_t m_jitter = 0;
+  bool m_caughtUp = false;
+  bool m_reachable = false;
+  base::Duration m_platformTime{};
+};
+
+} // namespace ferrytray::wire
--- /dev/null
+++ b/src/ferrytray/config/check.cpp
@@ -0,0 +1,131 @@
+#include "ferrytray/config/parse.hpp"
+
+#include <set> // for set
+
+namespace ferrytray::config {
+
+namespace {
+
+/// Collects the faults of one document beside the others.
+class Checker
+{
+public:
+  Checker(const std::vector<Document>& aOthers, std::string aFile)
+    : m_others(aOthers)
+    , m_file(std::move(aFile))
+  {
+  }
+
+  /// No name, or any other unique value, may stand in another scope too.
+  template<typename List, typename Value>
+  void Unique(const Document& aDocument, List aList, Value aValue, const std::string& aWhat)
+  {
+    std::set<std::string> taken;
+    for (const Document& other : m_others) {
+      for (const auto& item : other.*aList) {
+        Insert(taken, aValue(item));
+      }
+    }
+    for (const auto& item : aDocument.*aList) {
+      for (const std::string& value : aValue(item)) {
+        if (!taken.insert(value).second) {
+          Add(base::ErrorCode::ConfigDuplicate, aWhat + " '" + value + "' stands elsewhere already");
+        }
+      }
+    }
+  }
+
+  void Add(base::ErrorCode aCode, std::string aMessage)
+  {
+    m_problems.push_back({ aCode, m_file, 1, 1, std::move(aMessage) });
+  }
+
+  Problems Take() { return std::move(m_problems); }
+
+private:
+  static void Insert(std::set<std::string>& aSet, const std::vector<std::string>& aValues)
+  {
+    aSet.insert(aValues.begin(), aValues.end());
+  }
+
+  const std::vector<Document>& m_others;
+  std::string m_file;
+  Problems m_problems;
+};
+
+template<typename Item>
+std::vector<std::string> NameOf(const Item& aItem)
+{
+  return { aItem.m_name };
+}
+
+template<typename List>
+std::set<std::string> NamesOf(const Document& aDocument, const std::vector<Document>& aOthers, List aList)
+{
+  std::set<std::string> names;
+  for (const auto& item : aDocument.*aList) {
+    names.insert(item.m_name);
+  }
+  for (const Document& other : aOthers) {
+    for (const auto& item : other.*aList) {
+      names.insert(item.m_name);
+    }
+  }
+  return names;
+}
+
+void CheckFleets(const Document& aDocument, const std::vector<Document>& aOthers, Checker& aChecker)
+{
+  std::set<std::string> versions;
+  const auto collect = [&](const Document& aFrom) {
+    for (const Model& model : aFrom.m_models) {
+      for (const std::string& version : model.m_versions) {
+        versions.insert(model.m_name + "@" + version);
+      }
+    }
+  };
+  collect(aDocument);
+  for (const Document& other : aOthers) {
+    collect(other);
+  }
+  for (const Fleet& fleet : aDocument.m_fleets) {
+    if (!versions.contains(fleet.m_model + "@" + fleet.m_version)) {
+      aChecker.Add(base::ErrorCode::ConfigDanglingReference,
+                   "fleet '" + fleet.m_name + "' names model '" + fleet.m_model + "' version '" +
+                     fleet.m_version + "', which is nowhere; expected a model that lists it");
+    }
+  }
+}
+
+void CheckRules(const Document& aDocument, const std::vector<Document>& aOthers, Checker& aChecker)
+{
+  const auto fleets = NamesOf(aDocument, aOthers, &Document::m_fleets);
+  const auto accounts = NamesOf(aDocument, aOthers, &Document::m_accounts);
+  for (const HalfRule& rule : aDocument.m_rules) {
+    const bool fleetOk = !rule.m_fleet || fleets.contains(*rule.m_fleet);
+    const bool accountOk = !rule.m_account || accounts.contains(*rule.m_account);
+    if (!fleetOk || !accountOk) {
+      aChecker.Add(base::ErrorCode::ConfigDanglingReference,
+                   "rule '" + rule.m_name + "' names a fleet or account that is nowhere");
+    }
+  }
+}
+
+} // namespace
+
+Problems CheckAgainst(const Document& aDocument, const std::vector<Document>& aOthers, const std::string& aFile)
+{
+  Checker checker(aOthers, aFile);
+  checker.Unique(aDocument, &Document::m_models, NameOf<Model>, "model");
+  checker.Unique(aDocument, &Document::m_fleets, NameOf<Fleet>, "fleet");
+  checker.Unique(aDocument, &Document::m_services, NameOf<Service>, "service");
+  checker.Unique(aDocument, &Document::m_accounts, NameOf<ClientAccount>, "account");
+  checker.Unique(aDocument, &Document::m_rules, NameOf<HalfRule>, "rule");
+  const auto keys = [](const ClientAccount& aAccount) { return aAccount.m_keyDigests; };
+  checker.Unique(aDocument, &Document::m_accounts, keys, "key digest");
+  CheckFleets(aDocument, aOthers, checker);
+  CheckRules(aDocument, aOthers, checker);
+  return checker.Take();
+}
+
+} // namespace ferrytray::config
--- /dev/null
+++ b/src/ferrytray/config/yaml_reader.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <algorithm> // for all_of
+#include <charconv>  // for from_chars
+#include <cstdint>  // for uint64_t
+#include <set>      // for set
+#include <string>   // for string
+
+#include <boost/leaf.hpp>   // for result, new_error
+#include <yaml-cpp/yaml.h>  // for Node
+
+#include "ferrytray/config/parse.hpp" // for Problem
+
+namespace ferrytray::config {
+
+namespace leaf = boost::leaf;
+
+/// Reads one YAML mapping and remembers which keys were asked for, so that the rest are unknown.
+class MappingReader
+{
+public:
+  MappingReader(const YAML::Node& aNode, std::string aWhat, std::string aFile)
+    : m_node(aNode)
+    , m_what(std::move(aWhat))
+    , m_file(std::move(aFile))
+  {
+  }
+
+  /// Fails unless the node is a mapping without repeated keys.
+  leaf::result<void> CheckShape() const;
+  leaf::result<std::string> Text(const std::string& aKey);
+  leaf::result<std::string> TextOr(const std::string& aKey, std::string aDefault);
+  leaf::result<double> NumberOr(const std::string& aKey, double aDefault, double aLeast);
+  leaf::result<std::uint64_t> CountOr(const std::string& aKey, std::uint64_t aDefault);
+  leaf::result<bool> FlagOr(const std::string& aKey, bool aDefault);
+  leaf::result<std::vector<std::string>> Texts(const std::string& aKey);
+  /// The value as it is, perhaps undefined.
+  YAML::Node Child(const std::string& aKey);
+  /// Fails when the mapping has a key that nobody asked for.
+  leaf::result<void> CheckNoOtherKeys() const;
+
+  [[nodiscard]] leaf::error_id Fail(base::ErrorCode aCode,
+                                    const YAML::Node& aAt,
+                                    std::string aMessage) const;
+
+private:
+  leaf::result<std::string> Scalar(const YAML::Node& aNode, const std::string& aKey) const;
+
+  YAML::Node m_node;
+  std::string m_what;
+  std::string m_file;
+  std::set<std::string> m_asked;
+};
+
+} // namespace ferrytray::config
--- /dev/null
+++ b/src/ferrytray/control/control_test.cpp
@@ -0,0 +1,232 @@
+#include "ferrytray/control/half_handover.hpp"
+#include "ferrytray/control/leaving_set.hpp"
+#include "ferrytray/control/lease.hpp"
+#include "ferrytray/control/swap_planner.hpp"
+
+#include <algorithm> // for count_if
+
+#include <rapidcheck.h> // for check
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using control::LeaseRecord;
+
+namespace {
+
+const base::TimePoint kStart{ 1000s };
+
+LeaseRecord Take(const char* aHolder)
+{
+  return { aHolder, { "swap/lab" }, 9s };
+}
+
+} // namespace
+
+TEST_GROUP(Lease)
+{
+  control::LeaseTable m_table;
+};
+
+TEST(Lease, TheFirstInTheLogHoldsItAndRenewalsKeepItsNumber)
+{
+  m_table.Apply(5, 0s, Take("a"));
+  m_table.Apply(6, 1s, Take("b"));
+  m_table.Apply(7, 3s, Take("a"));
+  const auto held = m_table.Find("swap/lab");
+  STRCMP_EQUAL("a", held->m_holder.c_str());
+  LONGS_EQUAL(5, held->m_fence);
+  CHECK(held->m_expires == base::Duration(12s));
+}
+
+TEST(Lease, ALapsedOneGoesToTheNextWithAHigherNumber)
+{
+  m_table.Apply(5, 0s, Take("a"));
+  m_table.Apply(8, 9s, Take("b"));
+  m_table.Apply(9, 10s, Take("a"));
+  LONGS_EQUAL(8, m_table.Find("swap/lab")->m_fence);
+  STRCMP_EQUAL("b", m_table.Find("swap/lab")->m_holder.c_str());
+}
+
+TEST(Lease, APausedHolderDoesNotOrderAfterItWakes)
+{
+  control::LeaseHolder holder("a", {});
+  holder.OnAppendSent(kStart);
+  m_table.Apply(5, 0s, Take("a"));
+  holder.OnReadBack(m_table.Find("swap/lab"), kStart + 1s);
+  CHECK(holder.MayOrder(true, kStart + 1s));
+  CHECK_FALSE(holder.MayOrder(true, kStart + 7s));
+  CHECK_FALSE(holder.MayOrder(true, kStart + 60s));
+}
+
+TEST(Lease, AnEndpointThatIgnoresFencingIsOrderedOnlyAfterTheWait)
+{
+  control::LeaseHolder holder("a", {});
+  m_table.Apply(5, 0s, Take("a"));
+  for (int second = 0; second <= 12; second += 3) {
+    holder.OnAppendSent(kStart + std::chrono::seconds(second));
+    m_table.Apply(6 + second, std::chrono::seconds(second), Take("a"));
+    holder.OnReadBack(m_table.Find("swap/lab"), kStart + std::chrono::seconds(second));
+    const bool settled = second >= 11;
+    CHECK_EQUAL(settled, holder.MayOrder(false, kStart + std::chrono::seconds(second)));
+    CHECK(holder.MayOrder(true, kStart + std::chrono::seconds(second)));
+  }
+}
+
+TEST(Lease, LosingItStopsOrders)
+{
+  control::LeaseHolder holder("a", {});
+  holder.OnAppendSent(kStart);
+  m_table.Apply(5, 0s, Take("a"));
+  holder.OnReadBack(m_table.Find("swap/lab"), kStart);
+  m_table.Apply(8, 20s, Take("b"));
+  holder.OnReadBack(m_table.Find("swap/lab"), kStart + 1s);
+  CHECK_FALSE(holder.MayOrder(true, kStart + 1s));
+}
+
+// Two hosts, any interleaving of appends, reads, pauses and orders, with clocks that run alike:
+// the moments at which each may order an endpoint that ignores fencing numbers never overlap.
+TEST(Lease, TwoHoldersNeverBothOrderAnEndpointThatIgnoresFencing)
+{
+  const bool holds = rc::check("lease exclusion", [] {
+    control::LeaseTable log;
+    control::LeaseHolder holders[2] = { { "a", {} }, { "b", {} } };
+    base::Duration now{};
+    std::uint64_t offset = 0;
+    base::Duration lastOrder[2] = { -1h, -1h };
+    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 4000)));
+    for (const int step : steps) {
+      now += std::chrono::milliseconds(step);
+      const int who = step % 2;
+      const base::TimePoint at = kStart + now;
+      const auto held = log.Find("swap/lab");
+      if (holders[who].ShouldAppend(held, now, at)) {
+        holders[who].OnAppendSent(at);
+        log.Apply(++offset, now, Take(who == 0 ? "a" : "b"));
+        holders[who].OnReadBack(log.Find("swap/lab"), at);
+      }
+      if (step % 3 != 0 && holders[who].MayOrder(false, at)) {
+        // An order takes effect up to the longest send later.
+        RC_ASSERT(lastOrder[1 - who] + 2s < now);
+        lastOrder[who] = now;
+      }
+    }
+  });
+  CHECK(holds);
+}
+
+TEST_GROUP(SwapPlanner)
+{
+  std::vector<control::WorkerVersion> m_workers;
+  void setup() override
+  {
+    for (int i = 0; i < 6; ++i) {
+      m_workers.push_back({ "w" + std::to_string(i), "1", "old", false, false, static_cast<std::uint32_t>(i) });
+    }
+  }
+};
+
+TEST(SwapPlanner, NeverOrdersMoreThanTheLimitEvenWhileReportsLag)
+{
+  control::SwapPlanner planner({ 2, 30s });
+  LONGS_EQUAL(2, planner.Plan("new", m_workers, kStart).size());
+  LONGS_EQUAL(0, planner.Plan("new", m_workers, kStart + 1s).size());
+  m_workers[0].m_version = "new";
+  const auto next = planner.Plan("new", m_workers, kStart + 2s);
+  LONGS_EQUAL(1, next.size());
+  STRCMP_EQUAL("w2", next.front().m_worker.c_str());
+}
+
+TEST(SwapPlanner, CountsSwapsThatAnotherHolderBegan)
+{
+  control::SwapPlanner planner({ 2, 30s });
+  m_workers[4].m_swapping = true;
+  LONGS_EQUAL(1, planner.Plan("new", m_workers, kStart).size());
+}
+
+TEST(SwapPlanner, SendsALostOrderAgainAndLeavesALeavingWorkerAlone)
+{
+  control::SwapPlanner planner({ 1, 30s });
+  STRCMP_EQUAL("w0", planner.Plan("new", m_workers, kStart).front().m_worker.c_str());
+  STRCMP_EQUAL("w0", planner.Plan("new", m_workers, kStart + 30s).front().m_worker.c_str());
+  m_workers[0].m_leaving = true;
+  STRCMP_EQUAL("w1", planner.Plan("new", m_workers, kStart + 60s).front().m_worker.c_str());
+}
+
+TEST(SwapPlanner, AReplacedWorkerDoesNotHoldItsPlace)
+{
+  control::SwapPlanner planner({ 1, 30s });
+  planner.Plan("new", m_workers, kStart);
+  m_workers[0].m_incarnation = "2";
+  LONGS_EQUAL(1, planner.Plan("new", m_workers, kStart + 1s).size());
+}
+
+TEST_GROUP(LeavingSet){};
+
+TEST(LeavingSet, IsForGoodForAnIncarnation)
+{
+  control::LeavingSet leaving;
+  leaving.Add("w1", "1");
+  leaving.Prune({ { "w1", "1" } });
+  CHECK(leaving.Contains("w1", "1"));
+  CHECK_FALSE(leaving.Contains("w1", "2"));
+  leaving.Prune({ { "w1", "2" } });
+  LONGS_EQUAL(0, leaving.All().size());
+}
+
+TEST_GROUP(HalfHandover){};
+
+TEST(HalfHandover, RecordsOnlyWhenEveryGateHasDrained)
+{
+  control::HalfHandover giver(true);
+  giver.SetGates({ "g1", "g2" });
+  CHECK(giver.Give());
+  CHECK_FALSE(giver.MayServe());
+  giver.OnGateReport("g1", 1, 0);
+  giver.OnGateReport("g2", 1, 3);
+  CHECK_FALSE(giver.MayRecord());
+  giver.OnGateReport("g2", 1, 0);
+  CHECK(giver.MayRecord());
+}
+
+// Every ordering of the steps of a hand-over there and back, with each message delivered late,
+// twice or never: the two halves never both serve.
+TEST(HalfHandover, TheTwoHalvesNeverBothServe)
+{
+  const bool holds = rc::check("one half serves", [] {
+    control::HalfHandover halves[2] = { control::HalfHandover(true), control::HalfHandover(false) };
+    halves[0].SetGates({ "g" });
+    halves[1].SetGates({ "g" });
+    std::vector<std::uint64_t> records[2];
+    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100)));
+    for (const int step : steps) {
+      const int who = step % 2;
+      control::HalfHandover& half = halves[who];
+      const auto& others = records[1 - who];
+      switch (step / 20) {
+        case 0:
+          half.Give();
+          break;
+        case 1:
+          half.OnGateReport("g", half.Epoch() - static_cast<std::uint64_t>(step % 3), 0);
+          break;
+        case 2:
+          if (half.MayRecord()) {
+            records[who].push_back(half.Epoch());
+            half.OnRecorded(half.Epoch());
+          }
+          break;
+        case 3:
+          half.Take();
+          break;
+        default:
+          if (!others.empty()) {
+            half.OnOtherRecorded(others[static_cast<std::size_t>(step) % others.size()]);
+          }
+      }
+      RC_ASSERT(!(halves[0].MayServe() && halves[1].MayServe()));
+    }
+  });
+  CHECK(holds);
+}
--- /dev/null
+++ b/src/ferrytray/control/swap_planner.cpp
@@ -0,0 +1,55 @@
+#include "ferrytray/control/swap_planner.hpp"
+
+#include <algorithm> // for sort
+
+namespace ferrytray::control {
+
+std::vector<SwapOrder> SwapPlanner::Plan(const std::string& aVersion,
+                                         std::span<const WorkerVersion> aWorkers,
+                                         base::TimePoint aNow)
+{
+  ForgetSettled(aWorkers, aNow);
+  std::uint32_t swapping = 0;
+  std::vector<const WorkerVersion*> waiting;
+  for (const WorkerVersion& worker : aWorkers) {
+    const bool busy = worker.m_swapping || m_ordered.contains(worker.m_worker);
+    if (busy) {
+      ++swapping;
+    } else if (worker.m_version != aVersion && !worker.m_leaving) {
+      waiting.push_back(&worker);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const auto* aLeft, const auto* aRight) {
+    return aLeft->m_queuedMillis < aRight->m_queuedMillis;
+  });
+  std::vector<SwapOrder> orders;
+  for (const WorkerVersion* worker : waiting) {
+    if (swapping >= m_options.m_maxConcurrent) {
+      break;
+    }
+    ++swapping;
+    m_ordered[worker->m_worker] = { aVersion, worker->m_incarnation, aNow };
+    orders.push_back({ worker->m_worker, worker->m_incarnation, aVersion });
+  }
+  return orders;
+}
+
+void SwapPlanner::ForgetSettled(std::span<const WorkerVersion> aWorkers, base::TimePoint aNow)
+{
+  for (const WorkerVersion& worker : aWorkers) {
+    const auto found = m_ordered.find(worker.m_worker);
+    if (found == m_ordered.end()) {
+      continue;
+    }
+    const bool loaded = !worker.m_swapping && worker.m_version == found->second.m_version;
+    const bool replaced = worker.m_incarnation != found->second.m_incarnation;
+    if (loaded || replaced) {
+      m_ordered.erase(found);
+    }
+  }
+  std::erase_if(m_ordered, [&](const auto& aEntry) {
+    return aEntry.second.m_at + m_options.m_confirmTimeout <= aNow;
+  });
+}
+
+} // namespace ferrytray::control
--- /dev/null
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -0,0 +1,174 @@
+#include "ferrytray/gate/engine_attempt.hpp"
+
+#include <utility> // for move
+
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::gate {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kMaxResumes = 3;
+constexpr std::size_t kMaxHeldBytes = 1U << 20U;
+constexpr base::Duration kResumeDelay = std::chrono::milliseconds(50);
+constexpr base::Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr once::AttemptId kThisAttempt = 1;
+
+} // namespace
+
+EngineAttempt::EngineAttempt(GateCore& aCore, AttemptRequest aRequest, Handlers aHandlers)
+  : m_core(aCore)
+  , m_request(std::move(aRequest))
+  , m_handlers(std::move(aHandlers))
+  , m_assembler(kMaxHeldBytes)
+{
+  m_assembler.Begin(kThisAttempt);
+}
+
+void EngineAttempt::Start()
+{
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + m_request.m_engine + "/v1/completions";
+  request.m_headers = { { "Content-Type", "application/json" } };
+  request.m_body = std::exchange(m_request.m_body, {});
+  // Every run is sent on a connection of its own: libcurl would resend it by itself otherwise.
+  request.m_ownConnection = true;
+  Send(std::move(request));
+}
+
+void EngineAttempt::Send(net::ClientRequest aRequest)
+{
+  aRequest.m_timeout = m_request.m_timeout;
+  aRequest.m_connectTimeout = kConnectTimeout;
+  m_status = 0;
+  m_errorBody.clear();
+  m_stream = EngineStream();
+  const auto self = shared_from_this();
+  net::ClientEvents events;
+  events.m_onStatus = [self](int aStatus) { self->m_status = aStatus; };
+  events.m_onData = [self](std::string_view aBytes) { self->OnBytes(aBytes); };
+  events.m_onEnd = [self](const net::ClientOutcome& aOutcome) { self->OnWireEnd(aOutcome); };
+  m_call = m_core.m_http->Start(std::move(aRequest), std::move(events));
+}
+
+void EngineAttempt::OnBytes(std::string_view aBytes)
+{
+  if (m_ended) {
+    return;
+  }
+  if (m_status != kOk) {
+    m_errorBody.append(aBytes);
+    return;
+  }
+  for (const EngineEvent& event : m_stream.Feed(aBytes)) {
+    if (!m_ended) {
+      std::visit([this](const auto& aEvent) { OnEvent(aEvent); }, event);
+    }
+  }
+}
+
+void EngineAttempt::OnEvent(const EnginePiece& aPiece)
+{
+  if (aPiece.m_version != m_request.m_version) {
+    Cancel();
+    m_ended = false;
+    End(AttemptWrongVersion{});
+    return;
+  }
+  if (aPiece.m_last) {
+    m_usage = aPiece.m_usage;
+  }
+  const std::string ready = m_assembler.Accept({ kThisAttempt, aPiece.m_offset, aPiece.m_text, aPiece.m_last });
+  if (!ready.empty()) {
+    m_handlers.m_onText(ready);
+  }
+  if (!m_ended && m_assembler.IsComplete()) {
+    End(AttemptComplete{ m_usage });
+  }
+}
+
+void EngineAttempt::OnEvent(const EngineRefusal& aRefusal)
+{
+  if (aRefusal.m_started) {
+    End(AttemptBroken{ aRefusal.m_message });
+  } else {
+    End(AttemptNotStarted{ aRefusal.m_message, false });
+  }
+}
+
+void EngineAttempt::OnWireEnd(const net::ClientOutcome& aOutcome)
+{
+  m_call = 0;
+  if (m_ended) {
+    return;
+  }
+  const bool first = m_resumes == 0;
+  if (first && aOutcome.m_end == net::WireEnd::NotSent) {
+    End(AttemptNotStarted{ aOutcome.m_detail, false });
+    return;
+  }
+  const bool refused = aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status != kOk;
+  if (refused && first) {
+    const EngineRefusal refusal = ReadRefusal(m_errorBody);
+    if (refusal.m_started) {
+      End(AttemptBroken{ refusal.m_message });
+    } else {
+      End(AttemptNotStarted{ refusal.m_message, aOutcome.m_status == kUnavailable });
+    }
+    return;
+  }
+  if (refused || m_resumes >= kMaxResumes) {
+    End(AttemptBroken{ "the engine's stream broke: " + aOutcome.m_detail });
+    return;
+  }
+  ++m_resumes;
+  const auto self = shared_from_this();
+  m_resumeTimer = m_core.m_loop.After(kResumeDelay * m_resumes, [self] { self->Resume(); });
+}
+
+void EngineAttempt::Resume()
+{
+  if (m_ended) {
+    return;
+  }
+  telemetry::LogLine("stream_resume")
+    .Add("attempt", m_request.m_attempt)
+    .Add("engine", m_request.m_engine)
+    .Add("offset", m_assembler.NextOffset());
+  m_core.m_metrics.Count("stream_resumes_total");
+  net::ClientRequest request;
+  request.m_url = "http://" + m_request.m_engine + "/v1/streams/" + m_request.m_attempt +
+                  "?offset=" + std::to_string(m_assembler.NextOffset());
+  Send(std::move(request));
+}
+
+void EngineAttempt::Cancel()
+{
+  if (m_ended) {
+    return;
+  }
+  m_ended = true;
+  if (m_call != 0) {
+    m_core.m_http->Cancel(m_call);
+  }
+  net::ClientRequest request;
+  request.m_method = "DELETE";
+  request.m_url = "http://" + m_request.m_engine + "/v1/streams/" + m_request.m_attempt;
+  request.m_timeout = kConnectTimeout;
+  m_core.m_http->Fetch(std::move(request), [](const auto&, const auto&) {});
+}
+
+void EngineAttempt::End(const AttemptEnd& aEnd)
+{
+  m_ended = true;
+  const auto onEnd = std::exchange(m_handlers.m_onEnd, nullptr);
+  m_handlers.m_onText = nullptr;
+  if (onEnd) {
+    onEnd(aEnd);
+  }
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/gate/fleet_view.cpp
@@ -0,0 +1,206 @@
+#include "ferrytray/gate/fleet_view.hpp"
+
+#include <algorithm> // for min, stable_partition
+
+#include "ferrytray/routing/estimate.hpp"   // for QueueWait
+#include "ferrytray/routing/rendezvous.hpp" // for RendezvousHomes
+
+namespace ferrytray::gate {
+
+namespace {
+
+constexpr std::size_t kHomeWorkers = 2;
+constexpr std::size_t kHomeStores = 2;
+constexpr base::Duration kPassOverFailed = std::chrono::seconds(1);
+constexpr base::Duration kSentMemory = std::chrono::seconds(30);
+constexpr base::Duration kZonePath = std::chrono::microseconds(500);
+constexpr base::Duration kOtherZonePath = std::chrono::milliseconds(2);
+constexpr double kUnknownSpeed = 10000; // tokens a second, until the first report
+constexpr base::Duration kTrust = std::chrono::seconds(10);
+
+} // namespace
+
+FleetView::FleetView(std::string aZone, std::size_t aHintBlocks)
+  : m_zone(std::move(aZone))
+  , m_hints(aHintBlocks)
+{
+}
+
+void FleetView::OnEndpoints(std::vector<wire::EndpointStatus> aEndpoints, base::TimePoint aNow)
+{
+  std::map<std::string, std::string> current;
+  for (const wire::EndpointStatus& endpoint : aEndpoints) {
+    const std::string& name = endpoint.m_host.m_name;
+    current[name] = endpoint.m_host.m_incarnation;
+    if (endpoint.m_host.m_leaving) {
+      m_leaving.Add(name, endpoint.m_host.m_incarnation);
+    }
+    // A swap or a new process empties the worker's cache.
+    const std::string running = endpoint.m_host.m_incarnation + "@" + endpoint.m_load.m_version;
+    std::string& before = m_runVersions[name];
+    if (before != running) {
+      m_hints.Forget(name);
+      before = running;
+    }
+  }
+  m_leaving.Prune(current);
+  m_endpoints = std::move(aEndpoints);
+  m_updated = aNow;
+  m_known = true;
+}
+
+void FleetView::OnSent(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow)
+{
+  std::deque<Sent>& sent = m_sent[aWorker];
+  sent.push_back({ aNow, aEngineTime });
+  while (!sent.empty() && aNow - sent.front().m_at > kSentMemory) {
+    sent.pop_front();
+  }
+}
+
+void FleetView::OnFailure(const std::string& aEndpoint, base::TimePoint aNow)
+{
+  m_failedUntil[aEndpoint] = aNow + kPassOverFailed;
+}
+
+void FleetView::MarkLeaving(const std::string& aEndpoint)
+{
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    if (endpoint.m_host.m_name == aEndpoint) {
+      m_leaving.Add(aEndpoint, endpoint.m_host.m_incarnation);
+    }
+  }
+}
+
+void FleetView::EndService(const std::string& aEndpoint)
+{
+  const auto found = m_openCalls.find(aEndpoint);
+  if (found != m_openCalls.end() && --found->second <= 0) {
+    m_openCalls.erase(found);
+  }
+}
+
+bool FleetView::Usable(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const
+{
+  const auto failed = m_failedUntil.find(aEndpoint.m_host.m_name);
+  const bool passedOver = failed != m_failedUntil.end() && aNow < failed->second;
+  return !passedOver && !m_leaving.Contains(aEndpoint.m_host.m_name, aEndpoint.m_host.m_incarnation);
+}
+
+routing::WorkerView FleetView::ViewOf(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const
+{
+  routing::WorkerView view;
+  const base::Duration sinceUpdate = aNow - m_updated;
+  view.m_reportAge = std::chrono::milliseconds(aEndpoint.m_reportAgeMillis) + sinceUpdate;
+  view.m_reportedWait = std::chrono::milliseconds(aEndpoint.m_load.m_queuedMillis);
+  view.m_tokensPerSecond = aEndpoint.m_load.m_tokensPerSecond > 0 ? aEndpoint.m_load.m_tokensPerSecond : kUnknownSpeed;
+  view.m_path = aEndpoint.m_host.m_zone == m_zone ? kZonePath : kOtherZonePath;
+  view.m_usable = Usable(aEndpoint, aNow);
+  const base::TimePoint reportedAt = aNow - view.m_reportAge;
+  const auto sent = m_sent.find(aEndpoint.m_host.m_name);
+  if (sent != m_sent.end()) {
+    for (const Sent& work : sent->second) {
+      if (work.m_at > reportedAt) {
+        view.m_sentSince += work.m_engineTime;
+      }
+    }
+  }
+  return view;
+}
+
+std::vector<FleetView::Candidate> FleetView::Candidates(const config::Fleet& aFleet,
+                                                        std::span<const base::Digest128> aBlocks,
+                                                        const std::set<std::string>& aTried,
+                                                        base::TimePoint aNow) const
+{
+  std::vector<Candidate> candidates;
+  std::vector<std::string> names;
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    const bool inFleet = endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet.m_name;
+    if (!inFleet || aTried.contains(endpoint.m_host.m_name)) {
+      continue;
+    }
+    Candidate candidate{ &endpoint, ViewOf(endpoint, aNow) };
+    const bool runsAnother = !endpoint.m_load.m_version.empty() && endpoint.m_load.m_version != aFleet.m_version;
+    // A worker of another version would refuse; it is swapped by the keepers, not by requests.
+    candidate.m_view.m_usable = candidate.m_view.m_usable && !runsAnother && !endpoint.m_load.m_swapping;
+    candidate.m_view.m_cachedBlocks = m_hints.CachedPrefix(endpoint.m_host.m_name, aBlocks);
+    candidates.push_back(candidate);
+    names.push_back(endpoint.m_host.m_name);
+  }
+  if (aBlocks.empty()) {
+    return candidates;
+  }
+  const auto homes = routing::RendezvousHomes(aBlocks.front(), names, kHomeWorkers);
+  std::size_t place = 0;
+  for (const std::size_t home : homes) {
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const Candidate& aCandidate) {
+      return aCandidate.m_endpoint->m_host.m_name == names[home];
+    });
+    std::swap(candidates[place++], *found);
+  }
+  return candidates;
+}
+
+const wire::EndpointStatus* FleetView::PickService(const std::string& aService,
+                                                   const std::set<std::string>& aTried,
+                                                   base::TimePoint aNow) const
+{
+  const wire::EndpointStatus* best = nullptr;
+  int fewest = 0;
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    const bool fits = endpoint.m_host.m_role == wire::Role::Service && endpoint.m_host.m_pool == aService;
+    if (!fits || aTried.contains(endpoint.m_host.m_name) || !Usable(endpoint, aNow)) {
+      continue;
+    }
+    const auto open = m_openCalls.find(endpoint.m_host.m_name);
+    // Another zone's endpoint is worth it only when this zone's are busy.
+    const int zonePenalty = endpoint.m_host.m_zone == m_zone ? 0 : 4;
+    const int calls = (open == m_openCalls.end() ? 0 : open->second) + zonePenalty;
+    if (best == nullptr || calls < fewest) {
+      best = &endpoint;
+      fewest = calls;
+    }
+  }
+  return best;
+}
+
+std::vector<const wire::EndpointStatus*> FleetView::HomeStores(const base::Digest128& aContext) const
+{
+  std::vector<const wire::EndpointStatus*> stores;
+  std::vector<std::string> names;
+  const auto collect = [&](bool aOwnZone) {
+    for (const wire::EndpointStatus& endpoint : m_endpoints) {
+      const bool zoneFits = !aOwnZone || endpoint.m_host.m_zone == m_zone;
+      if (endpoint.m_host.m_role == wire::Role::Store && zoneFits && !endpoint.m_host.m_leaving) {
+        stores.push_back(&endpoint);
+        names.push_back(endpoint.m_host.m_name);
+      }
+    }
+  };
+  collect(true);
+  if (stores.empty()) {
+    collect(false);
+  }
+  std::vector<const wire::EndpointStatus*> homes;
+  for (const std::size_t home : routing::RendezvousHomes(aContext, names, kHomeStores)) {
+    homes.push_back(stores[home]);
+  }
+  return homes;
+}
+
+std::optional<base::Duration> FleetView::ShortestQueue(const std::string& aFleet, base::TimePoint aNow) const
+{
+  std::optional<base::Duration> shortest;
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    const bool inFleet = endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet;
+    if (!inFleet || !Usable(endpoint, aNow) || endpoint.m_load.m_swapping) {
+      continue;
+    }
+    const base::Duration wait = routing::QueueWait(ViewOf(endpoint, aNow), kTrust);
+    shortest = shortest ? std::min(*shortest, wait) : wait;
+  }
+  return shortest;
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -0,0 +1,116 @@
+#include "ferrytray/gate/keeper_link.hpp"
+
+#include <algorithm> // for find, max
+
+#include "ferrytray/config/parse.hpp"       // for Parse
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::gate {
+
+namespace {
+
+constexpr base::Duration kReconnect = std::chrono::milliseconds(250);
+constexpr base::Duration kReportEvery = std::chrono::milliseconds(250);
+
+} // namespace
+
+KeeperLink::KeeperLink(net::Loop& aLoop, const GateOptions& aOptions, Handlers aHandlers)
+  : m_loop(aLoop)
+  , m_options(aOptions)
+  , m_handlers(std::move(aHandlers))
+{
+}
+
+void KeeperLink::Start()
+{
+  Connect();
+  m_reports = m_loop.Every(kReportEvery, [this] { ReportNow(); });
+}
+
+void KeeperLink::Connect()
+{
+  net::ConnectFrames(m_loop, m_options.m_keeper, [this](std::shared_ptr<net::FrameChannel> aChannel) {
+    if (!aChannel) {
+      m_retry = m_loop.After(kReconnect, [this] { Connect(); });
+      return;
+    }
+    telemetry::LogLine("keeper_connected").Add("position", m_position);
+    m_channel = aChannel;
+    aChannel->OnFrame([this](std::string_view aBytes) { OnFrame(aBytes); });
+    aChannel->OnClosed([this] {
+      telemetry::LogLine("keeper_lost").Add("position", m_position);
+      m_channel = nullptr;
+      m_retry = m_loop.After(kReconnect, [this] { Connect(); });
+    });
+    aChannel->Send(wire::EncodeFrame(wire::Hello{ m_options.m_host, true, m_position }));
+    ReportNow();
+  });
+}
+
+void KeeperLink::ReportNow()
+{
+  if (m_channel) {
+    m_channel->Send(wire::EncodeFrame(m_handlers.m_makeReport()));
+  }
+}
+
+void KeeperLink::OnFrame(std::string_view aBytes)
+{
+  const auto frame = wire::DecodeFrame(aBytes);
+  if (frame) {
+    std::visit([this](const auto& aFrame) { Handle(aFrame); }, *frame);
+  }
+}
+
+void KeeperLink::Handle(const wire::StateUpdate& aUpdate)
+{
+  for (const replay::ScopeState& scope : aUpdate.m_scopes) {
+    std::uint64_t& accepted = m_accepted[scope.m_scope];
+    if (scope.m_accepted <= accepted) {
+      continue;
+    }
+    auto parsed = config::Parse(scope.m_body, scope.m_scope);
+    if (!parsed) {
+      telemetry::LogLine("config_unparsed").Add("scope", scope.m_scope).Add("why", parsed.error().front().m_message);
+      continue;
+    }
+    accepted = scope.m_accepted;
+    m_registry.Put(std::make_shared<config::Document>(std::move(*parsed)));
+    telemetry::LogLine("config_in_force").Add("scope", scope.m_scope).Add("offset", accepted);
+  }
+  m_position = std::max(m_position, aUpdate.m_position);
+  m_hasConfig = true;
+  m_handlers.m_onConfig();
+  ReportNow();
+}
+
+void KeeperLink::Handle(const wire::EndpointUpdate& aUpdate)
+{
+  m_handlers.m_onEndpoints(aUpdate);
+}
+
+void KeeperLink::Handle(const wire::PeerUpdate& aUpdate)
+{
+  m_members = aUpdate.m_members;
+}
+
+void KeeperLink::Handle(const wire::ShareUpdate& aUpdate)
+{
+  m_handlers.m_onShares(aUpdate);
+}
+
+const membership::Member* KeeperLink::TicketHome(const std::string& aIncarnation) const
+{
+  const membership::Member* home = nullptr;
+  for (const membership::Member& member : m_members) {
+    const bool has =
+      std::find(member.m_tickets.begin(), member.m_tickets.end(), aIncarnation) != member.m_tickets.end();
+    const bool better = home == nullptr || member.m_state == membership::MemberState::Alive;
+    if (has && better && !member.m_gate.empty()) {
+      home = &member;
+    }
+  }
+  return home;
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -0,0 +1,420 @@
+#include "ferrytray/gate/model_exchange.hpp"
+
+#include <algorithm> // for min, max
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/blocks/chain.hpp"       // for ChainBlocks
+#include "ferrytray/gate/pass_through.hpp"  // for PassToGate
+#include "ferrytray/limits/admission.hpp"   // for CheckDeadline
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::gate {
+
+namespace {
+
+using base::ErrorCode;
+using base::RunState;
+using nlohmann::json;
+
+constexpr std::uint32_t kBytesPerToken = 4;
+constexpr unsigned kPriorityShift = 48;
+constexpr base::Duration kComeBack = std::chrono::seconds(1);
+
+} // namespace
+
+ModelExchange::ModelExchange(GateCore& aCore,
+                             ExchangeServices aServices,
+                             ModelCall aCall,
+                             std::shared_ptr<net::HttpReply> aReply)
+  : m_core(aCore)
+  , m_services(aServices)
+  , m_call(std::move(aCall))
+  , m_answer(std::move(aReply),
+             { m_call.m_request, m_call.m_model.m_model },
+             m_call.m_model.m_shape,
+             m_call.m_model.m_stream)
+{
+}
+
+ModelExchange::~ModelExchange()
+{
+  EndWork();
+}
+
+void ModelExchange::Start()
+{
+  m_open = true;
+  ++m_core.m_openWork;
+  const base::Duration deadline = m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
+  m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
+  m_guard =
+    std::make_shared<OnceGuard>(m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
+  const std::weak_ptr<ModelExchange> weak = weak_from_this();
+  m_answer.OnClosed([weak] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
+  const auto self = shared_from_this();
+  m_guard->Begin([self](const OnceVerdict& aVerdict) { self->OnVerdict(aVerdict); });
+}
+
+void ModelExchange::OnVerdict(const OnceVerdict& aVerdict)
+{
+  if (std::holds_alternative<RunHere>(aVerdict)) {
+    BeginRun();
+    return;
+  }
+  EndWork();
+  if (const auto* replay = std::get_if<ReplayAnswer>(&aVerdict)) {
+    m_answer.Replay(replay->m_answer);
+  } else if (const auto* passOn = std::get_if<PassOn>(&aVerdict)) {
+    PassToGate(m_core, passOn->m_address, m_call.m_http, m_call.m_request, m_answer.Share());
+  } else {
+    m_answer.Fail(std::get<base::Failure>(aVerdict));
+  }
+}
+
+void ModelExchange::BeginRun()
+{
+  const auto self = shared_from_this();
+  m_deadlineTimer = m_core.m_loop.After(m_deadline - base::MonotonicNow(), [self] { self->OnDeadline(); });
+  const blocks::BlockScope scope{ m_call.m_account.m_name, m_call.m_fleet.m_model, m_call.m_fleet.m_version };
+  m_blocks =
+    blocks::ChainBlocks(scope, m_call.m_model.m_prompt, { m_call.m_fleet.m_blockBytes, m_call.m_fleet.m_blockTokens });
+  if (m_blocks.empty()) {
+    Decide();
+    return;
+  }
+  m_core.m_contexts.OnRequest(m_call.m_account.m_name, m_blocks.front(), m_call.m_arrival);
+  LookupStores(m_core, m_blocks, [self](const StoreFound& aFound) {
+    self->m_store = aFound;
+    if (self->m_open) {
+      self->Decide();
+    }
+  });
+}
+
+routing::RequestShape ModelExchange::Shape() const
+{
+  const auto promptTokens = static_cast<std::uint32_t>(m_call.m_model.m_prompt.size() / kBytesPerToken);
+  const double bytesPerBlock = static_cast<double>(m_call.m_fleet.m_blockTokens) * m_call.m_fleet.m_kvBytesPerToken;
+  return { promptTokens, static_cast<std::uint32_t>(m_blocks.size()), m_call.m_fleet.m_blockTokens, bytesPerBlock };
+}
+
+bool ModelExchange::HoldIfBusy()
+{
+  if (m_wasHeld || !m_services.m_queues.MustHold(m_call.m_fleet.m_name)) {
+    return false;
+  }
+  m_wasHeld = true;
+  const auto self = shared_from_this();
+  const double seconds = std::max(1.0, static_cast<double>(Shape().m_promptTokens)) / 10000;
+  m_held = m_services.m_queues.Hold(
+    m_call.m_fleet.m_name, m_call.m_account.m_name, m_call.m_account.m_weight, seconds, [self] {
+      self->m_held = 0;
+      self->Decide();
+    });
+  if (m_held == 0) {
+    Fail(ErrorCode::QueueFull, "too many requests wait already", kComeBack);
+  }
+  return true;
+}
+
+void ModelExchange::Decide()
+{
+  if (!m_open) {
+    return;
+  }
+  const base::TimePoint now = base::MonotonicNow();
+  const auto candidates = m_core.m_view.Candidates(m_call.m_fleet, m_blocks, m_tried, now);
+  std::vector<routing::WorkerView> workers;
+  for (const FleetView::Candidate& candidate : candidates) {
+    workers.push_back(candidate.m_view);
+  }
+  const std::vector<routing::StoreView> stores(workers.size(), m_store.m_view);
+  std::vector<std::optional<routing::Plan>> plans(workers.size());
+  const config::PolicyWeights& weights = m_call.m_fleet.m_weights;
+  routing::ChooseOptions options;
+  options.m_weights = { weights.m_firstToken, weights.m_recompute, weights.m_link };
+  options.m_trust = m_core.m_options.m_loadTrust;
+  const std::uint64_t random = base::Hash64(m_call.m_request, std::to_string(m_attempts));
+  const auto choice = routing::Choose(Shape(), workers, stores, options, random, plans);
+  if (!choice) {
+    Record(candidates, plans, "");
+    Fail(ErrorCode::NoEndpoint, "no worker of fleet '" + m_call.m_fleet.m_name + "' can be used", kComeBack);
+    return;
+  }
+  if (RefuseIfTooLate(choice->m_plan, workers.size()) || HoldIfBusy()) {
+    return;
+  }
+  const FleetView::Candidate& chosen = candidates[choice->m_worker];
+  m_choice = *choice;
+  m_worker = chosen.m_endpoint->m_host.m_name;
+  m_workerAddress = chosen.m_endpoint->m_host.m_address;
+  m_workerIncarnation = chosen.m_endpoint->m_host.m_incarnation;
+  m_workerSpeed = chosen.m_view.m_tokensPerSecond;
+  m_workerCached = chosen.m_view.m_cachedBlocks;
+  m_core.m_view.OnSent(m_worker, choice->m_plan.m_engineTime, now);
+  Record(candidates, plans, m_worker);
+  Restore();
+}
+
+void ModelExchange::Record(const std::vector<FleetView::Candidate>& aCandidates,
+                           const std::vector<std::optional<routing::Plan>>& aPlans,
+                           const std::string& aWorker)
+{
+  Decision decision{ m_call.m_request, m_call.m_account.m_name, m_call.m_fleet.m_name, aWorker, {} };
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    decision.m_candidates.push_back({ aCandidates[i].m_endpoint->m_host.m_name, aPlans[i] });
+  }
+  m_core.m_decisions.Record(std::move(decision));
+}
+
+bool ModelExchange::RefuseIfTooLate(const routing::Plan& aPlan, std::size_t aWorkers)
+{
+  if (!m_call.m_terms.m_deadline) {
+    return false;
+  }
+  const base::Duration drain = m_services.m_queues.ExpectedDrain(m_call.m_fleet.m_name, aWorkers);
+  const base::Duration held = m_wasHeld ? base::Duration::zero() : drain;
+  const limits::AdmissionView view{ m_call.m_arrival, m_deadline, aPlan.m_firstToken + held, drain };
+  const auto verdict = limits::CheckDeadline(view, base::MonotonicNow());
+  if (verdict) {
+    return false;
+  }
+  Fail(verdict.error().m_code, verdict.error().m_message, verdict.error().m_retryAfter);
+  return true;
+}
+
+void ModelExchange::Restore()
+{
+  if (m_choice.m_plan.m_restoreBlocks == 0) {
+    Run("");
+    return;
+  }
+  const ImportRequest import{ m_workerAddress, m_store, m_blocks, m_workerCached, m_choice.m_plan.m_restoreBlocks };
+  const auto self = shared_from_this();
+  ImportBlocks(m_core, import, [self](std::optional<std::string> aImport) {
+    if (!self->m_open) {
+      return;
+    }
+    if (aImport) {
+      self->m_core.m_metrics.Count("import_link_bytes_total", self->m_choice.m_plan.m_linkBytes);
+    }
+    self->Run(aImport.value_or(""));
+  });
+}
+
+std::string ModelExchange::EngineBody(const std::string& aAttempt, const std::string& aImport) const
+{
+  std::vector<std::string> names;
+  names.reserve(m_blocks.size());
+  for (const base::Digest128& block : m_blocks) {
+    names.push_back(base::ToHex(block));
+  }
+  // Among equals the engine serves who arrived here first, so that a restored request does not
+  // lose its place to the time of its import.
+  const auto arrival = static_cast<std::uint64_t>(m_call.m_arrival.time_since_epoch().count());
+  const std::uint64_t mask = (std::uint64_t{ 1 } << kPriorityShift) - 1;
+  const std::uint64_t priority = (std::uint64_t{ m_call.m_model.m_priority } << kPriorityShift) | (arrival & mask);
+  return json{ { "model", m_call.m_fleet.m_model },
+               { "prompt", m_call.m_model.m_prompt },
+               { "max_tokens", m_call.m_model.m_maxTokens },
+               { "stream", true },
+               { "cache_salt", m_call.m_account.m_name },
+               { "priority", priority },
+               { "x_request", m_call.m_request },
+               { "x_attempt", aAttempt },
+               { "x_version", m_call.m_fleet.m_version },
+               { "x_incarnation", m_workerIncarnation },
+               { "x_import", aImport },
+               { "x_blocks", names } }
+    .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void ModelExchange::Run(const std::string& aImport)
+{
+  ++m_attempts;
+  const std::string attempt = m_core.NextAttempt();
+  const base::Duration left = m_core.m_options.m_longestDeadline;
+  const auto self = shared_from_this();
+  const EngineAttempt::Handlers handlers{ [self](const std::string& aText) { self->OnText(aText); },
+                                          [self](const AttemptEnd& aEnd) { self->OnEnd(aEnd); } };
+  const AttemptRequest request{
+    m_workerAddress, attempt, m_call.m_fleet.m_version, EngineBody(attempt, aImport), left
+  };
+  m_attempt = std::make_shared<EngineAttempt>(m_core, request, handlers);
+  m_attempt->Start();
+}
+
+void ModelExchange::OnText(const std::string& aText)
+{
+  if (!m_answer.HasText()) {
+    const double seconds = base::Seconds(base::MonotonicNow() - m_call.m_arrival);
+    m_core.m_metrics.Observe("first_token_seconds{fleet=\"" + m_call.m_fleet.m_name + "\"}", seconds);
+    if (m_call.m_model.m_stream) {
+      // The deadline is for the first token of a stream, and for the whole of other answers.
+      m_deadlineTimer.reset();
+    }
+  }
+  m_answer.Deliver(aText);
+  if (m_answer.UnreadBytes() > m_core.m_options.m_maxSlowCallerBytes && !m_guard->KeepsAnswer()) {
+    m_core.m_metrics.Count("slow_callers_dropped_total");
+    m_attempt->Cancel();
+    m_mayHaveRun = true;
+    Fail(ErrorCode::DeadlineExceeded, "the answer was not read");
+  }
+}
+
+void ModelExchange::OnEnd(const AttemptEnd& aEnd)
+{
+  m_attempt.reset();
+  if (m_open) {
+    std::visit([this](const auto& aKind) { Handle(aKind); }, aEnd);
+  }
+}
+
+void ModelExchange::Handle(const AttemptComplete& aEnd)
+{
+  m_core.m_retries.OnSuccess();
+  m_core.m_metrics.Count("requests_total{kind=\"model\",result=\"ok\"}");
+  NoteUsage(aEnd.m_usage);
+  m_guard->Finish(m_answer.Complete(aEnd.m_usage));
+  EndWork();
+}
+
+void ModelExchange::NoteUsage(const Usage& aUsage)
+{
+  m_core.m_metrics.Count("prompt_tokens_total{from=\"memory\"}", aUsage.m_cached);
+  m_core.m_metrics.Count("prompt_tokens_total{from=\"store\"}", aUsage.m_restored);
+  m_core.m_metrics.Count("prompt_tokens_total{from=\"recompute\"}", aUsage.m_recomputed);
+  if (m_blocks.empty()) {
+    return;
+  }
+  const std::uint32_t found = aUsage.m_cached / m_call.m_fleet.m_blockTokens;
+  if (found < m_workerCached) {
+    m_core.m_view.Hints().OnFound(m_worker, m_blocks, found);
+  }
+  m_core.m_view.Hints().OnRun(m_worker, m_blocks);
+  const routing::RequestShape shape = Shape();
+  const double newBlocks = static_cast<double>(m_blocks.size() - std::min<std::size_t>(m_blocks.size(), m_store.m_view.m_storedBlocks));
+  m_services.m_exporter.Consider({ m_call.m_request,
+                                   m_call.m_account.m_name,
+                                   m_workerAddress,
+                                   m_store,
+                                   m_blocks,
+                                   newBlocks * shape.m_bytesPerBlock,
+                                   newBlocks * shape.m_tokensPerBlock / m_workerSpeed });
+}
+
+void ModelExchange::Handle(const AttemptNotStarted& aEnd)
+{
+  if (aEnd.m_leaving) {
+    m_core.m_view.MarkLeaving(m_worker);
+    m_core.m_keeper->ReportNow();
+  }
+  if (!TryAgain(RunState::NotRun)) {
+    Fail(ErrorCode::EndpointRefused, "the worker did not start: " + aEnd.m_message, kComeBack);
+  }
+}
+
+void ModelExchange::Handle(const AttemptWrongVersion&)
+{
+  m_mayHaveRun = true;
+  if (!TryAgain(RunState::Unknown)) {
+    Fail(ErrorCode::VersionMismatch, "the worker ran another weight version; its answer was dropped", kComeBack);
+  }
+}
+
+void ModelExchange::Handle(const AttemptBroken& aEnd)
+{
+  m_mayHaveRun = true;
+  // Another run may word its answer differently, so text that was delivered cannot be continued.
+  const bool delivered = m_answer.HasText();
+  if (delivered || !TryAgain(RunState::Unknown)) {
+    Fail(ErrorCode::EndpointBroke, aEnd.m_message, kComeBack);
+  }
+}
+
+bool ModelExchange::TryAgain(RunState aRun)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_view.OnFailure(m_worker, now);
+  m_tried.insert(m_worker);
+  const limits::FailedAttempt failed{ aRun, Idempotent(), m_attempts, m_deadline, m_choice.m_plan.m_firstToken };
+  if (!m_core.m_retries.TryRetry(failed, now)) {
+    return false;
+  }
+  m_core.m_metrics.Count("retries_total");
+  Decide();
+  return true;
+}
+
+bool ModelExchange::Idempotent() const
+{
+  return m_call.m_terms.m_idempotent.value_or(!m_guard->KeepsAnswer());
+}
+
+RunState ModelExchange::RunSoFar() const
+{
+  return m_mayHaveRun || m_attempt ? RunState::Unknown : RunState::NotRun;
+}
+
+void ModelExchange::Fail(ErrorCode aCode, const std::string& aMessage, base::Duration aRetryAfter)
+{
+  const base::Failure failure{ aCode, aMessage, RunSoFar(), aRetryAfter };
+  telemetry::LogLine("request_failed")
+    .Add("request", m_call.m_request)
+    .Add("code", static_cast<int>(aCode))
+    .Add("run", base::ToString(failure.m_run))
+    .Add("why", aMessage);
+  m_core.m_metrics.Count("requests_total{kind=\"model\",result=\"error\"}");
+  m_guard->Fail(failure.m_run);
+  m_answer.Fail(failure);
+  EndWork();
+}
+
+void ModelExchange::OnCallerGone()
+{
+  if (!m_open || m_guard->KeepsAnswer()) {
+    return;
+  }
+  m_core.m_metrics.Count("callers_gone_total");
+  if (m_attempt) {
+    m_attempt->Cancel();
+    m_mayHaveRun = true;
+  }
+  m_guard->Fail(RunSoFar());
+  EndWork();
+}
+
+void ModelExchange::OnDeadline()
+{
+  if (!m_open) {
+    return;
+  }
+  const RunState run = RunSoFar();
+  if (m_attempt) {
+    m_attempt->Cancel();
+  }
+  m_mayHaveRun = run == RunState::Unknown;
+  Fail(ErrorCode::DeadlineExceeded, "the deadline passed");
+}
+
+void ModelExchange::EndWork()
+{
+  if (!m_open) {
+    return;
+  }
+  m_open = false;
+  m_deadlineTimer.reset();
+  if (m_held != 0) {
+    m_services.m_queues.Drop(m_call.m_fleet.m_name, m_held);
+  }
+  --m_core.m_openWork;
+  m_core.m_limiter.Release(m_call.m_account.m_name);
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -0,0 +1,183 @@
+#include "ferrytray/gate/service_exchange.hpp"
+
+#include <algorithm> // for min
+
+#include "ferrytray/gate/answer_format.hpp" // for SendFailure
+#include "ferrytray/gate/pass_through.hpp"  // for PassToGate
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::gate {
+
+namespace {
+
+using base::ErrorCode;
+using base::RunState;
+
+constexpr int kUnavailable = 503;
+constexpr base::Duration kExpectedCall = std::chrono::milliseconds(50);
+constexpr base::Duration kConnectTimeout = std::chrono::seconds(1);
+
+/// Whether a plain service said clearly that it did not start.
+bool SaysNotStarted(const net::ClientOutcome& aOutcome, const std::string& aBody)
+{
+  return aOutcome.m_status == kUnavailable && aBody.find("\"x_started\":false") != std::string::npos;
+}
+
+} // namespace
+
+ServiceExchange::ServiceExchange(GateCore& aCore, ServiceCall aCall, std::shared_ptr<net::HttpReply> aReply)
+  : m_core(aCore)
+  , m_call(std::move(aCall))
+  , m_reply(std::move(aReply))
+{
+}
+
+ServiceExchange::~ServiceExchange()
+{
+  EndWork();
+}
+
+void ServiceExchange::Start()
+{
+  m_open = true;
+  ++m_core.m_openWork;
+  const base::Duration deadline = m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
+  m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
+  m_guard =
+    std::make_shared<OnceGuard>(m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
+  const auto self = shared_from_this();
+  m_guard->Begin([self](const OnceVerdict& aVerdict) { self->OnVerdict(aVerdict); });
+}
+
+void ServiceExchange::OnVerdict(const OnceVerdict& aVerdict)
+{
+  if (std::holds_alternative<RunHere>(aVerdict)) {
+    Send();
+    return;
+  }
+  EndWork();
+  if (const auto* replay = std::get_if<ReplayAnswer>(&aVerdict)) {
+    m_reply->Send(replay->m_answer.m_status,
+                  { { "Content-Type", replay->m_answer.m_contentType },
+                    { "X-Request-Id", m_call.m_request },
+                    { "Ferrytray-Replayed", "true" } },
+                  replay->m_answer.m_body);
+  } else if (const auto* passOn = std::get_if<PassOn>(&aVerdict)) {
+    PassToGate(m_core, passOn->m_address, m_call.m_http, m_call.m_request, m_reply);
+  } else {
+    SendFailure(*m_reply, std::get<base::Failure>(aVerdict), m_call.m_request);
+  }
+}
+
+bool ServiceExchange::Idempotent() const
+{
+  const bool guarded = m_guard->KeepsAnswer();
+  return m_call.m_terms.m_idempotent.value_or(m_call.m_service.m_idempotent && !guarded);
+}
+
+void ServiceExchange::Send()
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const wire::EndpointStatus* endpoint = m_core.m_view.PickService(m_call.m_service.m_name, m_tried, now);
+  if (endpoint == nullptr) {
+    Fail(ErrorCode::NoEndpoint, "no endpoint of the service can be used", m_mayHaveRun ? RunState::Unknown : RunState::NotRun);
+    return;
+  }
+  const std::string name = endpoint->m_host.m_name;
+  telemetry::LogLine("route_service")
+    .Add("request", m_call.m_request)
+    .Add("account", m_call.m_account.m_name)
+    .Add("service", m_call.m_service.m_name)
+    .Add("endpoint", name)
+    .Add("attempt", ++m_attempts);
+  net::ClientRequest request;
+  request.m_method = m_call.m_http.m_method;
+  request.m_url = "http://" + endpoint->m_host.m_address + m_call.m_http.m_path +
+                  (m_call.m_http.m_query.empty() ? "" : "?" + m_call.m_http.m_query);
+  request.m_headers = { { "X-Request-Id", m_call.m_request },
+                        { "X-Client-Account", m_call.m_account.m_name },
+                        { "Content-Type", std::string(m_call.m_http.Header("Content-Type")) } };
+  request.m_body = m_call.m_http.m_body;
+  request.m_timeout = std::max<base::Duration>(m_deadline - now, std::chrono::milliseconds(1));
+  request.m_connectTimeout = kConnectTimeout;
+  // libcurl resends on a reused connection by itself; a call that may not be repeated gets its own.
+  request.m_ownConnection = !Idempotent();
+  m_core.m_view.BeginService(name);
+  const auto self = shared_from_this();
+  m_core.m_http->Fetch(std::move(request), [self, name](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+    self->OnReply(name, aOutcome, aBody);
+  });
+}
+
+void ServiceExchange::OnReply(const std::string& aEndpoint, const net::ClientOutcome& aOutcome, const std::string& aBody)
+{
+  m_core.m_view.EndService(aEndpoint);
+  const bool complete = aOutcome.m_end == net::WireEnd::Complete;
+  const bool refused = complete && SaysNotStarted(aOutcome, aBody);
+  if (complete && !refused) {
+    Answer(aOutcome, aBody);
+    return;
+  }
+  if (refused) {
+    m_core.m_view.MarkLeaving(aEndpoint);
+  }
+  const bool notSent = aOutcome.m_end == net::WireEnd::NotSent;
+  const RunState run = refused || notSent ? RunState::NotRun : RunState::Unknown;
+  m_mayHaveRun = m_mayHaveRun || run == RunState::Unknown;
+  if (TryAgain(aEndpoint, run)) {
+    return;
+  }
+  const RunState overall = m_mayHaveRun ? RunState::Unknown : RunState::NotRun;
+  if (aOutcome.m_timedOut && !notSent) {
+    Fail(ErrorCode::DeadlineExceeded, "the service did not answer in time", overall);
+  } else if (notSent) {
+    Fail(ErrorCode::EndpointUnreachable, "the service cannot be reached", overall);
+  } else {
+    Fail(refused ? ErrorCode::EndpointRefused : ErrorCode::EndpointBroke, "the service's answer broke", overall);
+  }
+}
+
+bool ServiceExchange::TryAgain(const std::string& aEndpoint, RunState aRun)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_view.OnFailure(aEndpoint, now);
+  m_tried.insert(aEndpoint);
+  const limits::FailedAttempt failed{ aRun, Idempotent(), m_attempts, m_deadline, kExpectedCall };
+  if (!m_core.m_retries.TryRetry(failed, now)) {
+    return false;
+  }
+  m_core.m_metrics.Count("retries_total");
+  Send();
+  return true;
+}
+
+void ServiceExchange::Answer(const net::ClientOutcome& aOutcome, const std::string& aBody)
+{
+  m_core.m_retries.OnSuccess();
+  m_core.m_metrics.Count("requests_total{kind=\"service\",result=\"ok\"}");
+  m_guard->Finish({ aOutcome.m_status, "application/json", aBody });
+  EndWork();
+  m_reply->Send(aOutcome.m_status,
+                { { "Content-Type", "application/json" }, { "X-Request-Id", m_call.m_request } },
+                aBody);
+}
+
+void ServiceExchange::Fail(ErrorCode aCode, const std::string& aMessage, RunState aRun)
+{
+  constexpr base::Duration kComeBack = std::chrono::seconds(1);
+  m_core.m_metrics.Count("requests_total{kind=\"service\",result=\"error\"}");
+  m_guard->Fail(aRun);
+  EndWork();
+  SendFailure(*m_reply, { aCode, aMessage, aRun, kComeBack }, m_call.m_request);
+}
+
+void ServiceExchange::EndWork()
+{
+  if (m_open) {
+    m_open = false;
+    --m_core.m_openWork;
+    m_core.m_limiter.Release(m_call.m_account.m_name);
+  }
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/gate/ticket_handover.cpp
@@ -0,0 +1,117 @@
+#include "ferrytray/gate/ticket_handover.hpp"
+
+#include <algorithm> // for any_of
+
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::gate {
+
+namespace {
+
+constexpr base::Duration kRetryEvery = std::chrono::milliseconds(500);
+constexpr base::Duration kGiveUpAfter = std::chrono::seconds(20);
+
+} // namespace
+
+base::Result<void> TicketMover::Listen()
+{
+  auto server = net::FrameServer::Create(
+    m_core.m_loop, m_core.m_options.m_control, [this](const auto& aChannel) { OnChannel(aChannel); });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  m_server = std::move(*server);
+  return {};
+}
+
+void TicketMover::OnChannel(const std::shared_ptr<net::FrameChannel>& aChannel)
+{
+  const std::string ip = aChannel->RemoteIp();
+  const auto& members = m_core.m_keeper->Members();
+  const bool known = std::any_of(members.begin(), members.end(), [&](const membership::Member& aMember) {
+    return aMember.m_gossip.substr(0, aMember.m_gossip.rfind(':')) == ip;
+  });
+  if (!known) {
+    m_core.m_metrics.Count("ticket_tables_refused_total");
+    m_core.m_loop.Post([aChannel] { aChannel->Close(); });
+    return;
+  }
+  const std::weak_ptr<net::FrameChannel> weak = aChannel;
+  aChannel->OnFrame([this, weak](std::string_view aBytes) {
+    const auto frame = wire::DecodeFrame(aBytes);
+    const auto channel = weak.lock();
+    if (frame && channel && std::holds_alternative<wire::TicketHandover>(*frame)) {
+      Take(std::get<wire::TicketHandover>(*frame), *channel);
+    }
+  });
+  // The channel keeps itself alive while it reads.
+}
+
+void TicketMover::Take(const wire::TicketHandover& aTable, net::FrameChannel& aChannel)
+{
+  if (aTable.m_incarnations.empty()) {
+    return;
+  }
+  const std::string& from = aTable.m_incarnations.front();
+  m_core.m_tickets.Adopt(from, aTable.m_rows, base::MonotonicNow());
+  for (const std::string& incarnation : aTable.m_incarnations) {
+    m_core.m_tickets.Adopt(incarnation, {}, base::MonotonicNow());
+  }
+  telemetry::LogLine("tickets_taken").Add("from", from).Add("count", aTable.m_rows.size());
+  m_core.m_keeper->ReportNow();
+  aChannel.Send(wire::EncodeFrame(wire::TicketAck{ from }));
+}
+
+void TicketMover::GiveAway(std::function<void()> aDone)
+{
+  m_done = std::move(aDone);
+  m_core.m_tickets.Freeze();
+  const auto rows = m_core.m_tickets.Export(base::MonotonicNow());
+  const membership::Member* peer = nullptr;
+  for (const membership::Member& member : m_core.m_keeper->Members()) {
+    const bool can = member.m_state == membership::MemberState::Alive && !member.m_gateControl.empty() &&
+                     member.m_host != m_core.m_options.m_host;
+    const bool better = peer == nullptr || member.m_zone == m_core.m_options.m_zone;
+    if (can && better) {
+      peer = &member;
+    }
+  }
+  const auto address = peer == nullptr ? tl::unexpected(base::Failure{}) : net::ParseAddress(peer->m_gateControl);
+  if (rows.empty() || !address) {
+    Finish();
+    return;
+  }
+  telemetry::LogLine("tickets_given").Add("to", peer->m_host).Add("count", rows.size());
+  m_frame = wire::EncodeFrame(wire::TicketHandover{ m_core.m_tickets.Incarnations(), rows });
+  m_giveUp = m_core.m_loop.After(kGiveUpAfter, [this] { Finish(); });
+  SendTo(*address);
+}
+
+void TicketMover::SendTo(const net::Address& aPeer)
+{
+  m_retry = m_core.m_loop.After(kRetryEvery, [this, aPeer] { SendTo(aPeer); });
+  net::ConnectFrames(m_core.m_loop, aPeer, [this](const std::shared_ptr<net::FrameChannel>& aChannel) {
+    if (!aChannel) {
+      return;
+    }
+    aChannel->OnFrame([this](std::string_view aBytes) {
+      const auto frame = wire::DecodeFrame(aBytes);
+      if (frame && std::holds_alternative<wire::TicketAck>(*frame)) {
+        Finish();
+      }
+    });
+    aChannel->Send(m_frame);
+  });
+}
+
+void TicketMover::Finish()
+{
+  m_retry.reset();
+  m_giveUp.reset();
+  const auto done = std::exchange(m_done, nullptr);
+  if (done) {
+    done();
+  }
+}
+
+} // namespace ferrytray::gate
--- /dev/null
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -0,0 +1,451 @@
+#include "ferrytray/keeper/keeper.hpp"
+
+#include <algorithm> // for min
+#include <map>       // for map
+#include <utility>   // for move
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/config/parse.hpp"       // for Parse
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::keeper {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLoadsPerMessage = 12;
+constexpr std::size_t kDemandsPerMessage = 12;
+constexpr std::size_t kLeavingPerMessage = 8;
+constexpr std::size_t kRoundsOfLeaving = 4;
+
+const char* ToText(membership::MemberState aState)
+{
+  switch (aState) {
+    case membership::MemberState::Alive:
+      return "alive";
+    case membership::MemberState::Suspect:
+      return "suspect";
+    case membership::MemberState::Leaving:
+      return "leaving";
+    case membership::MemberState::Dead:
+      break;
+  }
+  return "dead";
+}
+
+/// A gate or a peer that is told of every change.
+struct Subscriber
+{
+  std::shared_ptr<net::FrameChannel> m_channel;
+  bool m_isGate = false;
+  bool m_greeted = false;
+  std::uint64_t m_sentPosition = 0;
+};
+
+class KeeperImpl final : public Keeper
+{
+public:
+  KeeperImpl(net::Loop& aLoop, KeeperOptions aOptions)
+    : m_loop(aLoop)
+    , m_options(std::move(aOptions))
+    , m_http(net::HttpClient::Create(aLoop))
+    , m_config(aLoop, *m_http, m_options.m_platform)
+    , m_endpoints(aLoop, *m_http, m_options)
+    , m_swaps(aLoop, *m_http, m_options)
+  {
+  }
+
+  base::Result<void> Listen()
+  {
+    auto gossip = net::DatagramSocket::Create(
+      m_loop, m_options.m_gossip, [this](const net::Address& aFrom, std::string_view aBytes) { OnDatagram(aFrom, aBytes); });
+    auto control =
+      net::FrameServer::Create(m_loop, m_options.m_control, [this](auto aChannel) { OnChannel(std::move(aChannel)); });
+    net::HttpServerOptions httpOptions;
+    httpOptions.m_listen = m_options.m_http;
+    auto http = net::HttpServer::Create(
+      m_loop, httpOptions, [this](net::HttpRequest aRequest, auto aReply) { OnHttp(aRequest, aReply); });
+    for (const base::Failure* failure : { gossip ? nullptr : &gossip.error(),
+                                          control ? nullptr : &control.error(),
+                                          http ? nullptr : &http.error() }) {
+      if (failure != nullptr) {
+        return tl::unexpected(*failure);
+      }
+    }
+    m_gossip = std::move(*gossip);
+    m_control = std::move(*control);
+    m_status = std::move(*http);
+    return {};
+  }
+
+  void Start()
+  {
+    membership::Member self;
+    self.m_host = m_options.m_host;
+    self.m_zone = m_options.m_zone;
+    self.m_gossip = net::ToString(m_gossip->ListenAddress());
+    self.m_control = net::ToString(m_control->ListenAddress());
+    self.m_incarnation = m_options.m_incarnation;
+    const std::uint64_t seed = base::Hash64(self.m_host, std::to_string(self.m_incarnation));
+    m_members = std::make_unique<membership::MemberTable>(self, membership::MembershipOptions{}, seed);
+    m_config.Start([this] { OnConfigChange(); });
+    m_endpoints.Start([this](const auto& aEntries) { OnEntryHosts(aEntries); });
+    m_swaps.Start();
+    m_round = m_loop.Every(m_options.m_round, [this] { OnRound(); });
+    m_push = m_loop.Every(m_options.m_loadPoll, [this] { PushEndpoints(); });
+  }
+
+  [[nodiscard]] net::Address HttpAddress() const override { return m_status->ListenAddress(); }
+  [[nodiscard]] net::Address ControlAddress() const override { return m_control->ListenAddress(); }
+  [[nodiscard]] net::Address GossipAddress() const override { return m_gossip->ListenAddress(); }
+
+  void Leave(std::function<void()> aDone) override
+  {
+    m_members->Leave();
+    m_leaving = m_loop.After(m_options.m_round * kRoundsOfLeaving, std::move(aDone));
+  }
+
+private:
+  // --- configuration -----------------------------------------------------------------------
+
+  void OnConfigChange()
+  {
+    for (const auto& [name, scope] : m_config.Replay().Scopes()) {
+      if (scope.m_accepted == 0 || m_parsedAt[name] == scope.m_accepted) {
+        continue;
+      }
+      m_parsedAt[name] = scope.m_accepted;
+      auto parsed = config::Parse(scope.m_body, name);
+      if (parsed) {
+        m_registry.Put(std::make_shared<config::Document>(std::move(*parsed)));
+      }
+    }
+    PublishState();
+  }
+
+  void PublishState()
+  {
+    for (Subscriber& subscriber : m_subscribers) {
+      SendState(subscriber);
+    }
+  }
+
+  void SendState(Subscriber& aSubscriber)
+  {
+    const std::uint64_t position = m_config.Replay().Position();
+    if (!aSubscriber.m_greeted || !m_config.Ready() || aSubscriber.m_sentPosition >= position) {
+      return;
+    }
+    wire::StateUpdate update{ position, m_config.Replay().Since(aSubscriber.m_sentPosition) };
+    aSubscriber.m_sentPosition = position;
+    aSubscriber.m_channel->Send(wire::EncodeFrame(update));
+  }
+
+  /// Asks a peer that is ahead, so that a host cut off from the log still learns.
+  void CatchUpFromPeers()
+  {
+    const std::uint64_t mine = m_config.Replay().Position();
+    const bool fromLog = m_config.LogReachable() && m_config.Ready();
+    if (fromLog || m_asking) {
+      return;
+    }
+    for (const membership::Member& member : m_members->Live()) {
+      const bool ahead = member.m_position > mine || !m_config.Ready();
+      if (member.m_host == m_options.m_host || member.m_control.empty() || !ahead) {
+        continue;
+      }
+      const auto address = net::ParseAddress(member.m_control);
+      if (address) {
+        AskPeer(*address, mine);
+        return;
+      }
+    }
+  }
+
+  void AskPeer(const net::Address& aPeer, std::uint64_t aMine)
+  {
+    m_asking = true;
+    net::ConnectFrames(m_loop, aPeer, [this, aMine](std::shared_ptr<net::FrameChannel> aChannel) {
+      if (!aChannel) {
+        m_asking = false;
+        return;
+      }
+      const std::weak_ptr<net::FrameChannel> weak = aChannel;
+      m_askTimeout = m_loop.After(std::chrono::seconds(2), [weak] {
+        if (const auto channel = weak.lock()) {
+          channel->Close();
+        }
+      });
+      aChannel->OnClosed([this] { m_asking = false; });
+      aChannel->OnFrame([this, weak](std::string_view aBytes) {
+        const auto frame = wire::DecodeFrame(aBytes);
+        if (frame && std::holds_alternative<wire::StateUpdate>(*frame)) {
+          m_config.OnPeerState(std::get<wire::StateUpdate>(*frame));
+        }
+        if (const auto channel = weak.lock()) {
+          channel->Close();
+        }
+      });
+      aChannel->Send(wire::EncodeFrame(wire::Hello{ m_options.m_host, false, aMine }));
+    });
+  }
+
+  // --- gates and peers ---------------------------------------------------------------------
+
+  void OnChannel(std::shared_ptr<net::FrameChannel> aChannel)
+  {
+    m_subscribers.push_back({ aChannel, false, false, 0 });
+    const net::FrameChannel* raw = aChannel.get();
+    aChannel->OnFrame([this, raw](std::string_view aBytes) { OnFrame(raw, aBytes); });
+    aChannel->OnClosed([this, raw] {
+      std::erase_if(m_subscribers, [raw](const Subscriber& aEntry) { return aEntry.m_channel.get() == raw; });
+    });
+  }
+
+  void OnFrame(const net::FrameChannel* aChannel, std::string_view aBytes)
+  {
+    const auto found = std::find_if(m_subscribers.begin(), m_subscribers.end(), [&](const Subscriber& aEntry) {
+      return aEntry.m_channel.get() == aChannel;
+    });
+    const auto frame = wire::DecodeFrame(aBytes);
+    if (found == m_subscribers.end() || !frame) {
+      m_metrics.Count("frames_dropped_total");
+      return;
+    }
+    if (const auto* hello = std::get_if<wire::Hello>(&*frame)) {
+      found->m_isGate = hello->m_isGate;
+      found->m_greeted = true;
+      found->m_sentPosition = hello->m_position;
+      SendState(*found);
+      PushEndpoints();
+      PushPeers();
+    } else if (const auto* report = std::get_if<wire::GateReport>(&*frame)) {
+      OnGateReport(*report);
+    }
+  }
+
+  void OnGateReport(const wire::GateReport& aReport)
+  {
+    m_gate = aReport;
+    m_members->SetGate(aReport.m_address, aReport.m_control);
+    m_members->SetTickets(aReport.m_tickets);
+    m_shares.OnOwnDemand(aReport.m_demand);
+    for (const auto& [endpoint, incarnation] : aReport.m_leaving) {
+      m_endpoints.MarkLeaving(endpoint, incarnation);
+    }
+  }
+
+  template<typename Message>
+  void SendToGates(const Message& aMessage)
+  {
+    const std::string bytes = wire::EncodeFrame(aMessage);
+    for (const Subscriber& subscriber : m_subscribers) {
+      if (subscriber.m_isGate) {
+        subscriber.m_channel->Send(bytes);
+      }
+    }
+  }
+
+  void PushEndpoints() { SendToGates(wire::EndpointUpdate{ m_endpoints.Endpoints(base::MonotonicNow()) }); }
+  void PushPeers() { SendToGates(wire::PeerUpdate{ m_members->Live() }); }
+
+  // --- membership --------------------------------------------------------------------------
+
+  void OnEntryHosts(const std::vector<wire::ListedHost>& aEntries)
+  {
+    std::vector<membership::Member> hosts;
+    for (const wire::ListedHost& entry : aEntries) {
+      membership::Member member;
+      member.m_host = entry.m_name;
+      member.m_zone = entry.m_zone;
+      member.m_gossip = entry.m_address;
+      hosts.push_back(std::move(member));
+    }
+    m_members->OnHostList(hosts, base::MonotonicNow());
+  }
+
+  void OnDatagram(const net::Address& aFrom, std::string_view aBytes)
+  {
+    const auto message = wire::DecodeGossip(aBytes);
+    const base::TimePoint now = base::MonotonicNow();
+    if (!message || !m_members->OnMessage(*message, aFrom.m_ip, now)) {
+      m_metrics.Count("datagrams_dropped_total");
+      return;
+    }
+    m_metrics.Count("datagram_bytes_received_total", static_cast<double>(aBytes.size()));
+    for (const membership::LoadDigest& load : message->m_loads) {
+      m_endpoints.OnRemoteLoad(load, now);
+    }
+    for (const auto& [endpoint, incarnation] : message->m_leaving) {
+      m_endpoints.MarkLeaving(endpoint, incarnation);
+    }
+    m_shares.OnPeerDemand(message->m_from, message->m_demands, now);
+  }
+
+  void OnRound()
+  {
+    const base::TimePoint now = base::MonotonicNow();
+    m_members->SetPosition(PositionInForce());
+    for (membership::GossipSend& send : m_members->OnRound(now)) {
+      SendGossip(send, now);
+    }
+    PushPeers();
+    const std::vector<membership::Member> live = m_members->Live();
+    SendToGates(m_shares.Shares(static_cast<std::uint32_t>(live.size()), now));
+    CatchUpFromPeers();
+    const std::vector<std::string> hosts = AliveNames(live);
+    m_swaps.OnRound(m_registry.Fleets(), m_endpoints.Endpoints(now), hosts, now);
+    m_endpoints.PollAllZones(m_swaps.HoldsAny(now));
+    // The lowest name renews: a second one now and then would do no harm.
+    m_config.RenewDue(m_options.m_renewAge, !hosts.empty() && hosts.front() == m_options.m_host);
+  }
+
+  void SendGossip(membership::GossipSend& aSend, base::TimePoint aNow)
+  {
+    const auto address = net::ParseAddress(aSend.m_to);
+    if (!address) {
+      return;
+    }
+    aSend.m_message.m_loads = m_endpoints.NextDigests(kLoadsPerMessage, aNow);
+    aSend.m_message.m_demands = m_shares.Digest(kDemandsPerMessage);
+    for (const auto& pair : m_endpoints.Leaving().All()) {
+      if (aSend.m_message.m_leaving.size() < kLeavingPerMessage) {
+        aSend.m_message.m_leaving.push_back(pair);
+      }
+    }
+    const std::string bytes = wire::EncodeGossip(aSend.m_message);
+    m_metrics.Count("datagram_bytes_sent_total", static_cast<double>(bytes.size()));
+    m_gossip->SendTo(*address, bytes);
+  }
+
+  static std::vector<std::string> AliveNames(const std::vector<membership::Member>& aLive)
+  {
+    std::vector<std::string> names;
+    for (const membership::Member& member : aLive) {
+      if (member.m_state == membership::MemberState::Alive) {
+        names.push_back(member.m_host);
+      }
+    }
+    return names;
+  }
+
+  /// What is in force on this host: its gate's position when it has a gate.
+  [[nodiscard]] std::uint64_t PositionInForce() const
+  {
+    const std::uint64_t mine = m_config.Replay().Position();
+    const bool hasGate = std::any_of(
+      m_subscribers.begin(), m_subscribers.end(), [](const Subscriber& aEntry) { return aEntry.m_isGate; });
+    return hasGate ? std::min(mine, m_gate.m_position) : mine;
+  }
+
+  // --- status ------------------------------------------------------------------------------
+
+  void OnHttp(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply)
+  {
+    const auto sendText = [&](int aStatus, std::string aText) {
+      aReply->Send(aStatus, { { "Content-Type", "text/plain" } }, std::move(aText));
+    };
+    if (aRequest.m_path == "/healthz") {
+      sendText(200, "ok\n");
+    } else if (aRequest.m_path == "/readyz") {
+      sendText(m_config.Ready() ? 200 : 503, m_config.Ready() ? "ready\n" : "no configuration yet\n");
+    } else if (aRequest.m_path == "/metrics") {
+      m_metrics.Set("members_live", static_cast<double>(m_members->Live().size()));
+      m_metrics.Set("config_position", static_cast<double>(m_config.Replay().Position()));
+      m_metrics.Set("log_reachable", m_config.LogReachable() ? 1 : 0);
+      sendText(200, m_metrics.Render());
+    } else if (aRequest.m_path == "/status") {
+      aReply->Send(200, { { "Content-Type", "application/json" } }, StatusJson().dump());
+    } else if (aRequest.m_path == "/drain" && aRequest.m_method == "POST") {
+      OnDrain(aRequest, aReply);
+    } else {
+      sendText(404, "no such path\n");
+    }
+  }
+
+  void OnDrain(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply)
+  {
+    const std::string wanted = aRequest.QueryValue("endpoint");
+    for (const wire::EndpointStatus& endpoint : m_endpoints.Endpoints(base::MonotonicNow())) {
+      if (endpoint.m_host.m_name == wanted) {
+        m_endpoints.MarkLeaving(wanted, endpoint.m_host.m_incarnation);
+        PushEndpoints();
+        aReply->Send(200, {}, "draining\n");
+        return;
+      }
+    }
+    aReply->Send(404, {}, "no such endpoint\n");
+  }
+
+  [[nodiscard]] json StatusJson() const
+  {
+    json members = json::array();
+    for (const membership::Member& member : m_members->Live()) {
+      members.push_back({ { "host", member.m_host },
+                          { "zone", member.m_zone },
+                          { "state", ToText(member.m_state) },
+                          { "position", member.m_position },
+                          { "gate", member.m_gate } });
+    }
+    json endpoints = json::array();
+    for (const wire::EndpointStatus& endpoint : m_endpoints.Endpoints(base::MonotonicNow())) {
+      endpoints.push_back({ { "name", endpoint.m_host.m_name },
+                            { "pool", endpoint.m_host.m_pool },
+                            { "zone", endpoint.m_host.m_zone },
+                            { "leaving", endpoint.m_host.m_leaving },
+                            { "version", endpoint.m_load.m_version },
+                            { "queued_ms", endpoint.m_load.m_queuedMillis },
+                            { "report_age_ms", endpoint.m_reportAgeMillis } });
+    }
+    json scopes = json::object();
+    for (const auto& [name, scope] : m_config.Replay().Scopes()) {
+      scopes[name] = { { "offset", scope.m_accepted }, { "behind", !scope.m_schemaKnown } };
+    }
+    return { { "host", m_options.m_host },
+             { "position", m_config.Replay().Position() },
+             { "ready", m_config.Ready() },
+             { "log_reachable", m_config.LogReachable() },
+             { "members", members },
+             { "endpoints", endpoints },
+             { "scopes", scopes } };
+  }
+
+  net::Loop& m_loop;
+  KeeperOptions m_options;
+  std::unique_ptr<net::HttpClient> m_http;
+  ConfigSync m_config;
+  EndpointWatch m_endpoints;
+  SwapController m_swaps;
+  ShareBoard m_shares;
+  replay::Registry m_registry;
+  std::map<std::string, std::uint64_t> m_parsedAt;
+  std::unique_ptr<membership::MemberTable> m_members;
+  std::unique_ptr<net::DatagramSocket> m_gossip;
+  std::unique_ptr<net::FrameServer> m_control;
+  std::unique_ptr<net::HttpServer> m_status;
+  std::vector<Subscriber> m_subscribers;
+  wire::GateReport m_gate;
+  telemetry::Metrics m_metrics;
+  net::TimerHandle m_round;
+  net::TimerHandle m_push;
+  net::TimerHandle m_leaving;
+  net::TimerHandle m_askTimeout;
+  bool m_asking = false;
+};
+
+} // namespace
+
+base::Result<std::unique_ptr<Keeper>> Keeper::Create(net::Loop& aLoop, const KeeperOptions& aOptions)
+{
+  auto keeper = std::make_unique<KeeperImpl>(aLoop, aOptions);
+  const auto listening = keeper->Listen();
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  keeper->Start();
+  return keeper;
+}
+
+} // namespace ferrytray::keeper
--- /dev/null
+++ b/src/ferrytray/keeper/swap_controller.cpp
@@ -0,0 +1,179 @@
+#include "ferrytray/keeper/swap_controller.hpp"
+
+#include <algorithm> // for any_of
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/base/digest.hpp"        // for HashWithSeed
+#include "ferrytray/keeper/lease_codec.hpp" // for EncodeLease, DecodeLease
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::keeper {
+
+namespace {
+
+constexpr const char* kStream = "leases";
+
+std::string LeaseOf(const std::string& aFleet)
+{
+  return "swap/" + aFleet;
+}
+
+control::HolderOptions HolderOptionsOf(const KeeperOptions& aOptions)
+{
+  constexpr int kRenewalsPerLease = 3;
+  control::HolderOptions options;
+  options.m_duration = aOptions.m_lease;
+  options.m_renewEvery = aOptions.m_lease / kRenewalsPerLease;
+  return options;
+}
+
+/// Whether this host is the first of a lease in rendezvous order.
+bool IsFirst(const std::string& aSelf, const std::string& aLease, const std::vector<std::string>& aHosts)
+{
+  const auto score = [&](const std::string& aHost) {
+    return base::HashWithSeed(base::HashWithSeed({}, aLease), aHost);
+  };
+  const base::Digest128 mine = score(aSelf);
+  return std::none_of(aHosts.begin(), aHosts.end(), [&](const std::string& aHost) { return score(aHost) > mine; });
+}
+
+std::vector<control::WorkerVersion> WorkersOf(const std::string& aFleet, const std::vector<wire::EndpointStatus>& aEndpoints)
+{
+  std::vector<control::WorkerVersion> workers;
+  for (const wire::EndpointStatus& endpoint : aEndpoints) {
+    const bool reported = !endpoint.m_load.m_incarnation.empty();
+    if (endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet && reported) {
+      workers.push_back({ endpoint.m_host.m_name,
+                          endpoint.m_host.m_incarnation,
+                          endpoint.m_load.m_version,
+                          endpoint.m_load.m_swapping,
+                          endpoint.m_host.m_leaving,
+                          endpoint.m_load.m_queuedMillis });
+    }
+  }
+  return workers;
+}
+
+} // namespace
+
+SwapController::SwapController(net::Loop& aLoop, net::HttpClient& aHttp, const KeeperOptions& aOptions)
+  : m_http(aHttp)
+  , m_holderName(aOptions.m_host + "#" + std::to_string(aOptions.m_incarnation))
+  , m_holderOptions(HolderOptionsOf(aOptions))
+  , m_follower(aLoop, aHttp, aOptions.m_platform, kStream)
+  , m_appender(aHttp, aOptions.m_platform, kStream)
+{
+}
+
+void SwapController::Start()
+{
+  m_follower.Start(1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool) {});
+}
+
+void SwapController::OnPage(const wire::LogPage& aPage)
+{
+  for (const wire::LogRecord& record : aPage.m_records) {
+    const auto lease = DecodeLease(record.m_body);
+    if (!lease) {
+      continue;
+    }
+    m_leases.Apply(record.m_offset, record.m_time, *lease);
+    if (lease->m_holder != m_holderName) {
+      continue;
+    }
+    for (auto& [fleet, fleetControl] : m_fleets) {
+      fleetControl.m_holder.OnReadBack(m_leases.Find(LeaseOf(fleet)), base::MonotonicNow());
+    }
+  }
+}
+
+void SwapController::OnRound(const std::vector<const config::Fleet*>& aFleets,
+                             const std::vector<wire::EndpointStatus>& aEndpoints,
+                             const std::vector<std::string>& aHosts,
+                             base::TimePoint aNow)
+{
+  const std::string self = m_holderName.substr(0, m_holderName.rfind('#'));
+  std::vector<std::string> wanted;
+  for (const config::Fleet* fleet : aFleets) {
+    auto& fleetControl = m_fleets.try_emplace(fleet->m_name, m_holderName, m_holderOptions).first->second;
+    const auto held = m_leases.Find(LeaseOf(fleet->m_name));
+    const bool mine = held && held->m_holder == m_holderName;
+    const bool first = IsFirst(self, LeaseOf(fleet->m_name), aHosts);
+    if ((mine || first) && fleetControl.m_holder.ShouldAppend(held, m_follower.PlatformTime(), aNow)) {
+      wanted.push_back(LeaseOf(fleet->m_name));
+      fleetControl.m_holder.OnAppendSent(aNow);
+    }
+    OrderSwaps(*fleet, fleetControl, aEndpoints, aNow);
+  }
+  TakeLeases(wanted, aNow);
+}
+
+void SwapController::TakeLeases(const std::vector<std::string>& aNames, base::TimePoint)
+{
+  const bool canAppend = m_follower.CaughtUp() && m_follower.Reachable();
+  if (aNames.empty() || m_appending || !canAppend) {
+    return;
+  }
+  m_appending = true;
+  const control::LeaseRecord record{ m_holderName, aNames, m_holderOptions.m_duration };
+  m_appender.Append(EncodeLease(record), [this](const auto&) { m_appending = false; });
+}
+
+void SwapController::OrderSwaps(const config::Fleet& aFleet,
+                                FleetControl& aControl,
+                                const std::vector<wire::EndpointStatus>& aEndpoints,
+                                base::TimePoint aNow)
+{
+  if (!aControl.m_holder.MayOrder(aFleet.m_checksFencing, aNow)) {
+    return;
+  }
+  if (aControl.m_plannedUnder != aControl.m_holder.Fence()) {
+    // A new holder knows nothing of earlier orders and reads the actual state instead.
+    aControl.m_planner.Reset();
+    aControl.m_plannedUnder = aControl.m_holder.Fence();
+  }
+  aControl.m_planner.SetMaxConcurrent(aFleet.m_maxConcurrentSwaps);
+  const auto workers = WorkersOf(aFleet.m_name, aEndpoints);
+  for (const control::SwapOrder& order : aControl.m_planner.Plan(aFleet.m_version, workers, aNow)) {
+    for (const wire::EndpointStatus& endpoint : aEndpoints) {
+      if (endpoint.m_host.m_name == order.m_worker) {
+        SendOrder(aFleet, order, endpoint.m_host.m_address);
+      }
+    }
+  }
+}
+
+void SwapController::SendOrder(const config::Fleet& aFleet, const control::SwapOrder& aOrder, const std::string& aAddress)
+{
+  const FleetControl& fleetControl = m_fleets.at(aFleet.m_name);
+  if (!fleetControl.m_holder.MayOrder(aFleet.m_checksFencing, base::MonotonicNow())) {
+    return;
+  }
+  telemetry::LogLine("swap_order")
+    .Add("fleet", aFleet.m_name)
+    .Add("worker", aOrder.m_worker)
+    .Add("version", aOrder.m_version)
+    .Add("fence", fleetControl.m_holder.Fence());
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + aAddress + "/orders";
+  request.m_body = nlohmann::json{ { "version", aOrder.m_version },
+                                   { "incarnation", aOrder.m_incarnation },
+                                   { "fence", fleetControl.m_holder.Fence() } }
+                     .dump();
+  request.m_timeout = m_holderOptions.m_longestSend;
+  request.m_ownConnection = true;
+  m_http.Fetch(std::move(request), [worker = aOrder.m_worker](const net::ClientOutcome& aOutcome, const std::string&) {
+    telemetry::LogLine("swap_order_reply").Add("worker", worker).Add("status", aOutcome.m_status);
+  });
+}
+
+bool SwapController::HoldsAny(base::TimePoint aNow) const
+{
+  return std::any_of(m_fleets.begin(), m_fleets.end(), [&](const auto& aEntry) {
+    return aEntry.second.m_holder.MayOrder(true, aNow);
+  });
+}
+
+} // namespace ferrytray::keeper
--- /dev/null
+++ b/src/ferrytray/limits/admission.cpp
@@ -0,0 +1,25 @@
+#include "ferrytray/limits/admission.hpp"
+
+#include <algorithm> // for max
+
+namespace ferrytray::limits {
+
+base::Result<void> CheckDeadline(const AdmissionView& aView, base::TimePoint aNow)
+{
+  if (!aView.m_deadline) {
+    return {};
+  }
+  const base::TimePoint expected = aNow + aView.m_expectedFirstToken;
+  if (expected <= *aView.m_deadline) {
+    return {};
+  }
+  constexpr base::Duration kLeastRetry = std::chrono::milliseconds(100);
+  const base::Duration late = expected - *aView.m_deadline;
+  const base::Duration retryAfter = std::max({ late, aView.m_expectedDrain, kLeastRetry });
+  return tl::unexpected(base::Failure{ base::ErrorCode::DeadlineUnreachable,
+                                       "the deadline cannot be met",
+                                       base::RunState::NotRun,
+                                       retryAfter });
+}
+
+} // namespace ferrytray::limits
--- /dev/null
+++ b/src/ferrytray/limits/fair_queue.cpp
@@ -0,0 +1,57 @@
+#include "ferrytray/limits/fair_queue.hpp"
+
+#include <algorithm> // for max
+
+namespace ferrytray::limits {
+
+bool FairQueue::Push(const std::string& aAccount, double aWeight, const QueuedWork& aWork)
+{
+  if (m_byStart.size() >= m_capacity || m_byId.contains(aWork.m_id)) {
+    return false;
+  }
+  double& lastFinish = m_lastFinish[aAccount];
+  const double start = std::max(m_virtualTime, lastFinish);
+  lastFinish = start + aWork.m_cost / aWeight;
+  const Key key{ start, ++m_sequence };
+  m_byStart.emplace(key, Entry{ aAccount, start, aWork });
+  m_byId.emplace(aWork.m_id, key);
+  m_queuedCost += aWork.m_cost;
+  return true;
+}
+
+std::optional<QueuedWork> FairQueue::Pop()
+{
+  if (m_byStart.empty()) {
+    return std::nullopt;
+  }
+  const auto first = m_byStart.begin();
+  m_virtualTime = std::max(m_virtualTime, first->second.m_start);
+  const QueuedWork work = first->second.m_work;
+  Erase(first);
+  return work;
+}
+
+bool FairQueue::Remove(std::uint64_t aId)
+{
+  const auto found = m_byId.find(aId);
+  if (found == m_byId.end()) {
+    return false;
+  }
+  Erase(m_byStart.find(found->second));
+  return true;
+}
+
+void FairQueue::Erase(std::map<Key, Entry>::iterator aEntry)
+{
+  m_queuedCost -= aEntry->second.m_work.m_cost;
+  m_byId.erase(aEntry->second.m_work.m_id);
+  m_byStart.erase(aEntry);
+  if (m_byStart.empty()) {
+    // An idle queue owes nobody anything, and the table of accounts stays bounded.
+    m_lastFinish.clear();
+    m_virtualTime = 0;
+    m_queuedCost = 0;
+  }
+}
+
+} // namespace ferrytray::limits
--- /dev/null
+++ b/src/ferrytray/net/http_client.cpp
@@ -0,0 +1,364 @@
+#include "ferrytray/net/http_client.hpp"
+
+#include <map>           // for map
+#include <unordered_map> // for unordered_map
+#include <utility>       // for move
+
+#include <asio/post.hpp>                    // for post
+#include <asio/posix/stream_descriptor.hpp> // for stream_descriptor
+#include <asio/steady_timer.hpp>            // for steady_timer
+#include <curl/curl.h>                      // for curl_easy_*, curl_multi_*
+
+#include "ferrytray/net/loop_impl.hpp" // for LoopImpl
+
+namespace ferrytray::net {
+
+namespace {
+
+// Small, so that thousands of open streams fit in an entry host's memory.
+constexpr long kReceiveBufferBytes = 4096;
+constexpr long kMaxIdleConnections = 256;
+
+struct Call
+{
+  CallId m_id = 0;
+  CURL* m_easy = nullptr;
+  curl_slist* m_headerList = nullptr;
+  std::string m_body;
+  ClientEvents m_events;
+  bool m_statusTold = false;
+  bool m_gotBytes = false;
+};
+
+struct WatchedSocket
+{
+  explicit WatchedSocket(asio::io_context& aContext)
+    : m_descriptor(aContext)
+  {
+  }
+  asio::posix::stream_descriptor m_descriptor;
+  int m_want = 0;
+  bool m_reading = false;
+  bool m_writing = false;
+  bool m_gone = false;
+};
+
+long ToMillis(base::Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+}
+
+class CurlClient final : public HttpClient
+{
+public:
+  explicit CurlClient(asio::io_context& aContext)
+    : m_context(aContext)
+    , m_timer(aContext)
+    , m_multi(curl_multi_init())
+  {
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &CurlClient::OnSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &CurlClient::OnTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  }
+
+  ~CurlClient() override
+  {
+    m_timer.cancel();
+    while (!m_calls.empty()) {
+      Cancel(m_calls.begin()->first);
+    }
+    curl_multi_cleanup(m_multi);
+  }
+
+  CallId Start(ClientRequest aRequest, ClientEvents aEvents) override
+  {
+    auto call = std::make_unique<Call>();
+    call->m_id = ++m_lastId;
+    call->m_easy = curl_easy_init();
+    call->m_body = std::move(aRequest.m_body);
+    call->m_events = std::move(aEvents);
+    Prepare(*call, aRequest);
+    const CallId id = call->m_id;
+    CURL* easy = call->m_easy;
+    m_calls.emplace(id, std::move(call));
+    curl_multi_add_handle(m_multi, easy);
+    return id;
+  }
+
+  void Cancel(CallId aCall) override
+  {
+    const auto found = m_calls.find(aCall);
+    if (found == m_calls.end()) {
+      return;
+    }
+    if (m_inCallback) {
+      // libcurl forbids removing a handle from within its own callback.
+      found->second->m_events = {};
+      asio::post(m_context, [this, aCall] { Cancel(aCall); });
+      return;
+    }
+    const std::unique_ptr<Call> call = std::move(found->second);
+    m_calls.erase(found);
+    Release(*call);
+  }
+
+private:
+  void Prepare(Call& aCall, const ClientRequest& aRequest)
+  {
+    CURL* easy = aCall.m_easy;
+    for (const auto& [name, value] : aRequest.m_headers) {
+      aCall.m_headerList = curl_slist_append(aCall.m_headerList, (name + ": " + value).c_str());
+    }
+    // No "Expect: 100-continue": it would add a round trip to every larger prompt.
+    aCall.m_headerList = curl_slist_append(aCall.m_headerList, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, aRequest.m_url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.m_method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.m_headerList);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ToMillis(aRequest.m_connectTimeout));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToMillis(aRequest.m_timeout));
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aCall);
+    if (aRequest.m_ownConnection) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    const bool hasBody = !aCall.m_body.empty() || aRequest.m_method != "GET";
+    if (hasBody) {
+      const auto size = static_cast<curl_off_t>(aCall.m_body.size());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, size);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, aCall.m_body.c_str());
+    }
+  }
+
+  void Release(Call& aCall)
+  {
+    curl_multi_remove_handle(m_multi, aCall.m_easy);
+    curl_easy_cleanup(aCall.m_easy);
+    curl_slist_free_all(aCall.m_headerList);
+  }
+
+  void TellStatus(Call& aCall)
+  {
+    if (aCall.m_statusTold) {
+      return;
+    }
+    long status = 0;
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    aCall.m_statusTold = true;
+    if (aCall.m_events.m_onStatus) {
+      aCall.m_events.m_onStatus(static_cast<int>(status));
+    }
+  }
+
+  static std::size_t OnHeader(char*, std::size_t aSize, std::size_t aCount, void* aCall)
+  {
+    static_cast<Call*>(aCall)->m_gotBytes = true;
+    return aSize * aCount;
+  }
+
+  static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aCall)
+  {
+    auto& call = *static_cast<Call*>(aCall);
+    CurlClient& self = *s_current;
+    self.m_inCallback = true;
+    self.TellStatus(call);
+    if (call.m_events.m_onData) {
+      call.m_events.m_onData({ aData, aSize * aCount });
+    }
+    self.m_inCallback = false;
+    return aSize * aCount;
+  }
+
+  static int OnSocket(CURL*, curl_socket_t aSocket, int aWhat, void* aSelf, void*)
+  {
+    static_cast<CurlClient*>(aSelf)->Watch(aSocket, aWhat);
+    return 0;
+  }
+
+  void Watch(curl_socket_t aSocket, int aWhat)
+  {
+    if (aWhat == CURL_POLL_REMOVE) {
+      Unwatch(aSocket);
+      return;
+    }
+    auto& watched = m_sockets[aSocket];
+    if (!watched) {
+      watched = std::make_shared<WatchedSocket>(m_context);
+      watched->m_descriptor.assign(aSocket);
+    }
+    watched->m_want = aWhat;
+    Arm(aSocket, watched);
+  }
+
+  void Unwatch(curl_socket_t aSocket)
+  {
+    const auto found = m_sockets.find(aSocket);
+    if (found == m_sockets.end()) {
+      return;
+    }
+    found->second->m_gone = true;
+    // libcurl owns and closes the socket.
+    found->second->m_descriptor.release();
+    m_sockets.erase(found);
+  }
+
+  void Arm(curl_socket_t aSocket, const std::shared_ptr<WatchedSocket>& aWatched)
+  {
+    const bool wantRead = (aWatched->m_want & CURL_POLL_IN) != 0;
+    const bool wantWrite = (aWatched->m_want & CURL_POLL_OUT) != 0;
+    if (wantRead && !aWatched->m_reading) {
+      aWatched->m_reading = true;
+      aWatched->m_descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                        [this, aSocket, aWatched](const asio::error_code& aError) {
+                                          aWatched->m_reading = false;
+                                          OnReady(aSocket, aWatched, CURL_CSELECT_IN, aError);
+                                        });
+    }
+    if (wantWrite && !aWatched->m_writing) {
+      aWatched->m_writing = true;
+      aWatched->m_descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                        [this, aSocket, aWatched](const asio::error_code& aError) {
+                                          aWatched->m_writing = false;
+                                          OnReady(aSocket, aWatched, CURL_CSELECT_OUT, aError);
+                                        });
+    }
+  }
+
+  void OnReady(curl_socket_t aSocket,
+               const std::shared_ptr<WatchedSocket>& aWatched,
+               int aEvents,
+               const asio::error_code& aError)
+  {
+    if (aError || aWatched->m_gone) {
+      return;
+    }
+    Act(aSocket, aEvents);
+    if (!aWatched->m_gone) {
+      Arm(aSocket, aWatched);
+    }
+  }
+
+  static int OnTimer(CURLM*, long aMillis, void* aSelf)
+  {
+    static_cast<CurlClient*>(aSelf)->SetTimer(aMillis);
+    return 0;
+  }
+
+  void SetTimer(long aMillis)
+  {
+    if (aMillis < 0) {
+      m_timer.cancel();
+      return;
+    }
+    m_timer.expires_after(std::chrono::milliseconds(aMillis));
+    m_timer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        Act(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+
+  void Act(curl_socket_t aSocket, int aEvents)
+  {
+    s_current = this;
+    int running = 0;
+    curl_multi_socket_action(m_multi, aSocket, aEvents, &running);
+    CollectFinished();
+  }
+
+  void CollectFinished()
+  {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      char* priv = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &priv);
+      const auto* raw = reinterpret_cast<Call*>(priv);
+      Finish(raw->m_id, message->data.result);
+    }
+  }
+
+  void Finish(CallId aId, CURLcode aResult)
+  {
+    const auto found = m_calls.find(aId);
+    const std::unique_ptr<Call> call = std::move(found->second);
+    m_calls.erase(found);
+    const ClientOutcome outcome = OutcomeOf(*call, aResult);
+    if (outcome.m_status != 0) {
+      TellStatus(*call);
+    }
+    Release(*call);
+    if (call->m_events.m_onEnd) {
+      call->m_events.m_onEnd(outcome);
+    }
+  }
+
+  static ClientOutcome OutcomeOf(const Call& aCall, CURLcode aResult)
+  {
+    ClientOutcome outcome;
+    long status = 0;
+    long requestBytes = 0;
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    outcome.m_status = static_cast<int>(status);
+    outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
+    outcome.m_detail = curl_easy_strerror(aResult);
+    if (aResult == CURLE_OK) {
+      outcome.m_end = WireEnd::Complete;
+    } else if (aCall.m_gotBytes) {
+      outcome.m_end = WireEnd::BrokenReply;
+    } else if (requestBytes > 0) {
+      outcome.m_end = WireEnd::NoReply;
+    } else {
+      outcome.m_end = WireEnd::NotSent;
+    }
+    return outcome;
+  }
+
+  // The body callback gets the call only; all clients of one thread run in turn.
+  static thread_local CurlClient* s_current;
+
+  asio::io_context& m_context;
+  asio::steady_timer m_timer;
+  CURLM* m_multi;
+  CallId m_lastId = 0;
+  bool m_inCallback = false;
+  std::map<CallId, std::unique_ptr<Call>> m_calls;
+  std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+};
+
+thread_local CurlClient* CurlClient::s_current = nullptr;
+
+} // namespace
+
+std::unique_ptr<HttpClient> HttpClient::Create(Loop& aLoop)
+{
+  static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialised);
+  return std::make_unique<CurlClient>(aLoop.Impl().m_context);
+}
+
+CallId HttpClient::Fetch(ClientRequest aRequest,
+                         std::function<void(const ClientOutcome&, std::string)> aDone)
+{
+  auto body = std::make_shared<std::string>();
+  ClientEvents events;
+  events.m_onData = [body](std::string_view aPiece) { body->append(aPiece); };
+  events.m_onEnd = [body, done = std::move(aDone)](const ClientOutcome& aOutcome) {
+    done(aOutcome, std::move(*body));
+  };
+  return Start(std::move(aRequest), std::move(events));
+}
+
+} // namespace ferrytray::net
--- /dev/null
+++ b/src/ferrytray/net/loop.cpp
@@ -0,0 +1,116 @@
+#include "ferrytray/net/loop.hpp"
+
+#include <csignal> // for SIGTERM, SIGINT, SIGPIPE, signal
+#include <utility> // for move
+
+#include <asio/executor_work_guard.hpp> // for make_work_guard
+#include <asio/post.hpp>                // for post
+#include <asio/steady_timer.hpp>        // for steady_timer
+
+#include "ferrytray/net/loop_impl.hpp" // for LoopImpl
+
+namespace ferrytray::net {
+
+namespace {
+
+class AsioTimer final
+  : public Timer
+  , public std::enable_shared_from_this<AsioTimer>
+{
+public:
+  AsioTimer(asio::io_context& aContext, base::Duration aPeriod, bool aRepeat)
+    : m_timer(aContext)
+    , m_period(aPeriod)
+    , m_repeat(aRepeat)
+  {
+  }
+
+  ~AsioTimer() override { m_timer.cancel(); }
+
+  void Cancel() override
+  {
+    m_cancelled = true;
+    m_timer.cancel();
+  }
+
+  void Arm(std::function<void()> aCall)
+  {
+    m_timer.expires_after(m_period);
+    std::weak_ptr<AsioTimer> weak = weak_from_this();
+    m_timer.async_wait([weak, call = std::move(aCall)](const asio::error_code& aError) {
+      const auto self = weak.lock();
+      if (aError || !self || self->m_cancelled) {
+        return;
+      }
+      call();
+      if (self->m_repeat && !self->m_cancelled) {
+        self->Arm(call);
+      }
+    });
+  }
+
+private:
+  asio::steady_timer m_timer;
+  base::Duration m_period;
+  bool m_repeat;
+  bool m_cancelled = false;
+};
+
+TimerHandle StartTimer(asio::io_context& aContext,
+                       base::Duration aPeriod,
+                       bool aRepeat,
+                       std::function<void()> aCall)
+{
+  auto timer = std::make_shared<AsioTimer>(aContext, aPeriod, aRepeat);
+  timer->Arm(std::move(aCall));
+  return timer;
+}
+
+} // namespace
+
+Loop::Loop()
+  : m_impl(std::make_unique<LoopImpl>())
+{
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+Loop::~Loop() = default;
+
+void Loop::Run()
+{
+  const auto guard = asio::make_work_guard(m_impl->m_context);
+  m_impl->m_context.run();
+}
+
+void Loop::Stop()
+{
+  m_impl->m_context.stop();
+}
+
+void Loop::Post(std::function<void()> aCall)
+{
+  asio::post(m_impl->m_context, std::move(aCall));
+}
+
+TimerHandle Loop::After(base::Duration aDelay, std::function<void()> aCall)
+{
+  return StartTimer(m_impl->m_context, aDelay, false, std::move(aCall));
+}
+
+TimerHandle Loop::Every(base::Duration aPeriod, std::function<void()> aCall)
+{
+  return StartTimer(m_impl->m_context, aPeriod, true, std::move(aCall));
+}
+
+void Loop::OnTerminate(std::function<void()> aCall)
+{
+  m_impl->m_signals.add(SIGTERM);
+  m_impl->m_signals.add(SIGINT);
+  m_impl->m_signals.async_wait([call = std::move(aCall)](const asio::error_code& aError, int) {
+    if (!aError) {
+      call();
+    }
+  });
+}
+
+} // namespace ferrytray::net
--- /dev/null
+++ b/src/ferrytray/net/loop_impl.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <asio/io_context.hpp> // for io_context
+#include <asio/signal_set.hpp> // for signal_set
+
+namespace ferrytray::net {
+
+/// Keeps Asio out of the public header.
+class LoopImpl
+{
+public:
+  asio::io_context m_context{ 1 };
+  asio::signal_set m_signals{ m_context };
+};
+
+} // namespace ferrytray::net
--- /dev/null
+++ b/src/ferrytray/once/claim_test.cpp
@@ -0,0 +1,252 @@
+#include "ferrytray/once/claim_coordinator.hpp"
+
+#include <algorithm> // for next_permutation, count
+#include <numeric>   // for iota
+
+#include <rapidcheck.h> // for check
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::TimePoint kNow{ 100s };
+const base::Digest128 kKey{ 7, 7 };
+
+once::Claim ClaimBy(std::uint64_t aId, const char* aHolder)
+{
+  return { { 0, aId }, kKey, { 1, 1 }, aHolder };
+}
+
+template<typename Action>
+int Count(const once::ClaimActions& aActions)
+{
+  return static_cast<int>(std::count_if(aActions.begin(), aActions.end(), [](const auto& aAction) {
+    return std::holds_alternative<Action>(aAction);
+  }));
+}
+
+/// The naive twin: keeps every record and works out from the start who ever won.
+std::vector<base::Digest128> NaiveWinners(const std::vector<once::ClaimEntry>& aLog)
+{
+  std::vector<base::Digest128> winners;
+  std::vector<base::Digest128> seen;
+  std::vector<base::Digest128> released;
+  for (const auto& entry : aLog) {
+    if (const auto* claim = std::get_if<once::Claim>(&entry)) {
+      const bool isVoid = std::count(released.begin(), released.end(), claim->m_id) > 0;
+      const bool known = std::count(seen.begin(), seen.end(), claim->m_id) > 0;
+      if (isVoid || known) {
+        continue;
+      }
+      const bool held = std::any_of(seen.begin(), seen.end(), [&](const auto& aId) {
+        return std::count(released.begin(), released.end(), aId) == 0;
+      });
+      seen.push_back(claim->m_id);
+      if (!held) {
+        winners.push_back(claim->m_id);
+      }
+    } else if (const auto* release = std::get_if<once::Release>(&entry)) {
+      released.push_back(release->m_id);
+      std::erase(winners, release->m_id);
+    }
+  }
+  return winners;
+}
+
+} // namespace
+
+TEST_GROUP(Claims)
+{
+  once::ClaimCoordinator m_one;
+  once::ClaimCoordinator m_two;
+  std::vector<once::ClaimEntry> m_log;
+
+  void ReadAll(once::ClaimCoordinator& aReader, once::ClaimActions& aActions)
+  {
+    for (std::size_t i = 0; i < m_log.size(); ++i) {
+      for (auto& action : aReader.OnRecord({ i, 0s }, { &m_log[i], 1 })) {
+        aActions.push_back(action);
+      }
+    }
+  }
+};
+
+TEST(Claims, NothingIsWonBeforeItIsReadBack)
+{
+  const auto actions = m_one.OnClaim(ClaimBy(1, "a"), kNow);
+  LONGS_EQUAL(1, Count<once::AppendBatch>(actions));
+  LONGS_EQUAL(0, Count<once::ClaimWon>(m_one.OnAppendEnded(true)));
+}
+
+TEST(Claims, OfTwoGatesTheFirstInTheLogWins)
+{
+  m_one.OnClaim(ClaimBy(1, "a"), kNow);
+  m_two.OnClaim(ClaimBy(2, "b"), kNow);
+  m_log = { ClaimBy(2, "b"), ClaimBy(1, "a") };
+  once::ClaimActions first;
+  once::ClaimActions second;
+  ReadAll(m_one, first);
+  ReadAll(m_two, second);
+  LONGS_EQUAL(1, Count<once::ClaimLost>(first));
+  LONGS_EQUAL(1, Count<once::ClaimWon>(second));
+}
+
+TEST(Claims, ALostReplyIsSettledByReading)
+{
+  m_one.OnClaim(ClaimBy(1, "a"), kNow);
+  m_one.OnAppendEnded(false);
+  m_log = { ClaimBy(1, "a") };
+  once::ClaimActions actions;
+  ReadAll(m_one, actions);
+  LONGS_EQUAL(1, Count<once::ClaimWon>(actions));
+}
+
+TEST(Claims, AGivenUpClaimNeverRunsAndIsReleasedUntilSeen)
+{
+  m_one.OnClaim(ClaimBy(1, "a"), kNow);
+  m_one.OnAppendEnded(false);
+  const auto late = m_one.OnTick(kNow + 2s);
+  LONGS_EQUAL(1, Count<once::ClaimUnsettled>(late));
+  m_log = { ClaimBy(1, "a") };
+  once::ClaimActions actions;
+  ReadAll(m_one, actions);
+  LONGS_EQUAL(0, Count<once::ClaimWon>(actions));
+  m_one.OnAppendEnded(true);
+  const auto again = m_one.OnTick(kNow + 3s);
+  LONGS_EQUAL(1, Count<once::AppendBatch>(again));
+}
+
+TEST(Claims, AClaimThatArrivesAfterItsReleaseIsVoid)
+{
+  m_two.OnClaim(ClaimBy(2, "b"), kNow);
+  m_log = { once::Release{ { 0, 1 } }, ClaimBy(1, "a"), ClaimBy(2, "b") };
+  once::ClaimActions actions;
+  ReadAll(m_two, actions);
+  LONGS_EQUAL(1, Count<once::ClaimWon>(actions));
+}
+
+TEST(Claims, GroupCommitSendsOneAppendAtATime)
+{
+  m_one.OnClaim(ClaimBy(1, "a"), kNow);
+  LONGS_EQUAL(0, Count<once::AppendBatch>(m_one.OnClaim(ClaimBy(2, "a"), kNow)));
+  LONGS_EQUAL(0, Count<once::AppendBatch>(m_one.OnClaim(ClaimBy(3, "a"), kNow)));
+  const auto next = m_one.OnAppendEnded(true);
+  LONGS_EQUAL(2, std::get<once::AppendBatch>(next.front()).m_entries.size());
+}
+
+TEST(Claims, RecordsSurviveTheirEncoding)
+{
+  const std::vector<once::ClaimEntry> entries{ ClaimBy(1, "a"), once::Release{ { 3, 4 } }, once::Done{ { 5, 6 } } };
+  const std::string text = once::EncodeEntries(entries);
+  const auto back = once::DecodeEntries(text);
+  STRCMP_EQUAL(text.c_str(), once::EncodeEntries(*back).c_str());
+  CHECK(once::DecodeEntries("[{\"t\":\"claim\"}]").error().m_code == base::ErrorCode::PlatformMalformed);
+  CHECK_FALSE(once::DecodeEntries("\xff\x00").has_value());
+}
+
+TEST(Claims, ALoserReleasesItsClaimSoThatItHoldsNothing)
+{
+  m_two.OnClaim(ClaimBy(2, "b"), kNow);
+  m_two.OnAppendEnded(true);
+  m_log = { ClaimBy(1, "a"), ClaimBy(2, "b") };
+  once::ClaimActions actions;
+  ReadAll(m_two, actions);
+  LONGS_EQUAL(1, Count<once::ClaimLost>(actions));
+  LONGS_EQUAL(1, Count<once::AppendBatch>(actions));
+}
+
+// Every ordering of three gates' claims with a release and a repeated append: every reader agrees
+// with the naive twin, and no two unreleased claims have ever both won.
+TEST(Claims, EveryOrderingHasAtMostOneWinner)
+{
+  const std::vector<once::ClaimEntry> entries{
+    ClaimBy(1, "a"), ClaimBy(2, "b"), once::Release{ { 0, 1 } }, ClaimBy(1, "a"), ClaimBy(3, "c"),
+  };
+  std::vector<int> order(entries.size());
+  std::iota(order.begin(), order.end(), 0);
+  int walked = 0;
+  do {
+    once::ClaimTable table(1h);
+    std::vector<once::ClaimEntry> log;
+    for (std::size_t at = 0; at < order.size(); ++at) {
+      log.push_back(entries[order[at]]);
+      table.Apply({ at, 0s }, { &log.back(), 1 });
+      const auto winners = NaiveWinners(log);
+      CHECK(winners.size() <= 1);
+      for (std::uint64_t id = 1; id <= 3; ++id) {
+        const bool expected = !winners.empty() && winners.front() == base::Digest128{ 0, id };
+        CHECK_EQUAL(expected, table.Won(ClaimBy(id, "")));
+      }
+    }
+    ++walked;
+  } while (std::next_permutation(order.begin(), order.end()));
+  LONGS_EQUAL(120, walked);
+}
+
+TEST(Claims, TheTableAgreesWithTheNaiveTwinOnRandomLogs)
+{
+  const bool holds = rc::check("claim table", [] {
+    once::ClaimTable table(1h);
+    std::vector<once::ClaimEntry> log;
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20));
+    for (std::size_t at = 0; at < steps.size(); ++at) {
+      const auto id = static_cast<std::uint64_t>(steps[at] % 7);
+      const bool release = steps[at] > 13;
+      log.push_back(release ? once::ClaimEntry(once::Release{ { 0, id } })
+                            : once::ClaimEntry(ClaimBy(id, "g")));
+      table.Apply({ at, 0s }, { &log.back(), 1 });
+      const auto winners = NaiveWinners(log);
+      RC_ASSERT(winners.size() <= 1U);
+      for (std::uint64_t check = 0; check < 7; ++check) {
+        const bool expected = !winners.empty() && winners.front() == base::Digest128{ 0, check };
+        RC_ASSERT(table.Won(ClaimBy(check, "")) == expected);
+      }
+    }
+  });
+  CHECK(holds);
+}
+
+// A reader that starts where the log now begins must agree with one that has read it all, or a
+// key could be run by both.
+TEST(Claims, AReaderOfTheLastWindowAgreesWithAReaderOfEverything)
+{
+  const bool holds = rc::check("fresh claim reader", [] {
+    constexpr auto kWindow = 10s;
+    once::ClaimTable all(kWindow);
+    once::ClaimTable fresh(kWindow);
+    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 60)));
+    for (std::size_t at = 0; at < steps.size(); ++at) {
+      const base::Duration time = std::chrono::seconds(at / 4);
+      const auto id = static_cast<std::uint64_t>(at - static_cast<std::size_t>(steps[at]) % (at + 1));
+      const once::ClaimEntry entry =
+        steps[at] % 3 == 0 ? once::ClaimEntry(once::Release{ { 0, id } }) : ClaimBy(id, "g");
+      all.Apply({ at, time }, { &entry, 1 });
+      // Release-to-claim distances stay under the window, as append delays do.
+      if (at >= 60) {
+        fresh.Apply({ at, time }, { &entry, 1 });
+      }
+    }
+    const auto left = all.Find(kKey);
+    const auto right = fresh.Find(kKey);
+    RC_ASSERT(left.has_value() == right.has_value());
+    RC_ASSERT(!left || left->m_claim.m_id == right->m_claim.m_id);
+  });
+  CHECK(holds);
+}
+
+TEST(Claims, AClaimHoldsItsKeyForTheWindowOnly)
+{
+  once::ClaimTable table(10s);
+  const std::vector<once::ClaimEntry> first{ ClaimBy(1, "a") };
+  const std::vector<once::ClaimEntry> second{ ClaimBy(2, "b") };
+  const std::vector<once::ClaimEntry> third{ ClaimBy(3, "c") };
+  table.Apply({ 1, 0s }, first);
+  table.Apply({ 2, 9s }, second);
+  CHECK_FALSE(table.Won(ClaimBy(2, "b")));
+  table.Apply({ 3, 19s }, third);
+  CHECK(table.Won(ClaimBy(3, "c")));
+  LONGS_EQUAL(1, table.Size());
+}
--- /dev/null
+++ b/src/ferrytray/once/stream_assembler_test.cpp
@@ -0,0 +1,75 @@
+#include "ferrytray/once/stream_assembler.hpp"
+
+#include <vector> // for vector
+
+#include <rapidcheck.h> // for check
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+
+TEST_GROUP(StreamAssembler)
+{
+  once::StreamAssembler m_assembler{ 1000 };
+};
+
+TEST(StreamAssembler, DropsPiecesOfAPastAttempt)
+{
+  m_assembler.Begin(1);
+  m_assembler.Begin(2);
+  STRCMP_EQUAL("", m_assembler.Accept({ 1, 0, "old", true }).c_str());
+  STRCMP_EQUAL("new", m_assembler.Accept({ 2, 0, "new", true }).c_str());
+  CHECK(m_assembler.IsComplete());
+}
+
+TEST(StreamAssembler, RefusesANewAttemptOnceTextWasDelivered)
+{
+  m_assembler.Begin(1);
+  m_assembler.Accept({ 1, 0, "a", false });
+  CHECK_FALSE(m_assembler.Begin(2));
+}
+
+TEST(StreamAssembler, IsNotCompleteWhileAPieceIsMissing)
+{
+  m_assembler.Begin(1);
+  m_assembler.Accept({ 1, 0, "ab", false });
+  STRCMP_EQUAL("", m_assembler.Accept({ 1, 4, "ef", true }).c_str());
+  CHECK_FALSE(m_assembler.IsComplete());
+  CHECK(m_assembler.HasGap());
+  LONGS_EQUAL(2, m_assembler.NextOffset());
+  STRCMP_EQUAL("cdef", m_assembler.Accept({ 1, 2, "cd", false }).c_str());
+  CHECK(m_assembler.IsComplete());
+}
+
+// Differential: any cover of the answer by pieces, in any order, with repeats, past attempts and
+// a naive "sort then concatenate" as the twin.
+TEST(StreamAssembler, AnyOrderOfPiecesGivesTheWholeAnswerOnce)
+{
+  const bool holds = rc::check("reassembly", [] {
+    const auto answer = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+    std::vector<once::StreamPiece> pieces;
+    for (std::size_t at = 0; at < answer.size();) {
+      const auto length = *rc::gen::inRange<std::size_t>(1, 5);
+      const std::string text = answer.substr(at, length);
+      pieces.push_back({ 7, at, text, at + text.size() == answer.size() });
+      if (*rc::gen::arbitrary<bool>()) {
+        const std::size_t back = at - *rc::gen::inRange<std::size_t>(0, at + 1);
+        pieces.push_back({ 7, back, answer.substr(back, at + text.size() - back), false });
+        pieces.push_back({ 6, at, "stale", true });
+      }
+      at += text.size();
+    }
+    for (std::size_t i = pieces.size(); i > 1; --i) {
+      std::swap(pieces[i - 1], pieces[*rc::gen::inRange<std::size_t>(0, i)]);
+    }
+    once::StreamAssembler assembler(1U << 20U);
+    assembler.Begin(7);
+    std::string delivered;
+    for (const auto& piece : pieces) {
+      delivered += assembler.Accept(piece);
+    }
+    RC_ASSERT(delivered == answer);
+    RC_ASSERT(answer.empty() || assembler.IsComplete());
+  });
+  CHECK(holds);
+}
--- /dev/null
+++ b/src/ferrytray/routing/estimate.cpp
@@ -0,0 +1,86 @@
+#include "ferrytray/routing/estimate.hpp"
+
+#include <algorithm> // for clamp, max, min
+#include <array>     // for array
+
+namespace ferrytray::routing {
+
+namespace {
+
+Plan PlanFor(std::uint32_t aKeepUpTo,
+             const RequestShape& aRequest,
+             const WorkerView& aWorker,
+             const StoreView& aStore,
+             const CostWeights& aWeights,
+             base::Duration aWait)
+{
+  const std::uint32_t cached = std::min(aWorker.m_cachedBlocks, aRequest.m_blocks);
+  Plan plan;
+  plan.m_restoreBlocks = aKeepUpTo > cached ? aKeepUpTo - cached : 0;
+  const std::uint32_t reused = (cached + plan.m_restoreBlocks) * aRequest.m_tokensPerBlock;
+  plan.m_recomputeTokens = aRequest.m_promptTokens - std::min(reused, aRequest.m_promptTokens);
+  plan.m_engineTime = base::FromSeconds(plan.m_recomputeTokens / aWorker.m_tokensPerSecond);
+  plan.m_linkBytes = plan.m_restoreBlocks * aRequest.m_bytesPerBlock;
+  const double linkSeconds = plan.m_linkBytes / aStore.m_bytesPerSecond;
+  base::Duration ready = aWait;
+  if (plan.m_restoreBlocks > 0) {
+    const base::Duration import = aStore.m_linkQueue + aStore.m_path + base::FromSeconds(linkSeconds);
+    ready = std::max(aWait, import);
+  }
+  plan.m_firstToken = aWorker.m_path + ready + plan.m_engineTime;
+  // Context that is kept somewhere and computed all the same is what the share recomputed counts.
+  const std::uint32_t kept = std::max(cached, std::min(aStore.m_storedBlocks, aRequest.m_blocks));
+  const std::uint32_t wasted = (kept - std::min(kept, cached + plan.m_restoreBlocks)) * aRequest.m_tokensPerBlock;
+  plan.m_cost = aWeights.m_firstToken * base::Seconds(plan.m_firstToken) +
+                aWeights.m_recompute * wasted / aWorker.m_tokensPerSecond + aWeights.m_link * linkSeconds;
+  return plan;
+}
+
+/// The blocks whose import lasts just as long as the queue.
+std::uint32_t BreakPoint(const RequestShape& aRequest, const StoreView& aStore, base::Duration aWait)
+{
+  const base::Duration spare = aWait - aStore.m_linkQueue - aStore.m_path;
+  if (spare <= base::Duration::zero() || aRequest.m_bytesPerBlock <= 0) {
+    return 0;
+  }
+  const double blocks = base::Seconds(spare) * aStore.m_bytesPerSecond / aRequest.m_bytesPerBlock;
+  return static_cast<std::uint32_t>(std::min(blocks, static_cast<double>(aRequest.m_blocks)));
+}
+
+} // namespace
+
+base::Duration QueueWait(const WorkerView& aWorker, base::Duration aTrust)
+{
+  const bool trusted = aWorker.m_reportAge <= aTrust;
+  const base::Duration reported = trusted ? aWorker.m_reportedWait : base::Duration::zero();
+  const base::Duration worked = std::min(aWorker.m_reportAge, reported + aWorker.m_sentSince);
+  return reported + aWorker.m_sentSince - worked + aWorker.m_swapWait;
+}
+
+std::optional<Plan> CheapestPlan(const RequestShape& aRequest,
+                                 const WorkerView& aWorker,
+                                 const StoreView& aStore,
+                                 const CostWeights& aWeights,
+                                 base::Duration aTrust)
+{
+  if (!aWorker.m_usable) {
+    return std::nullopt;
+  }
+  const base::Duration wait = QueueWait(aWorker, aTrust);
+  const std::uint32_t cached = std::min(aWorker.m_cachedBlocks, aRequest.m_blocks);
+  const std::uint32_t stored = std::min(aStore.m_storedBlocks, aRequest.m_blocks);
+  Plan best = PlanFor(cached, aRequest, aWorker, aStore, aWeights, wait);
+  if (stored <= cached) {
+    return best;
+  }
+  const std::uint32_t middle = std::clamp(cached + BreakPoint(aRequest, aStore, wait), cached, stored);
+  for (const std::uint32_t upTo : std::array{ stored, middle }) {
+    const Plan plan = PlanFor(upTo, aRequest, aWorker, aStore, aWeights, wait);
+    if (plan.m_cost < best.m_cost) {
+      best = plan;
+    }
+  }
+  return best;
+}
+
+} // namespace ferrytray::routing
--- /dev/null
+++ b/src/ferrytray/routing/keep.cpp
@@ -0,0 +1,103 @@
+#include "ferrytray/routing/keep.hpp"
+
+#include <algorithm> // for clamp, max, min
+#include <cmath>     // for log2, exp2
+
+namespace ferrytray::routing {
+
+namespace {
+
+// Bucket i holds gaps from 2^i to 2^(i+1) seconds, so 24 of them reach half a year.
+double BucketStart(std::size_t aBucket)
+{
+  return aBucket == 0 ? 0 : std::exp2(static_cast<double>(aBucket));
+}
+
+double BucketEnd(std::size_t aBucket)
+{
+  return std::exp2(static_cast<double>(aBucket + 1));
+}
+
+// One return and one loss that were never seen keep an unknown account in the middle.
+constexpr double kPrior = 1.0 / ReturnGaps::kBuckets;
+
+} // namespace
+
+std::size_t ReturnGaps::BucketOf(base::Duration aGap)
+{
+  const double seconds = std::max(1.0, base::Seconds(aGap));
+  return std::min(kBuckets - 1, static_cast<std::size_t>(std::log2(seconds)));
+}
+
+void ReturnGaps::OnReturn(base::Duration aGap)
+{
+  for (double& count : m_returns) {
+    count *= kDecay;
+  }
+  m_gone *= kDecay;
+  m_returns[BucketOf(aGap)] += 1;
+}
+
+double ReturnGaps::CountAfter(std::size_t aBucket, double aFrom) const
+{
+  const double start = BucketStart(aBucket);
+  const double share = std::clamp((BucketEnd(aBucket) - aFrom) / (BucketEnd(aBucket) - start), 0.0, 1.0);
+  return (m_returns[aBucket] + kPrior) * share;
+}
+
+double ReturnGaps::ReturnChance(base::Duration aIdle, base::Duration aHorizon) const
+{
+  const double from = base::Seconds(aIdle);
+  const double to = from + base::Seconds(aHorizon);
+  double within = 0;
+  double later = 0;
+  for (std::size_t i = 0; i < kBuckets; ++i) {
+    within += CountAfter(i, from) - CountAfter(i, to);
+    later += CountAfter(i, from);
+  }
+  return within / (later + m_gone + 1);
+}
+
+double ReturnGaps::ReturnRate(base::Duration aIdle) const
+{
+  const double from = base::Seconds(aIdle);
+  double later = 0;
+  for (std::size_t i = 0; i < kBuckets; ++i) {
+    later += CountAfter(i, from);
+  }
+  double waiting = later + m_gone + 1;
+  double returned = 0;
+  double heldTime = 0;
+  double best = 0;
+  double at = from;
+  for (std::size_t i = BucketOf(aIdle); i < kBuckets; ++i) {
+    const double count = CountAfter(i, from);
+    const double end = BucketEnd(i);
+    heldTime += (end - at) * (waiting - count / 2);
+    waiting -= count;
+    returned += count;
+    best = std::max(best, returned / heldTime);
+    at = end;
+  }
+  return best;
+}
+
+double KeepValue(const KeepCandidate& aContext, const ReturnGaps& aGaps)
+{
+  return aContext.m_recomputeSeconds * aGaps.ReturnRate(aContext.m_idle) / std::max(1.0, aContext.m_bytes);
+}
+
+bool ShouldExport(const KeepCandidate& aContext,
+                  const ReturnGaps& aGaps,
+                  const StorePressure& aStore,
+                  const KeepOptions& aOptions)
+{
+  if (aStore.m_importQueue > aOptions.m_yieldTo) {
+    return false;
+  }
+  const double value = KeepValue(aContext, aGaps);
+  const bool fits = aStore.m_freeBytes >= aContext.m_bytes;
+  return value > aOptions.m_leastValue && (fits || value > aStore.m_lowestValue);
+}
+
+} // namespace ferrytray::routing
--- /dev/null
+++ b/src/ferrytray/routing/routing_test.cpp
@@ -0,0 +1,227 @@
+#include "ferrytray/routing/choose.hpp"
+#include "ferrytray/routing/keep.hpp"
+#include "ferrytray/routing/rendezvous.hpp"
+
+#include <algorithm> // for find
+
+#include <rapidcheck.h> // for check
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using routing::RequestShape;
+using routing::StoreView;
+using routing::WorkerView;
+
+namespace {
+
+const RequestShape kLong{ 25600, 100, 256, 1e6 };
+const routing::CostWeights kTimeOnly{ 1, 0, 0 };
+
+WorkerView Idle()
+{
+  WorkerView worker;
+  worker.m_tokensPerSecond = 10000;
+  return worker;
+}
+
+StoreView Store(std::uint32_t aBlocks, double aBytesPerSecond)
+{
+  return { aBlocks, 0s, aBytesPerSecond, 1ms };
+}
+
+/// The naive twin: tries every number of blocks and writes the formula out anew.
+double NaiveBestFirstToken(const RequestShape& aRequest, const WorkerView& aWorker, const StoreView& aStore)
+{
+  const double wait =
+    std::max(0.0, base::Seconds(aWorker.m_reportedWait + aWorker.m_sentSince) - base::Seconds(aWorker.m_reportAge));
+  double best = 1e18;
+  const std::uint32_t cached = std::min(aWorker.m_cachedBlocks, aRequest.m_blocks);
+  for (std::uint32_t upTo = cached; upTo <= std::max(cached, std::min(aStore.m_storedBlocks, aRequest.m_blocks)); ++upTo) {
+    const double import = upTo == cached ? 0
+                                         : base::Seconds(aStore.m_linkQueue + aStore.m_path) +
+                                             (upTo - cached) * aRequest.m_bytesPerBlock / aStore.m_bytesPerSecond;
+    const double compute = (aRequest.m_promptTokens - upTo * aRequest.m_tokensPerBlock) / aWorker.m_tokensPerSecond;
+    best = std::min(best, std::max(wait, import) + compute);
+  }
+  return best;
+}
+
+} // namespace
+
+TEST_GROUP(Estimate){};
+
+TEST(Estimate, AFastLinkRestoresAndASlowOneRecomputes)
+{
+  const auto fast = routing::CheapestPlan(kLong, Idle(), Store(100, 1e9), kTimeOnly, 10s);
+  LONGS_EQUAL(100, fast->m_restoreBlocks);
+  LONGS_EQUAL(0, fast->m_recomputeTokens);
+  const auto slow = routing::CheapestPlan(kLong, Idle(), Store(100, 1e6), kTimeOnly, 10s);
+  LONGS_EQUAL(0, slow->m_restoreBlocks);
+  LONGS_EQUAL(25600, slow->m_recomputeTokens);
+}
+
+TEST(Estimate, AQueueHidesPartOfAnImport)
+{
+  WorkerView busy = Idle();
+  busy.m_reportedWait = 1s;
+  // 30 blocks take a second on this link, and recomputing a block is faster than importing it.
+  const auto plan = routing::CheapestPlan(kLong, busy, Store(100, 3e7), kTimeOnly, 10s);
+  LONGS_EQUAL(29, plan->m_restoreBlocks);
+}
+
+TEST(Estimate, WhatTheWorkerHasIsNotImportedAgain)
+{
+  WorkerView warm = Idle();
+  warm.m_cachedBlocks = 60;
+  const auto plan = routing::CheapestPlan(kLong, warm, Store(100, 1e9), kTimeOnly, 10s);
+  LONGS_EQUAL(40, plan->m_restoreBlocks);
+}
+
+TEST(Estimate, ARecomputeWeightTurnsItTowardsTheStore)
+{
+  const StoreView slow = Store(100, 3.5e7);
+  LONGS_EQUAL(0, routing::CheapestPlan(kLong, Idle(), slow, { 1, 0, 0 }, 10s)->m_restoreBlocks);
+  LONGS_EQUAL(100, routing::CheapestPlan(kLong, Idle(), slow, { 1, 2, 0 }, 10s)->m_restoreBlocks);
+}
+
+TEST(Estimate, OldReportsAreWorkedOffAndOwnSendsAreAdded)
+{
+  WorkerView worker = Idle();
+  worker.m_reportedWait = 4s;
+  worker.m_reportAge = 1s;
+  worker.m_sentSince = 500ms;
+  CHECK(routing::QueueWait(worker, 10s) == 3500ms);
+  CHECK(routing::QueueWait(worker, 500ms) == 0s);
+}
+
+TEST(Estimate, AgreesWithTheNaiveTwin)
+{
+  const bool holds = rc::check("plan", [] {
+    const RequestShape request{ 256 * 64 + 100, 64, 256, 1e6 };
+    WorkerView worker = Idle();
+    worker.m_tokensPerSecond = *rc::gen::inRange(1000, 100000);
+    worker.m_cachedBlocks = *rc::gen::inRange(0U, 65U);
+    worker.m_reportedWait = std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+    worker.m_reportAge = std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+    worker.m_sentSince = std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
+    StoreView store = Store(*rc::gen::inRange(0U, 80U), *rc::gen::inRange(1000000, 1000000000));
+    store.m_linkQueue = std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    const auto plan = routing::CheapestPlan(request, worker, store, kTimeOnly, 10s);
+    const double naive = NaiveBestFirstToken(request, worker, store);
+    // The break point is rounded down to a whole block, which can cost up to one block's time.
+    const double oneBlock = std::max(256 / worker.m_tokensPerSecond, 1e6 / store.m_bytesPerSecond);
+    RC_ASSERT(base::Seconds(plan->m_firstToken) >= naive - 1e-5);
+    RC_ASSERT(base::Seconds(plan->m_firstToken) <= naive + oneBlock + 1e-5);
+  });
+  CHECK(holds);
+}
+
+TEST_GROUP(Choose)
+{
+  std::vector<WorkerView> m_workers{ 20, Idle() };
+  std::vector<StoreView> m_stores{ 20, StoreView{} };
+  routing::ChooseOptions m_options;
+};
+
+TEST(Choose, TakesTheShortestQueueWhenNothingIsCached)
+{
+  for (auto& worker : m_workers) {
+    worker.m_reportedWait = 2s;
+  }
+  m_workers[13].m_reportedWait = 1s;
+  LONGS_EQUAL(13, routing::Choose(kLong, m_workers, m_stores, m_options, 1)->m_worker);
+}
+
+TEST(Choose, WeighsACacheAgainstAQueue)
+{
+  m_workers[4].m_cachedBlocks = 100;
+  m_workers[4].m_reportedWait = 1s;
+  LONGS_EQUAL(4, routing::Choose(kLong, m_workers, m_stores, m_options, 1)->m_worker);
+  m_workers[4].m_reportedWait = 10s;
+  CHECK(routing::Choose(kLong, m_workers, m_stores, m_options, 1)->m_worker != 4);
+}
+
+TEST(Choose, NeverPicksAWorkerThatLeavesAndSaysSoWhenNoneIsLeft)
+{
+  for (std::size_t i = 0; i < m_workers.size(); ++i) {
+    m_workers[i].m_usable = i == 19;
+    m_workers[i].m_reportAge = 5s;
+  }
+  for (std::uint64_t random = 0; random < 50; ++random) {
+    LONGS_EQUAL(19, routing::Choose(kLong, m_workers, m_stores, m_options, random)->m_worker);
+  }
+  m_workers[19].m_usable = false;
+  CHECK_FALSE(routing::Choose(kLong, m_workers, m_stores, m_options, 1).has_value());
+}
+
+TEST(Choose, GatesWithTheSameStaleReportsDoNotHerd)
+{
+  for (auto& worker : m_workers) {
+    worker.m_reportedWait = 9s;
+    worker.m_reportAge = 2s;
+  }
+  m_workers[10].m_reportedWait = 1s;
+  int herd = 0;
+  for (std::uint64_t gate = 0; gate < 200; ++gate) {
+    const auto choice = routing::Choose(kLong, m_workers, m_stores, m_options, base::Hash64("g", std::to_string(gate)));
+    herd += choice->m_worker == 10 ? 1 : 0;
+  }
+  CHECK(herd > 0);
+  CHECK(herd < 80);
+}
+
+TEST_GROUP(Rendezvous){};
+
+TEST(Rendezvous, OnlyALostHostsShareMoves)
+{
+  std::vector<std::string> names;
+  for (int i = 0; i < 10; ++i) {
+    names.push_back("w" + std::to_string(i));
+  }
+  const std::vector<std::string> fewer(names.begin(), names.end() - 1);
+  int moved = 0;
+  for (std::uint64_t key = 0; key < 1000; ++key) {
+    const auto before = routing::RendezvousHomes({ key, key }, names, 1).front();
+    const auto after = routing::RendezvousHomes({ key, key }, fewer, 1).front();
+    CHECK(before == 9 || before == after);
+    moved += before == 9 ? 1 : 0;
+  }
+  CHECK(moved > 50 && moved < 150);
+}
+
+TEST_GROUP(Keep){};
+
+TEST(Keep, LearnsWhenAContextComesBack)
+{
+  routing::ReturnGaps gaps;
+  for (int i = 0; i < 200; ++i) {
+    gaps.OnReturn(1h);
+  }
+  CHECK(gaps.ReturnChance(0s, 2h) > 0.7);
+  CHECK(gaps.ReturnChance(0s, 5min) < 0.1);
+  CHECK(gaps.ReturnChance(3h, 2h) < 0.2);
+}
+
+TEST(Keep, PrefersWhatIsDearToRecomputeAndLikelyToReturn)
+{
+  routing::ReturnGaps regular;
+  routing::ReturnGaps fleeting;
+  for (int i = 0; i < 100; ++i) {
+    regular.OnReturn(10min);
+    fleeting.OnGone();
+  }
+  const routing::KeepCandidate context{ 1e8, 3, 1min };
+  CHECK(routing::KeepValue(context, regular) > 3 * routing::KeepValue(context, fleeting));
+  CHECK(routing::KeepValue({ 1e8, 6, 1min }, regular) > routing::KeepValue(context, regular));
+}
+
+TEST(Keep, ExportsYieldToImportsAndToWhatIsWorthMore)
+{
+  routing::ReturnGaps gaps;
+  const routing::KeepCandidate context{ 1e8, 3, 0s };
+  CHECK(routing::ShouldExport(context, gaps, { 1e9, 0, 0ms }, {}));
+  CHECK_FALSE(routing::ShouldExport(context, gaps, { 1e9, 0, 300ms }, {}));
+  CHECK_FALSE(routing::ShouldExport(context, gaps, { 0, 1, 0ms }, {}));
+}
--- /dev/null
+++ b/src/ferrytray/wire/frames.cpp
@@ -0,0 +1,199 @@
+#include "ferrytray/wire/frames.hpp"
+
+#include <sstream> // for ostringstream
+
+#include <cereal/archives/binary.hpp> // for BinaryOutputArchive
+#include <cereal/types/chrono.hpp>             // for duration
+#include <cereal/types/string.hpp>             // for string
+#include <cereal/types/utility.hpp>            // for pair
+#include <cereal/types/variant.hpp>            // for variant
+#include <cereal/types/vector.hpp>             // for vector
+
+#include "ferrytray/wire/bounded_archive.hpp" // for BoundedInputArchive
+
+namespace ferrytray::base {
+
+template<typename Archive>
+void serialize(Archive& aArchive, Digest128& aDigest)
+{
+  aArchive(aDigest.m_high, aDigest.m_low);
+}
+
+} // namespace ferrytray::base
+
+namespace ferrytray::membership {
+
+template<typename Archive>
+void serialize(Archive& aArchive, Member& aMember)
+{
+  aArchive(aMember.m_host, aMember.m_zone, aMember.m_gossip, aMember.m_control, aMember.m_gate, aMember.m_gateControl);
+  aArchive(aMember.m_incarnation, aMember.m_heartbeat, aMember.m_position, aMember.m_state, aMember.m_tickets);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, LoadDigest& aLoad)
+{
+  aArchive(aLoad.m_worker, aLoad.m_queuedMillis, aLoad.m_ageMillis, aLoad.m_version, aLoad.m_tokensPerSecond);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, DemandDigest& aDemand)
+{
+  aArchive(aDemand.m_account, aDemand.m_perSecond);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, GossipMessage& aMessage)
+{
+  aArchive(aMessage.m_from, aMessage.m_members, aMessage.m_loads, aMessage.m_demands, aMessage.m_leaving);
+}
+
+} // namespace ferrytray::membership
+
+namespace ferrytray::replay {
+
+template<typename Archive>
+void serialize(Archive& aArchive, ScopeState& aScope)
+{
+  aArchive(aScope.m_scope, aScope.m_accepted, aScope.m_digest, aScope.m_body);
+  aArchive(aScope.m_keptSince, aScope.m_schemaKnown);
+}
+
+} // namespace ferrytray::replay
+
+namespace ferrytray::once {
+
+template<typename Archive>
+void serialize(Archive& aArchive, KeptAnswer& aAnswer)
+{
+  aArchive(aAnswer.m_status, aAnswer.m_contentType, aAnswer.m_body);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, TicketRow& aRow)
+{
+  aArchive(aRow.m_ticket, aRow.m_account, aRow.m_state, aRow.m_request, aRow.m_answer, aRow.m_left);
+}
+
+} // namespace ferrytray::once
+
+namespace ferrytray::wire {
+
+template<typename Archive>
+void serialize(Archive& aArchive, ListedHost& aHost)
+{
+  aArchive(aHost.m_name, aHost.m_role, aHost.m_pool, aHost.m_zone, aHost.m_address, aHost.m_incarnation);
+  aArchive(aHost.m_leaving);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, LoadReport& aReport)
+{
+  aArchive(aReport.m_incarnation, aReport.m_version, aReport.m_swapping, aReport.m_leaving);
+  aArchive(aReport.m_queuedMillis, aReport.m_ageMillis, aReport.m_tokensPerSecond);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, EndpointStatus& aStatus)
+{
+  aArchive(aStatus.m_host, aStatus.m_load, aStatus.m_reportAgeMillis);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, Hello& aFrame)
+{
+  aArchive(aFrame.m_host, aFrame.m_isGate, aFrame.m_position);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, StateUpdate& aFrame)
+{
+  aArchive(aFrame.m_position, aFrame.m_scopes);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, EndpointUpdate& aFrame)
+{
+  aArchive(aFrame.m_endpoints);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, PeerUpdate& aFrame)
+{
+  aArchive(aFrame.m_members);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, ShareUpdate& aFrame)
+{
+  aArchive(aFrame.m_shares, aFrame.m_default);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, GateReport& aFrame)
+{
+  aArchive(aFrame.m_address, aFrame.m_control, aFrame.m_position, aFrame.m_openWork);
+  aArchive(aFrame.m_tickets, aFrame.m_demand, aFrame.m_leaving);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, TicketHandover& aFrame)
+{
+  aArchive(aFrame.m_incarnations, aFrame.m_rows);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, TicketAck& aFrame)
+{
+  aArchive(aFrame.m_incarnation);
+}
+
+namespace {
+
+template<typename Message>
+std::string EncodeAny(const Message& aMessage)
+{
+  std::ostringstream bytes;
+  {
+    cereal::BinaryOutputArchive archive(bytes);
+    archive(aMessage);
+  }
+  return std::move(bytes).str();
+}
+
+template<typename Message>
+base::Result<Message> DecodeAny(std::string_view aBytes, const char* aWhat)
+{
+  try {
+    BoundedInputArchive archive(aBytes);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::PlatformMalformed, std::string(aWhat) + ": " + error.what());
+  }
+}
+
+} // namespace
+
+std::string EncodeFrame(const Frame& aFrame)
+{
+  return EncodeAny(aFrame);
+}
+
+base::Result<Frame> DecodeFrame(std::string_view aBytes)
+{
+  return DecodeAny<Frame>(aBytes, "frame");
+}
+
+std::string EncodeGossip(const membership::GossipMessage& aMessage)
+{
+  return EncodeAny(aMessage);
+}
+
+base::Result<membership::GossipMessage> DecodeGossip(std::string_view aBytes)
+{
+  return DecodeAny<membership::GossipMessage>(aBytes, "datagram");
+}
+
+} // namespace ferrytray::wire
--- /dev/null
+++ b/src/ferrytray/wire/log_client.cpp
@@ -0,0 +1,158 @@
+#include "ferrytray/wire/log_client.hpp"
+
+#include <utility> // for move
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/base/digest.hpp" // for Hash64, RandomHex128
+
+namespace ferrytray::wire {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr base::Duration kAppendTimeout = std::chrono::seconds(5);
+constexpr base::Duration kReadSlack = std::chrono::seconds(3);
+constexpr base::Duration kFollowWait = std::chrono::seconds(10);
+constexpr base::Duration kRetryBase = std::chrono::milliseconds(100);
+
+base::Result<LogPage> ParsePage(const std::string& aJson)
+{
+  try {
+    const json object = json::parse(aJson);
+    LogPage page;
+    page.m_firstKept = object.at("first").get<std::uint64_t>();
+    page.m_next = object.at("next").get<std::uint64_t>();
+    page.m_now = std::chrono::milliseconds(object.at("now_ms").get<std::int64_t>());
+    for (const json& record : object.at("records")) {
+      page.m_records.push_back({ record.at("offset").get<std::uint64_t>(),
+                                 std::chrono::milliseconds(record.at("time_ms").get<std::int64_t>()),
+                                 record.at("body").get<std::string>() });
+    }
+    return page;
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("log page: ") + error.what());
+  }
+}
+
+base::Result<std::uint64_t> ParseOffset(const std::string& aJson)
+{
+  try {
+    return json::parse(aJson).at("offset").get<std::uint64_t>();
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("log append: ") + error.what());
+  }
+}
+
+bool Succeeded(const net::ClientOutcome& aOutcome)
+{
+  constexpr int kOk = 200;
+  return aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status == kOk;
+}
+
+} // namespace
+
+LogClient::LogClient(net::HttpClient& aHttp, std::string aPlatform, std::string aStream)
+  : m_http(aHttp)
+  , m_base(std::move(aPlatform) + "/log/" + std::move(aStream))
+  , m_alive(std::make_shared<bool>(true))
+{
+}
+
+LogClient::~LogClient()
+{
+  *m_alive = false;
+}
+
+void LogClient::Append(std::string aBody, AppendDone aDone)
+{
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = m_base;
+  request.m_headers = { { "Content-Type", "application/json" } };
+  request.m_body = std::move(aBody);
+  request.m_timeout = kAppendTimeout;
+  request.m_ownConnection = true;
+  m_http.Fetch(std::move(request),
+               [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome, std::string aReply) {
+                 if (!*alive) {
+                   return;
+                 }
+                 if (!Succeeded(aOutcome)) {
+                   done(base::Fail(base::ErrorCode::PlatformUnavailable, "log append: " + aOutcome.m_detail));
+                   return;
+                 }
+                 done(ParseOffset(aReply));
+               });
+}
+
+void LogClient::Read(std::uint64_t aFrom, base::Duration aWait, ReadDone aDone)
+{
+  const auto waitMillis = std::chrono::duration_cast<std::chrono::milliseconds>(aWait).count();
+  net::ClientRequest request;
+  request.m_url = m_base + "?from=" + std::to_string(aFrom) + "&wait_ms=" + std::to_string(waitMillis);
+  request.m_timeout = aWait + kReadSlack;
+  m_http.Fetch(std::move(request),
+               [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome, std::string aReply) {
+                 if (!*alive) {
+                   return;
+                 }
+                 if (!Succeeded(aOutcome)) {
+                   done(base::Fail(base::ErrorCode::PlatformUnavailable, "log read: " + aOutcome.m_detail));
+                   return;
+                 }
+                 done(ParsePage(aReply));
+               });
+}
+
+LogFollower::LogFollower(net::Loop& aLoop,
+                         net::HttpClient& aHttp,
+                         const std::string& aPlatform,
+                         const std::string& aStream)
+  : m_loop(aLoop)
+  , m_client(aHttp, aPlatform, aStream)
+  , m_jitter(base::Hash64(aStream, base::RandomHex128()))
+{
+}
+
+void LogFollower::Start(std::uint64_t aFrom, OnPage aOnPage, OnState aOnState)
+{
+  m_from = aFrom;
+  m_onPage = std::move(aOnPage);
+  m_onState = std::move(aOnState);
+  ReadNext(base::Duration::zero());
+}
+
+void LogFollower::ReadNext(base::Duration aWait)
+{
+  m_client.Read(m_from, aWait, [this](base::Result<LogPage> aPage) { OnRead(std::move(aPage)); });
+}
+
+void LogFollower::OnRead(base::Result<LogPage> aPage)
+{
+  const bool reachable = aPage.has_value();
+  if (reachable != m_reachable) {
+    m_reachable = reachable;
+    m_onState(reachable);
+  }
+  if (!reachable) {
+    // Jittered, so that a returning log is not met by everyone at once.
+    m_jitter = m_jitter * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto extra = std::chrono::milliseconds(m_jitter >> 57U);
+    m_retry = m_loop.After(kRetryBase + extra, [this] { ReadNext(base::Duration::zero()); });
+    return;
+  }
+  m_platformTime = aPage->m_now;
+  const bool first = !m_caughtUp;
+  if (!aPage->m_records.empty() || first) {
+    m_onPage(*aPage);
+  }
+  if (!aPage->m_records.empty()) {
+    m_from = aPage->m_records.back().m_offset + 1;
+  }
+  m_caughtUp = m_caughtUp || m_from >= aPage->m_next;
+  ReadNext(m_caughtUp ? kFollowWait : base::Duration::zero());
+}
+
+} // namespace ferrytray::wire
--- /dev/null
+++ b/standins/engine.cpp
@@ -0,0 +1,459 @@
+#include "standins/engine.hpp"
+
+#include <algorithm> // for min
+
+#include "ferrytray/base/digest.hpp" // for Sha256Hex
+
+namespace standins {
+
+using namespace ferrytray;
+
+namespace {
+
+constexpr std::uint32_t kBytesPerToken = 4;
+constexpr std::size_t kKeptRuns = 2000;
+constexpr std::uint32_t kDefaultTokens = 16;
+constexpr base::Duration kLoadEvery = std::chrono::milliseconds(100);
+constexpr base::Duration kImportTimeout = std::chrono::seconds(20);
+
+std::string Hash(const std::string& aSeed, const std::string& aText)
+{
+  return base::ToHex(base::HashWithSeed(base::HashWithSeed({}, aSeed), aText));
+}
+
+json Event(const std::string& aText, std::size_t aOffset, const std::string& aVersion, const std::string& aAttempt)
+{
+  return { { "object", "text_completion" },
+           { "choices", { { { "index", 0 }, { "text", aText }, { "finish_reason", nullptr } } } },
+           { "x_offset", aOffset },
+           { "x_version", aVersion },
+           { "x_attempt", aAttempt } };
+}
+
+std::string Sse(const json& aEvent)
+{
+  return "data: " + aEvent.dump() + "\n\n";
+}
+
+json BlockRow(const std::string& aBlock, const std::string& aValue)
+{
+  return { { "block", aBlock }, { "value", aValue }, { "length", aValue.size() }, { "checksum", Hash("", aValue) } };
+}
+
+} // namespace
+
+Engine::Engine(net::Loop& aLoop, EngineOptions aOptions)
+  : m_loop(aLoop)
+  , m_http(net::HttpClient::Create(aLoop))
+  , m_options(std::move(aOptions))
+  , m_cache(m_options.m_cacheBlocks)
+{
+  m_decodeTimer = m_loop.Every(m_options.m_tokenTime, [this] { DecodeStep(); });
+  m_loads.emplace_back(base::MonotonicNow(), LoadNow());
+  m_loadTimer = m_loop.Every(kLoadEvery, [this] { m_loads.emplace_back(base::MonotonicNow(), LoadNow()); });
+}
+
+void Engine::Handle(const Request& aRequest, const ReplyPtr& aReply)
+{
+  const std::string& path = aRequest.m_path;
+  if (path == "/v1/completions") {
+    OnCompletion(aRequest, aReply);
+  } else if (path.rfind("/v1/streams/", 0) == 0) {
+    OnStream(aRequest, aReply);
+  } else if (path == "/load") {
+    OnLoad(aReply);
+  } else if (path == "/events") {
+    OnEvents(aRequest, aReply);
+  } else if (path == "/kv/list") {
+    SendJson(aReply, 200, { { "sequence", m_cache.LastSequence() }, { "blocks", m_cache.Names() } });
+  } else if (path == "/kv/import") {
+    OnImport(ParseBody(aRequest.m_body), aReply);
+  } else if (path == "/kv/drop") {
+    m_imports.erase(ParseBody(aRequest.m_body).at("import").get<std::string>());
+    SendJson(aReply, 200, json::object());
+  } else if (path == "/kv/export") {
+    OnExport(ParseBody(aRequest.m_body), aReply);
+  } else if (path == "/orders") {
+    OnOrder(ParseBody(aRequest.m_body), aReply);
+  } else if (path == "/ledger") {
+    SendJson(aReply, 200, { { "executions", m_ledger }, { "orders", m_orders } });
+  } else if (path == "/admin/faults") {
+    OnFaults(ParseBody(aRequest.m_body), aReply);
+  } else {
+    SendError(aReply, 404, "no such path", false);
+  }
+}
+
+std::string Engine::RefusalFor(const json& aBody) const
+{
+  if (m_leaving) {
+    return "leaving";
+  }
+  if (!m_swapTarget.empty()) {
+    return "swapping";
+  }
+  if (aBody.value("x_incarnation", m_options.m_incarnation) != m_options.m_incarnation) {
+    return "another incarnation";
+  }
+  if (aBody.value("x_version", m_options.m_version) != m_options.m_version) {
+    return "another weight version";
+  }
+  if (m_runs.contains(aBody.value("x_attempt", ""))) {
+    return "attempt is known";
+  }
+  return {};
+}
+
+void Engine::OnCompletion(const Request& aRequest, const ReplyPtr& aReply)
+{
+  const json body = ParseBody(aRequest.m_body);
+  if (!body.is_object() || !body.contains("prompt")) {
+    SendError(aReply, 400, "prompt is missing", false);
+    return;
+  }
+  const std::string refusal = RefusalFor(body);
+  if (!refusal.empty()) {
+    SendError(aReply, refusal == "leaving" ? 503 : 409, refusal, refusal == "attempt is known");
+    return;
+  }
+  const RunPtr run = MakeRun(body);
+  m_runs[run->m_attempt] = run;
+  m_oldRuns.push_back(run->m_attempt);
+  while (m_oldRuns.size() > kKeptRuns) {
+    m_runs.erase(m_oldRuns.front());
+    m_oldRuns.pop_front();
+  }
+  m_waiting.emplace(std::pair(run->m_priority, run->m_sequence), run);
+  AddReader(run, aReply, 0);
+  StartNextPrefill();
+}
+
+Engine::RunPtr Engine::MakeRun(const json& aBody)
+{
+  auto run = std::make_shared<Run>();
+  run->m_sequence = ++m_sequence;
+  run->m_attempt = aBody.value("x_attempt", "direct-" + std::to_string(run->m_sequence));
+  run->m_request = aBody.value("x_request", run->m_attempt);
+  run->m_salt = aBody.value("cache_salt", "");
+  run->m_prompt = aBody.at("prompt").get<std::string>();
+  run->m_version = m_options.m_version;
+  run->m_priority = aBody.value("priority", std::uint64_t{ 0 });
+  run->m_tokensLeft = std::max(1U, aBody.value("max_tokens", kDefaultTokens));
+  run->m_promptTokens = static_cast<std::uint32_t>(run->m_prompt.size() / kBytesPerToken);
+  run->m_blocks = aBody.value("x_blocks", std::vector<std::string>{});
+  const auto import = m_imports.find(aBody.value("x_import", ""));
+  if (import != m_imports.end()) {
+    run->m_imported = import->second;
+    m_imports.erase(import);
+  }
+  return run;
+}
+
+void Engine::OnStream(const Request& aRequest, const ReplyPtr& aReply)
+{
+  const std::string attempt = aRequest.m_path.substr(std::string("/v1/streams/").size());
+  const auto found = m_runs.find(attempt);
+  if (found == m_runs.end()) {
+    SendError(aReply, 404, "no such stream", false);
+    return;
+  }
+  const RunPtr run = found->second;
+  if (aRequest.m_method == "DELETE") {
+    run->m_cancelled = true;
+    const bool queued = m_waiting.erase({ run->m_priority, run->m_sequence }) > 0;
+    std::erase(m_decoding, run);
+    for (const ReplyPtr& reader : run->m_readers) {
+      reader->Finish();
+    }
+    run->m_readers.clear();
+    SendJson(aReply, 200, { { "cancelled", true }, { "x_started", !queued } });
+    return;
+  }
+  const std::string offset = aRequest.QueryValue("offset");
+  AddReader(run, aReply, offset.empty() ? 0 : std::stoull(offset));
+}
+
+void Engine::AddReader(const RunPtr& aRun, const ReplyPtr& aReply, std::size_t aOffset)
+{
+  aReply->StartStream(200, { { "Content-Type", "text/event-stream" }, { "X-Attempt", aRun->m_attempt } });
+  if (aOffset < aRun->m_text.size()) {
+    aReply->Write(Sse(Event(aRun->m_text.substr(aOffset), aOffset, aRun->m_version, aRun->m_attempt)));
+  }
+  aRun->m_readers.push_back(aReply);
+  if (aRun->m_finished) {
+    Finish(aRun);
+  }
+}
+
+void Engine::StartNextPrefill()
+{
+  const bool full = m_decoding.size() >= m_options.m_maxBatch;
+  if (m_prefilling || m_waiting.empty() || full) {
+    return;
+  }
+  const RunPtr run = m_waiting.begin()->second;
+  m_waiting.erase(m_waiting.begin());
+  m_prefilling = run;
+  ++m_ledger[run->m_request];
+  std::uint32_t reused = 0;
+  while (reused < run->m_blocks.size() && !m_cache.Get(run->m_blocks[reused]).empty()) {
+    ++reused;
+  }
+  run->m_cached = reused * m_options.m_blockTokens;
+  const auto imported = static_cast<std::uint32_t>(run->m_imported.size());
+  if (imported > reused) {
+    run->m_restored = (imported - reused) * m_options.m_blockTokens;
+  }
+  const std::uint32_t known = std::min(run->m_cached + run->m_restored, run->m_promptTokens);
+  const double seconds = (run->m_promptTokens - known) / m_options.m_tokensPerSecond * m_slowness;
+  m_prefillTimer = m_loop.After(base::FromSeconds(seconds), [this, run] { FinishPrefill(run); });
+}
+
+std::vector<std::string> Engine::TrueValues(const Run& aRun) const
+{
+  std::vector<std::string> values;
+  std::string previous = Hash(aRun.m_salt, m_options.m_model + "\n" + aRun.m_version);
+  for (std::size_t i = 0; i < aRun.m_blocks.size(); ++i) {
+    previous = Hash(previous, aRun.m_prompt.substr(i * m_options.m_blockBytes, m_options.m_blockBytes));
+    values.push_back(previous);
+  }
+  return values;
+}
+
+void Engine::FinishPrefill(const RunPtr& aRun)
+{
+  m_prefilling = nullptr;
+  std::vector<std::string> values = TrueValues(*aRun);
+  // What was reused is used as it is, right or wrong: that is what a real engine does.
+  const std::size_t cached = aRun->m_cached / m_options.m_blockTokens;
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    if (i < cached) {
+      values[i] = m_cache.Get(aRun->m_blocks[i]);
+    } else if (i < aRun->m_imported.size()) {
+      values[i] = aRun->m_imported[i];
+    }
+    m_cache.Put(aRun->m_blocks[i], values[i]);
+  }
+  const std::string all = Hash(values.empty() ? "" : values.back(), aRun->m_prompt);
+  aRun->m_seed = Hash(all, aRun->m_salt + "\n" + m_options.m_model + "\n" + aRun->m_version);
+  if (!aRun->m_cancelled) {
+    m_decoding.push_back(aRun);
+    Emit(aRun, Hash(aRun->m_seed, "0").substr(0, kBytesPerToken - 1) + " ");
+  }
+  StartNextPrefill();
+}
+
+void Engine::Emit(const RunPtr& aRun, const std::string& aText)
+{
+  const std::size_t offset = aRun->m_text.size();
+  aRun->m_text += aText;
+  ++aRun->m_tokensMade;
+  --aRun->m_tokensLeft;
+  const std::string event = Sse(Event(aText, offset, aRun->m_version, aRun->m_attempt));
+  for (const ReplyPtr& reader : aRun->m_readers) {
+    reader->Write(event);
+  }
+  if (aRun->m_tokensLeft == 0) {
+    std::erase(m_decoding, aRun);
+    Finish(aRun);
+    StartNextPrefill();
+  }
+}
+
+void Engine::DecodeStep()
+{
+  const std::vector<RunPtr> batch = m_decoding;
+  for (const RunPtr& run : batch) {
+    Emit(run, Hash(run->m_seed, std::to_string(run->m_tokensMade)).substr(0, kBytesPerToken - 1) + " ");
+  }
+}
+
+void Engine::Finish(const RunPtr& aRun)
+{
+  aRun->m_finished = true;
+  json last = Event("", aRun->m_text.size(), aRun->m_version, aRun->m_attempt);
+  last["choices"][0]["finish_reason"] = "length";
+  const std::uint32_t known = std::min(aRun->m_cached + aRun->m_restored, aRun->m_promptTokens);
+  last["usage"] = { { "prompt_tokens", aRun->m_promptTokens },
+                    { "completion_tokens", aRun->m_tokensMade },
+                    { "total_tokens", aRun->m_promptTokens + aRun->m_tokensMade },
+                    { "x_cached_tokens", std::min(aRun->m_cached, aRun->m_promptTokens) },
+                    { "x_restored_tokens", aRun->m_restored },
+                    { "x_recomputed_tokens", aRun->m_promptTokens - known } };
+  for (const ReplyPtr& reader : aRun->m_readers) {
+    reader->Write(Sse(last) + "data: [DONE]\n\n");
+    reader->Finish();
+  }
+  aRun->m_readers.clear();
+}
+
+void Engine::OnImport(const json& aBody, const ReplyPtr& aReply)
+{
+  const std::string import = aBody.at("import").get<std::string>();
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = aBody.at("store").get<std::string>() + "/kv/read";
+  request.m_body = json{ { "blocks", aBody.at("blocks") } }.dump();
+  request.m_timeout = kImportTimeout;
+  const std::size_t skip = aBody.value("skip", std::size_t{ 0 });
+  m_http->Fetch(std::move(request), [this, import, skip, aReply](const auto& aOutcome, const std::string& aText) {
+    const json reply = ParseBody(aText);
+    if (aOutcome.m_status != 200 || !reply.contains("blocks")) {
+      SendError(aReply, 502, "store did not answer", false);
+      return;
+    }
+    // The blocks before `skip` are in the cache already; they keep their places.
+    std::vector<std::string> values(skip);
+    for (const json& row : reply["blocks"]) {
+      const std::string value = row.at("value").get<std::string>();
+      const bool whole = value.size() == row.at("length").get<std::size_t>() &&
+                         Hash("", value) == row.at("checksum").get<std::string>();
+      if (!whole) {
+        break;
+      }
+      values.push_back(value);
+    }
+    m_imports[import] = values;
+    SendJson(aReply, 200, { { "imported", values.size() - skip } });
+  });
+}
+
+void Engine::OnExport(const json& aBody, const ReplyPtr& aReply)
+{
+  json rows = json::array();
+  for (const std::string block : aBody.at("blocks")) {
+    const std::string value = m_cache.Get(block);
+    if (value.empty()) {
+      break;
+    }
+    rows.push_back(BlockRow(block, value));
+  }
+  const std::string store = aBody.at("store").get<std::string>();
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = store + "/kv/stage";
+  request.m_body = json{ { "upload", aBody.at("upload") }, { "blocks", rows } }.dump();
+  request.m_timeout = kImportTimeout;
+  json manifest = rows;
+  for (json& row : manifest) {
+    row.erase("value");
+  }
+  m_http->Fetch(std::move(request), [aReply, manifest](const auto& aOutcome, const std::string&) {
+    if (aOutcome.m_status != 200) {
+      SendError(aReply, 502, "store did not take it", false);
+      return;
+    }
+    SendJson(aReply, 200, { { "manifest", manifest } });
+  });
+}
+
+void Engine::OnOrder(const json& aBody, const ReplyPtr& aReply)
+{
+  const std::uint64_t fence = aBody.at("fence").get<std::uint64_t>();
+  const std::string version = aBody.at("version").get<std::string>();
+  if (m_options.m_checksFencing && fence < m_highestFence) {
+    SendError(aReply, 409, "old fencing number", false);
+    return;
+  }
+  if (aBody.value("incarnation", m_options.m_incarnation) != m_options.m_incarnation) {
+    SendError(aReply, 409, "another incarnation", false);
+    return;
+  }
+  m_highestFence = std::max(m_highestFence, fence);
+  m_orders.push_back(aBody);
+  BeginSwap(version);
+  SendJson(aReply, 200, { { "version", version } });
+}
+
+void Engine::BeginSwap(const std::string& aVersion)
+{
+  const std::string running = m_swapTarget.empty() ? m_options.m_version : m_swapTarget;
+  if (running == aVersion) {
+    return;
+  }
+  m_swapTarget = aVersion;
+  const auto load = [this, aVersion] {
+    m_swapTimer = m_loop.After(m_options.m_swapTime, [this, aVersion] {
+      if (m_swapTarget != aVersion) {
+        return;
+      }
+      m_options.m_version = aVersion;
+      m_swapTarget.clear();
+      // What queued for the old version has not started; its callers are told so.
+      for (const auto& [key, run] : m_waiting) {
+        for (const ReplyPtr& reader : run->m_readers) {
+          reader->Write(Sse({ { "error", { { "message", "swapped" } } }, { "x_started", false } }));
+          reader->Finish();
+        }
+        m_runs.erase(run->m_attempt);
+      }
+      m_waiting.clear();
+      m_cache.Clear();
+    });
+  };
+  if (m_options.m_weightStore.empty()) {
+    load();
+    return;
+  }
+  net::ClientRequest request;
+  request.m_url = m_options.m_weightStore + "/weights/" + m_options.m_model + "/" + aVersion;
+  m_http->Fetch(std::move(request), [load](const auto&, const std::string&) { load(); });
+}
+
+void Engine::OnEvents(const Request& aRequest, const ReplyPtr& aReply)
+{
+  const std::string after = aRequest.QueryValue("after");
+  json rows = json::array();
+  for (const CacheEvent& event : m_cache.EventsAfter(after.empty() ? 0 : std::stoull(after))) {
+    if (m_hiddenEvents > 0) {
+      --m_hiddenEvents;
+      continue;
+    }
+    rows.push_back({ { "sequence", event.m_sequence }, { "block", event.m_block }, { "stored", event.m_stored } });
+  }
+  SendJson(aReply, 200, { { "events", rows } });
+}
+
+json Engine::LoadNow() const
+{
+  double tokens = 0;
+  for (const auto& [key, run] : m_waiting) {
+    tokens += run->m_promptTokens;
+  }
+  if (m_prefilling) {
+    tokens += m_prefilling->m_promptTokens;
+  }
+  const double millis = tokens / m_options.m_tokensPerSecond * m_slowness * 1000;
+  return { { "incarnation", m_options.m_incarnation },
+           { "version", m_swapTarget.empty() ? m_options.m_version : "" },
+           { "swapping", !m_swapTarget.empty() },
+           { "leaving", m_leaving },
+           { "queued_ms", static_cast<std::uint32_t>(millis) },
+           { "running", m_decoding.size() },
+           { "tokens_per_second", m_options.m_tokensPerSecond / m_slowness } };
+}
+
+void Engine::OnLoad(const ReplyPtr& aReply)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  while (m_loads.size() > 1 && now - m_loads[1].first >= m_options.m_loadLag) {
+    m_loads.pop_front();
+  }
+  const bool fresh = m_options.m_loadLag == base::Duration::zero();
+  json load = fresh ? LoadNow() : m_loads.front().second;
+  load["age_ms"] = fresh ? 0 : (now - m_loads.front().first).count() / 1000;
+  SendJson(aReply, 200, load);
+}
+
+void Engine::OnFaults(const json& aBody, const ReplyPtr& aReply)
+{
+  m_slowness = aBody.value("slowness", m_slowness);
+  m_leaving = aBody.value("leaving", m_leaving);
+  m_hiddenEvents = aBody.value("hide_events", m_hiddenEvents);
+  if (aBody.value("evict", false)) {
+    m_cache.Clear();
+  }
+  SendJson(aReply, 200, json::object());
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/engine.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <deque>   // for deque
+#include <map>     // for map
+#include <memory>  // for shared_ptr
+#include <string>  // for string
+#include <utility> // for pair
+#include <vector>  // for vector
+
+#include "standins/engine_cache.hpp" // for EngineCache
+#include "standins/standin.hpp"      // for json, ReplyPtr
+
+namespace standins {
+
+struct EngineOptions
+{
+  std::string m_incarnation;
+  std::string m_version;
+  std::string m_model;
+  std::string m_weightStore; ///< "http://IP:PORT"; empty: swaps need no download
+  double m_tokensPerSecond = 20000;
+  ferrytray::base::Duration m_tokenTime = std::chrono::milliseconds(2);
+  std::size_t m_cacheBlocks = 4096;
+  std::size_t m_maxBatch = 64;
+  std::size_t m_blockBytes = 1024;
+  std::uint32_t m_blockTokens = 256;
+  ferrytray::base::Duration m_swapTime = std::chrono::milliseconds(1000);
+  ferrytray::base::Duration m_loadLag{};
+  bool m_checksFencing = false;
+};
+
+/// A model engine: batches, caches prefixes, honours priorities, resumes and cancels streams,
+/// moves KV blocks, publishes late cache events, takes orders. Its answers depend on the content
+/// of the blocks that it used, so a wrong, partial or foreign block shows in the text.
+class Engine
+{
+public:
+  Engine(ferrytray::net::Loop& aLoop, EngineOptions aOptions);
+  void Handle(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+
+private:
+  using Request = ferrytray::net::HttpRequest;
+
+  struct Run
+  {
+    std::string m_attempt;
+    std::string m_request;
+    std::string m_salt;
+    std::string m_prompt;
+    std::string m_version;
+    std::vector<std::string> m_blocks;
+    std::vector<std::string> m_imported;
+    std::uint64_t m_priority = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_tokensLeft = 0;
+    std::uint32_t m_tokensMade = 0;
+    std::uint32_t m_cached = 0;
+    std::uint32_t m_restored = 0;
+    std::uint32_t m_promptTokens = 0;
+    std::string m_seed;
+    std::string m_text;
+    bool m_finished = false;
+    bool m_cancelled = false;
+    std::vector<ReplyPtr> m_readers;
+  };
+  using RunPtr = std::shared_ptr<Run>;
+
+  void OnCompletion(const Request& aRequest, const ReplyPtr& aReply);
+  void OnStream(const Request& aRequest, const ReplyPtr& aReply);
+  void OnImport(const json& aBody, const ReplyPtr& aReply);
+  void OnExport(const json& aBody, const ReplyPtr& aReply);
+  void OnOrder(const json& aBody, const ReplyPtr& aReply);
+  void OnEvents(const Request& aRequest, const ReplyPtr& aReply);
+  void OnLoad(const ReplyPtr& aReply);
+  void OnFaults(const json& aBody, const ReplyPtr& aReply);
+
+  [[nodiscard]] std::string RefusalFor(const json& aBody) const;
+  RunPtr MakeRun(const json& aBody);
+  void AddReader(const RunPtr& aRun, const ReplyPtr& aReply, std::size_t aOffset);
+  void StartNextPrefill();
+  void FinishPrefill(const RunPtr& aRun);
+  void DecodeStep();
+  void Emit(const RunPtr& aRun, const std::string& aText);
+  void Finish(const RunPtr& aRun);
+  std::vector<std::string> TrueValues(const Run& aRun) const;
+  [[nodiscard]] json LoadNow() const;
+  void BeginSwap(const std::string& aVersion);
+
+  ferrytray::net::Loop& m_loop;
+  std::unique_ptr<ferrytray::net::HttpClient> m_http;
+  EngineOptions m_options;
+  EngineCache m_cache;
+  std::map<std::string, RunPtr> m_runs;
+  std::deque<std::string> m_oldRuns;
+  std::map<std::pair<std::uint64_t, std::uint64_t>, RunPtr> m_waiting;
+  std::vector<RunPtr> m_decoding;
+  RunPtr m_prefilling;
+  ferrytray::net::TimerHandle m_prefillTimer;
+  ferrytray::net::TimerHandle m_decodeTimer;
+  ferrytray::net::TimerHandle m_loadTimer;
+  ferrytray::net::TimerHandle m_swapTimer;
+  std::deque<std::pair<ferrytray::base::TimePoint, json>> m_loads;
+  std::map<std::string, std::vector<std::string>> m_imports;
+  std::map<std::string, int> m_ledger;
+  std::vector<json> m_orders;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_highestFence = 0;
+  std::string m_swapTarget;
+  bool m_leaving = false;
+  double m_slowness = 1;
+  int m_hiddenEvents = 0;
+};
+
+} // namespace standins
