--- /dev/null
+++ b/standins/platform_log.cpp
@@ -0,0 +1,189 @@
+#include "standins/platform_log.hpp"
+
+#include <algorithm> // for max
+
+namespace standins {
+
+using namespace ferrytray;
+
+namespace {
+
+std::int64_t NowMillis()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(base::MonotonicNow().time_since_epoch()).count();
+}
+
+std::uint64_t QueryNumber(const net::HttpRequest& aRequest, const char* aName, std::uint64_t aDefault)
+{
+  const std::string text = aRequest.QueryValue(aName);
+  return text.empty() ? aDefault : std::stoull(text);
+}
+
+} // namespace
+
+Platform::Platform(net::Loop& aLoop, PlatformOptions aOptions)
+  : m_loop(aLoop)
+  , m_options(aOptions)
+{
+}
+
+void Platform::Handle(const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+{
+  if (aRequest.m_path == "/admin/faults") {
+    OnFaults(ParseBody(aRequest.m_body), aReply);
+    return;
+  }
+  if (aRequest.m_path == "/stat") {
+    SendJson(aReply, 200, { { "appends", m_appends } });
+    return;
+  }
+  if (aRequest.m_path.rfind("/hosts", 0) == 0 && aRequest.m_method != "GET") {
+    OnHosts(aRequest, aReply);
+    return;
+  }
+  if (m_down) {
+    SendError(aReply, 503, "down", false);
+    return;
+  }
+  const std::string logPrefix = "/log/";
+  if (aRequest.m_path.rfind(logPrefix, 0) == 0) {
+    const std::string stream = aRequest.m_path.substr(logPrefix.size());
+    if (aRequest.m_method == "POST") {
+      OnAppend(stream, aRequest.m_body, aReply);
+    } else {
+      OnRead(stream, aRequest, aReply);
+    }
+  } else if (aRequest.m_path == "/hosts") {
+    SendJson(aReply, 200, { { "hosts", m_shownHosts } });
+  } else if (aRequest.m_path.rfind("/weights/", 0) == 0) {
+    OnWeights(aReply);
+  } else {
+    SendError(aReply, 404, "no such path", false);
+  }
+}
+
+void Platform::OnAppend(const std::string& aStream, const std::string& aBody, const ReplyPtr& aReply)
+{
+  // A few hundred appends a second: later ones queue behind earlier ones.
+  const base::TimePoint now = base::MonotonicNow();
+  m_appendFree = std::max(m_appendFree, now) + base::FromSeconds(1.0 / m_options.m_appendsPerSecond);
+  Later(m_appendFree - now + m_slow, [this, aStream, aBody, aReply] {
+    Stream& stream = m_streams[aStream];
+    const std::uint64_t offset = stream.m_next++;
+    stream.m_records.push_back({ offset, NowMillis(), aBody });
+    ++m_appends;
+    while (stream.m_records.size() > m_options.m_retainedRecords) {
+      stream.m_records.pop_front();
+    }
+    WakeReaders(stream);
+    if (m_loseReplies > 0) {
+      --m_loseReplies;
+      SendError(aReply, 504, "reply lost", true);
+      return;
+    }
+    SendJson(aReply, 200, { { "offset", offset } });
+  });
+}
+
+json Platform::PageOf(const Stream& aStream, std::uint64_t aFrom) const
+{
+  constexpr std::size_t kPageRecords = 2000;
+  json records = json::array();
+  const std::uint64_t first = aStream.m_records.empty() ? aStream.m_next : aStream.m_records.front().m_offset;
+  const std::size_t skip = aFrom > first ? static_cast<std::size_t>(aFrom - first) : 0;
+  for (std::size_t i = skip; i < aStream.m_records.size() && records.size() < kPageRecords; ++i) {
+    const Record& record = aStream.m_records[i];
+    records.push_back({ { "offset", record.m_offset }, { "time_ms", record.m_timeMillis }, { "body", record.m_body } });
+  }
+  return { { "first", first }, { "next", aStream.m_next }, { "now_ms", NowMillis() }, { "records", records } };
+}
+
+void Platform::OnRead(const std::string& aStream, const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+{
+  const std::uint64_t from = QueryNumber(aRequest, "from", 1);
+  const std::uint64_t wait = QueryNumber(aRequest, "wait_ms", 0);
+  Stream& stream = m_streams[aStream];
+  if (from < stream.m_next || wait == 0) {
+    Later(m_slow, [this, aStream, from, aReply] { SendJson(aReply, 200, PageOf(m_streams[aStream], from)); });
+    return;
+  }
+  const std::uint64_t id = ++m_waiterIds;
+  const auto timer = m_loop.After(std::chrono::milliseconds(wait), [this, aStream, id] {
+    Stream& waited = m_streams[aStream];
+    const auto found = waited.m_waiters.find(id);
+    SendJson(found->second.m_reply, 200, PageOf(waited, found->second.m_from));
+    m_loop.Post([this, aStream, id] { m_streams[aStream].m_waiters.erase(id); });
+  });
+  stream.m_waiters.emplace(id, Waiter{ from, aReply, timer });
+}
+
+void Platform::WakeReaders(Stream& aStream)
+{
+  const auto waiters = std::exchange(aStream.m_waiters, {});
+  for (const auto& [id, waiter] : waiters) {
+    waiter.m_timer->Cancel();
+    if (m_down) {
+      SendError(waiter.m_reply, 503, "down", false);
+    } else {
+      SendJson(waiter.m_reply, 200, PageOf(aStream, waiter.m_from));
+    }
+  }
+}
+
+void Platform::OnHosts(const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+{
+  const json body = ParseBody(aRequest.m_body);
+  for (const json& row : body.at("hosts")) {
+    const std::string name = row.at("name").get<std::string>();
+    if (row.value("state", "live") == "gone") {
+      m_hosts.erase(name);
+    } else {
+      m_hosts[name] = row;
+    }
+  }
+  json shown = json::array();
+  for (const auto& [name, row] : m_hosts) {
+    shown.push_back(row);
+  }
+  Later(m_options.m_hostListLag, [this, shown] { m_shownHosts = shown; });
+  SendJson(aReply, 200, json::object());
+}
+
+void Platform::OnWeights(const ReplyPtr& aReply)
+{
+  ++m_downloads;
+  const std::size_t over = m_downloads > m_options.m_weightSlots ? m_downloads - m_options.m_weightSlots : 0;
+  Later(m_options.m_weightTime * static_cast<int>(1 + over), [this, aReply] {
+    --m_downloads;
+    SendJson(aReply, 200, json::object());
+  });
+}
+
+void Platform::OnFaults(const json& aBody, const ReplyPtr& aReply)
+{
+  m_down = aBody.value("down", m_down);
+  m_loseReplies = aBody.value("lose_replies", m_loseReplies);
+  m_slow = std::chrono::milliseconds(aBody.value("slow_ms", m_slow.count() / 1000));
+  m_options.m_retainedRecords = aBody.value("retained_records", m_options.m_retainedRecords);
+  if (m_down) {
+    for (auto& [name, stream] : m_streams) {
+      WakeReaders(stream);
+    }
+  }
+  SendJson(aReply, 200, json::object());
+}
+
+void Platform::Later(base::Duration aDelay, std::function<void()> aCall)
+{
+  if (aDelay <= base::Duration::zero()) {
+    aCall();
+    return;
+  }
+  auto timer = std::make_shared<net::TimerHandle>();
+  *timer = m_loop.After(aDelay, [call = std::move(aCall), timer] {
+    call();
+    timer->reset();
+  });
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/platform_log.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <deque>  // for deque
+#include <map>    // for map
+#include <string> // for string
+#include <vector> // for vector
+
+#include "standins/standin.hpp" // for json, ReplyPtr
+
+namespace standins {
+
+struct PlatformOptions
+{
+  std::size_t m_retainedRecords = 1000000;
+  double m_appendsPerSecond = 500;
+  ferrytray::base::Duration m_hostListLag{};
+  ferrytray::base::Duration m_weightTime = std::chrono::milliseconds(200);
+  std::size_t m_weightSlots = 3; ///< downloads at full speed
+};
+
+/// The platform: an append-only log with offsets, a lagging host list, a limited weight store.
+class Platform
+{
+public:
+  Platform(ferrytray::net::Loop& aLoop, PlatformOptions aOptions);
+  void Handle(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+
+private:
+  struct Record
+  {
+    std::uint64_t m_offset = 0;
+    std::int64_t m_timeMillis = 0;
+    std::string m_body;
+  };
+  struct Waiter
+  {
+    std::uint64_t m_from = 0;
+    ReplyPtr m_reply;
+    ferrytray::net::TimerHandle m_timer;
+  };
+  struct Stream
+  {
+    std::uint64_t m_next = 1;
+    std::deque<Record> m_records;
+    std::map<std::uint64_t, Waiter> m_waiters;
+  };
+
+  void OnAppend(const std::string& aStream, const std::string& aBody, const ReplyPtr& aReply);
+  void OnRead(const std::string& aStream, const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+  void OnHosts(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+  void OnWeights(const ReplyPtr& aReply);
+  void OnFaults(const json& aBody, const ReplyPtr& aReply);
+  [[nodiscard]] json PageOf(const Stream& aStream, std::uint64_t aFrom) const;
+  void WakeReaders(Stream& aStream);
+  void Later(ferrytray::base::Duration aDelay, std::function<void()> aCall);
+
+  ferrytray::net::Loop& m_loop;
+  PlatformOptions m_options;
+  std::map<std::string, Stream> m_streams;
+  std::map<std::string, json> m_hosts;
+  json m_shownHosts = json::array();
+  ferrytray::base::TimePoint m_appendFree{};
+  std::uint64_t m_appends = 0;
+  std::uint64_t m_waiterIds = 0;
+  std::size_t m_downloads = 0;
+  bool m_down = false;
+  int m_loseReplies = 0;
+  ferrytray::base::Duration m_slow{};
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/proxy_main.cpp
@@ -0,0 +1,227 @@
+#include <array> // for array
+
+#include <asio/connect.hpp>      // for async_connect
+#include <asio/ip/tcp.hpp>       // for tcp
+#include <asio/ip/udp.hpp>       // for udp
+#include <asio/steady_timer.hpp> // for steady_timer
+#include <asio/write.hpp>        // for async_write
+
+#include "ferrytray/net/loop_impl.hpp" // for LoopImpl
+#include "standins/standin.hpp"        // for Serve
+
+using namespace ferrytray;
+using namespace standins;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+/// What the proxy does to what passes. Settable while it runs.
+struct Faults
+{
+  base::Duration m_delay{};
+  bool m_cut = false;       ///< close connections, drop datagrams
+  bool m_halfOpen = false;  ///< accept and take bytes, pass nothing on
+  int m_dropReplies = 0;    ///< so many connections end after the request, before any reply byte
+  long m_cutReplyAfter = -1; ///< bytes of a reply after which one connection is cut; -1: never
+};
+
+/// One connection through the proxy.
+class Passage : public std::enable_shared_from_this<Passage>
+{
+public:
+  Passage(tcp::socket aCaller, asio::io_context& aContext, Faults& aFaults)
+    : m_caller(std::move(aCaller))
+    , m_server(aContext)
+    , m_faults(aFaults)
+  {
+  }
+
+  void Start(const tcp::endpoint& aTo)
+  {
+    if (m_faults.m_cut) {
+      return;
+    }
+    m_server.async_connect(aTo, [self = shared_from_this()](const asio::error_code& aError) {
+      if (!aError) {
+        asio::error_code ignored;
+        self->m_caller.set_option(tcp::no_delay(true), ignored);
+        self->m_server.set_option(tcp::no_delay(true), ignored);
+        self->Pass(self->m_caller, self->m_server, self->m_up, false);
+        self->Pass(self->m_server, self->m_caller, self->m_down, true);
+      }
+    });
+  }
+
+  void Close()
+  {
+    asio::error_code ignored;
+    m_caller.close(ignored);
+    m_server.close(ignored);
+  }
+
+private:
+  using Buffer = std::array<char, 16384>;
+
+  void Pass(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, bool aIsReply)
+  {
+    aFrom.async_read_some(
+      asio::buffer(aBuffer),
+      [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply](const asio::error_code& aError, std::size_t aSize) {
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnBytes(aFrom, aTo, aBuffer, aSize, aIsReply);
+      });
+  }
+
+  void OnBytes(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, std::size_t aSize, bool aIsReply)
+  {
+    if (m_faults.m_halfOpen) {
+      Pass(aFrom, aTo, aBuffer, aIsReply);
+      return;
+    }
+    if (aIsReply && m_faults.m_dropReplies > 0) {
+      --m_faults.m_dropReplies;
+      Close();
+      return;
+    }
+    bool cutAfter = false;
+    if (aIsReply && m_faults.m_cutReplyAfter >= 0) {
+      m_replied += static_cast<long>(aSize);
+      cutAfter = m_replied > m_faults.m_cutReplyAfter;
+    }
+    if (cutAfter) {
+      m_faults.m_cutReplyAfter = -1;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_caller.get_executor(), m_faults.m_delay);
+    timer->async_wait([self = shared_from_this(), timer, &aFrom, &aTo, &aBuffer, aSize, aIsReply, cutAfter](const auto&) {
+      self->Forward(aFrom, aTo, aBuffer, aSize, aIsReply, cutAfter);
+    });
+  }
+
+  void Forward(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, std::size_t aSize, bool aIsReply, bool aCutAfter)
+  {
+    asio::async_write(
+      aTo,
+      asio::buffer(aBuffer.data(), aSize),
+      [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply, aCutAfter](const asio::error_code& aError, auto) {
+        if (aError || aCutAfter) {
+          self->Close();
+          return;
+        }
+        self->Pass(aFrom, aTo, aBuffer, aIsReply);
+      });
+  }
+
+  tcp::socket m_caller;
+  tcp::socket m_server;
+  Faults& m_faults;
+  Buffer m_up{};
+  Buffer m_down{};
+  long m_replied = 0;
+};
+
+/// Passes TCP connections and UDP datagrams on, with faults.
+class Proxy
+{
+public:
+  Proxy(asio::io_context& aContext, tcp::endpoint aTo)
+    : m_context(aContext)
+    , m_acceptor(aContext, { aTo.address(), 0 })
+    , m_udp(aContext, { aTo.address(), m_acceptor.local_endpoint().port() })
+    , m_udpOut(aContext, { aTo.address(), 0 })
+    , m_to(std::move(aTo))
+  {
+    Accept();
+    Receive();
+  }
+
+  [[nodiscard]] std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+
+  void SetFaults(const json& aBody)
+  {
+    m_faults.m_delay = std::chrono::milliseconds(aBody.value("delay_ms", m_faults.m_delay.count() / 1000));
+    m_faults.m_cut = aBody.value("cut", m_faults.m_cut);
+    m_faults.m_halfOpen = aBody.value("half_open", m_faults.m_halfOpen);
+    m_faults.m_dropReplies = aBody.value("drop_replies", m_faults.m_dropReplies);
+    m_faults.m_cutReplyAfter = aBody.value("cut_reply_after", m_faults.m_cutReplyAfter);
+    if (m_faults.m_cut) {
+      for (const auto& weak : m_passages) {
+        if (const auto passage = weak.lock()) {
+          passage->Close();
+        }
+      }
+      m_passages.clear();
+    }
+  }
+
+private:
+  void Accept()
+  {
+    m_acceptor.async_accept([this](const asio::error_code& aError, tcp::socket aSocket) {
+      if (!aError) {
+        auto passage = std::make_shared<Passage>(std::move(aSocket), m_context, m_faults);
+        std::erase_if(m_passages, [](const auto& aWeak) { return aWeak.expired(); });
+        m_passages.push_back(passage);
+        passage->Start(m_to);
+      }
+      Accept();
+    });
+  }
+
+  void Receive()
+  {
+    m_udp.async_receive_from(asio::buffer(m_datagram), m_from, [this](const asio::error_code& aError, std::size_t aSize) {
+      const bool passes = !aError && !m_faults.m_cut && !m_faults.m_halfOpen;
+      if (passes) {
+        auto bytes = std::make_shared<std::string>(m_datagram.data(), aSize);
+        auto timer = std::make_shared<asio::steady_timer>(m_context, m_faults.m_delay);
+        timer->async_wait([this, bytes, timer](const auto&) {
+          asio::error_code ignored;
+          m_udpOut.send_to(asio::buffer(*bytes), udp::endpoint(m_to.address(), m_to.port()), 0, ignored);
+        });
+      }
+      Receive();
+    });
+  }
+
+  asio::io_context& m_context;
+  tcp::acceptor m_acceptor;
+  udp::socket m_udp;
+  udp::socket m_udpOut;
+  udp::endpoint m_from;
+  std::array<char, 65536> m_datagram{};
+  tcp::endpoint m_to;
+  Faults m_faults;
+  std::vector<std::weak_ptr<Passage>> m_passages;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  const auto parsed = settings::SettingsBuilder("standin-proxy", "Passes TCP and UDP on, with faults.")
+                        .Add({ "listen", "127.0.0.1:0", "IP:PORT of its control (POST /faults)" })
+                        .Add({ "to", "", "IP:PORT to pass on to", settings::SettingKind::Text, true })
+                        .Build(argc, argv);
+  int exitCode = 0;
+  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
+  if (settings == nullptr) {
+    return exitCode;
+  }
+  telemetry::StartLogging(argv[0]);
+  const auto to = net::ParseAddress(settings->Text("to"));
+  if (!to) {
+    std::cerr << to.error().m_message << "\n";
+    return settings::kExitBadSettings;
+  }
+  net::Loop loop;
+  Proxy proxy(loop.Impl().m_context, { asio::ip::make_address(to->m_ip), to->m_port });
+  std::cout << "passing " << to->m_ip << ":" << proxy.Port() << std::endl;
+  return Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
+    proxy.SetFaults(ParseBody(aRequest.m_body));
+    SendJson(aReply, 200, json::object());
+  });
+}
--- /dev/null
+++ b/standins/service_main.cpp
@@ -0,0 +1,72 @@
+#include <map> // for map
+
+#include "standins/standin.hpp" // for Serve
+
+using namespace ferrytray;
+using namespace standins;
+
+namespace {
+
+/// A plain service: counts every execution by request id.
+class Service
+{
+public:
+  explicit Service(net::Loop& aLoop, base::Duration aWork)
+    : m_loop(aLoop)
+    , m_work(aWork)
+  {
+  }
+
+  void Handle(const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+  {
+    if (aRequest.m_path == "/ledger") {
+      SendJson(aReply, 200, { { "executions", m_ledger } });
+      return;
+    }
+    if (aRequest.m_path == "/admin/faults") {
+      const json faults = ParseBody(aRequest.m_body);
+      m_leaving = faults.value("leaving", m_leaving);
+      SendJson(aReply, 200, json::object());
+      return;
+    }
+    if (m_leaving) {
+      SendError(aReply, 503, "leaving", false);
+      return;
+    }
+    const std::string request(aRequest.Header("X-Request-Id"));
+    const int count = ++m_ledger[request];
+    const json answer{ { "echo", aRequest.m_body }, { "path", aRequest.m_path }, { "execution", count } };
+    auto timer = std::make_shared<net::TimerHandle>();
+    *timer = m_loop.After(m_work, [aReply, answer, timer] {
+      SendJson(aReply, 200, answer);
+      timer->reset();
+    });
+  }
+
+private:
+  net::Loop& m_loop;
+  base::Duration m_work;
+  std::map<std::string, int> m_ledger;
+  bool m_leaving = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  const auto parsed = settings::SettingsBuilder("standin-service", "A plain service for tests.")
+                        .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
+                        .Add({ "work-time", "1", "how long a call takes", settings::SettingKind::Millis })
+                        .Build(argc, argv);
+  int exitCode = 0;
+  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
+  if (settings == nullptr) {
+    return exitCode;
+  }
+  telemetry::StartLogging(argv[0]);
+  net::Loop loop;
+  Service service(loop, settings->Millis("work-time"));
+  return Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
+    service.Handle(aRequest, aReply);
+  });
+}
--- /dev/null
+++ b/standins/standin.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional> // for function
+#include <iostream>   // for cout
+#include <memory>     // for unique_ptr
+#include <string>     // for string
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/net/http_client.hpp" // for HttpClient
+#include "ferrytray/net/http_server.hpp" // for HttpServer
+#include "ferrytray/net/loop.hpp"        // for Loop
+#include "ferrytray/settings/settings.hpp" // for SettingsOrExit
+#include "ferrytray/telemetry/log_line.hpp" // for StartLogging
+
+/// What every stand-in shares: JSON answers and a main that serves until it is ended.
+namespace standins {
+
+using nlohmann::json;
+using ReplyPtr = std::shared_ptr<ferrytray::net::HttpReply>;
+
+inline void SendJson(const ReplyPtr& aReply, int aStatus, const json& aBody)
+{
+  aReply->Send(aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
+}
+
+inline void SendError(const ReplyPtr& aReply, int aStatus, const std::string& aMessage, bool aStarted)
+{
+  SendJson(aReply, aStatus, { { "error", { { "message", aMessage } } }, { "x_started", aStarted } });
+}
+
+/// Parses a body; null for anything but JSON.
+inline json ParseBody(const std::string& aBody)
+{
+  return json::parse(aBody, nullptr, false);
+}
+
+/// A handler that answers 400 instead of throwing on odd input.
+inline ferrytray::net::HttpHandler Guarded(ferrytray::net::HttpHandler aHandler)
+{
+  return [handler = std::move(aHandler)](ferrytray::net::HttpRequest aRequest, ReplyPtr aReply) {
+    try {
+      handler(std::move(aRequest), aReply);
+    } catch (const std::exception& error) {
+      SendError(aReply, 400, error.what(), false);
+    }
+  };
+}
+
+/// Listens, prints "listening IP:PORT" and runs the loop.
+inline int Serve(ferrytray::net::Loop& aLoop, const std::string& aListen, ferrytray::net::HttpHandler aHandler)
+{
+  ferrytray::net::HttpServerOptions options;
+  const auto address = ferrytray::net::ParseAddress(aListen);
+  if (!address) {
+    std::cerr << address.error().m_message << "\n";
+    return ferrytray::settings::kExitBadSettings;
+  }
+  options.m_listen = *address;
+  const auto server = ferrytray::net::HttpServer::Create(aLoop, options, Guarded(std::move(aHandler)));
+  if (!server) {
+    std::cerr << server.error().m_message << "\n";
+    return ferrytray::settings::kExitFailed;
+  }
+  std::cout << "listening " << ferrytray::net::ToString((*server)->ListenAddress()) << std::endl;
+  aLoop.OnTerminate([&aLoop] { aLoop.Stop(); });
+  aLoop.Run();
+  return ferrytray::settings::kExitOk;
+}
+
+} // namespace standins
--- /dev/null
+++ b/tools/cli.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string> // for string
+#include <vector> // for vector
+
+#include "ferrytray/config/parse.hpp"         // for Document, Problems
+#include "ferrytray/net/http_client.hpp"      // for ClientRequest
+#include "ferrytray/replay/config_replay.hpp" // for ConfigReplay
+#include "ferrytray/settings/settings.hpp"    // for Settings
+
+namespace ferrytray::cli {
+
+/// One command's answer: the exit code of the program.
+using ExitCode = int;
+
+ExitCode Validate(const settings::Settings& aSettings, const std::vector<std::string>& aFiles);
+ExitCode Diff(const settings::Settings& aSettings, const std::vector<std::string>& aFiles);
+ExitCode Apply(const settings::Settings& aSettings, const std::vector<std::string>& aFiles);
+ExitCode Status(const settings::Settings& aSettings);
+ExitCode Explain(const settings::Settings& aSettings, const std::string& aRequest);
+ExitCode Drain(const settings::Settings& aSettings, const std::string& aEndpoint);
+
+/// A file read and checked by itself; problems are printed.
+struct LoadedFile
+{
+  std::string m_name;
+  std::string m_text;
+  config::Document m_document;
+};
+std::vector<LoadedFile> LoadFiles(const std::vector<std::string>& aFiles, bool& aOk);
+void PrintProblems(const config::Problems& aProblems);
+
+/// One HTTP call, waited for.
+struct CallResult
+{
+  net::ClientOutcome m_outcome;
+  std::string m_body;
+};
+CallResult Call(net::ClientRequest aRequest);
+
+} // namespace ferrytray::cli
--- /dev/null
+++ b/tools/cli_main.cpp
@@ -0,0 +1,131 @@
+#include "cli.hpp"
+
+#include <fstream>  // for ifstream
+#include <iostream> // for cout, cerr
+#include <iterator> // for istreambuf_iterator
+
+#include "ferrytray/net/loop.hpp" // for Loop
+
+namespace ferrytray::cli {
+
+void PrintProblems(const config::Problems& aProblems)
+{
+  for (const config::Problem& problem : aProblems) {
+    std::cerr << config::ToString(problem) << "\n";
+  }
+}
+
+std::vector<LoadedFile> LoadFiles(const std::vector<std::string>& aFiles, bool& aOk)
+{
+  std::vector<LoadedFile> loaded;
+  aOk = !aFiles.empty();
+  if (aFiles.empty()) {
+    std::cerr << "error: name one or more files\n";
+  }
+  for (const std::string& name : aFiles) {
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+      PrintProblems({ { base::ErrorCode::ConfigUnreadable, name, 1, 1, "cannot be read" } });
+      aOk = false;
+      continue;
+    }
+    std::string text{ std::istreambuf_iterator<char>(file), {} };
+    auto parsed = config::Parse(text, name);
+    if (!parsed) {
+      PrintProblems(parsed.error());
+      aOk = false;
+      continue;
+    }
+    loaded.push_back({ name, std::move(text), std::move(*parsed) });
+  }
+  return loaded;
+}
+
+CallResult Call(net::ClientRequest aRequest)
+{
+  net::Loop loop;
+  const auto http = net::HttpClient::Create(loop);
+  CallResult result;
+  http->Fetch(std::move(aRequest), [&](const net::ClientOutcome& aOutcome, std::string aBody) {
+    result = { aOutcome, std::move(aBody) };
+    loop.Stop();
+  });
+  loop.Run();
+  return result;
+}
+
+ExitCode Validate(const settings::Settings&, const std::vector<std::string>& aFiles)
+{
+  bool ok = false;
+  const auto loaded = LoadFiles(aFiles, ok);
+  for (const LoadedFile& file : loaded) {
+    std::vector<config::Document> others;
+    for (const LoadedFile& other : loaded) {
+      if (&other != &file) {
+        others.push_back(other.m_document);
+      }
+    }
+    const auto problems = config::CheckAgainst(file.m_document, others, file.m_name);
+    PrintProblems(problems);
+    ok = ok && problems.empty();
+  }
+  if (ok) {
+    std::cout << "valid: " << loaded.size() << " file(s)\n";
+  }
+  return ok ? settings::kExitOk : settings::kExitFailed;
+}
+
+namespace {
+
+ExitCode RunCommand(const settings::Settings& aSettings)
+{
+  std::vector<std::string> words = aSettings.Arguments();
+  if (words.empty()) {
+    std::cerr << "error: name a command; see --help\n";
+    return settings::kExitBadSettings;
+  }
+  const std::string command = words.front();
+  words.erase(words.begin());
+  if (command == "validate") {
+    return Validate(aSettings, words);
+  }
+  if (command == "diff") {
+    return Diff(aSettings, words);
+  }
+  if (command == "apply") {
+    return Apply(aSettings, words);
+  }
+  if (command == "status") {
+    return Status(aSettings);
+  }
+  if (command == "explain" && words.size() == 1) {
+    return Explain(aSettings, words.front());
+  }
+  if (command == "drain" && words.size() == 1) {
+    return Drain(aSettings, words.front());
+  }
+  std::cerr << "error: unknown command or wrong number of words: '" << command << "'; see --help\n";
+  return settings::kExitBadSettings;
+}
+
+} // namespace
+
+} // namespace ferrytray::cli
+
+int main(int argc, char** argv)
+{
+  using namespace ferrytray;
+  using settings::SettingKind;
+  const auto parsed =
+    settings::SettingsBuilder("ferrytray", "Operates ferrytray.")
+      .AllowArguments("validate FILE... | diff FILE... | apply FILE... | status | explain REQUEST | drain ENDPOINT")
+      .Add({ "platform", "http://127.0.0.1:8090", "http://IP:PORT of the platform" })
+      .Add({ "keeper-http", "http://127.0.0.1:8081", "http://IP:PORT of a keeper's status" })
+      .Add({ "gate-http", "http://127.0.0.1:8080", "http://IP:PORT of a gate" })
+      .Add({ "wait", "10000", "how long apply waits for every host", SettingKind::Millis })
+      .Add({ "json", "false", "print JSON", SettingKind::Flag })
+      .Build(argc, argv);
+  int exitCode = 0;
+  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
+  return settings == nullptr ? exitCode : cli::RunCommand(*settings);
+}
