--- a/include/ferrytray/config/document.hpp
+++ b/include/ferrytray/config/document.hpp
@@ -10,9 +10,9 @@
 /// @brief How much each cost counts when a worker and a plan are chosen.
 struct PolicyWeights
 {
-  double m_firstToken = 1;  ///< for a second until the first token
-  double m_recompute = 0;   ///< for a second of engine time spent on context that was kept
-  double m_link = 0;        ///< for a second of a store's link
+  double m_firstToken = 1; ///< for a second until the first token
+  double m_recompute = 0;  ///< for a second of engine time spent on context that was kept
+  double m_link = 0;       ///< for a second of a store's link
   auto operator<=>(const PolicyWeights&) const = default;
 };
 
@@ -29,10 +29,10 @@
 {
   std::string m_name;
   std::string m_model;
-  std::string m_version;                 ///< the version to run; new requests use it
+  std::string m_version;                  ///< the version to run; new requests use it
   std::uint32_t m_maxConcurrentSwaps = 1; ///< over all availability zones
-  bool m_checksFencing = false;          ///< whether its endpoints refuse old fencing numbers
-  std::uint32_t m_blockBytes = 1024;     ///< prompt bytes in one KV block
+  bool m_checksFencing = false;           ///< whether its endpoints refuse old fencing numbers
+  std::uint32_t m_blockBytes = 1024;      ///< prompt bytes in one KV block
   std::uint32_t m_blockTokens = 256;
   std::uint32_t m_kvBytesPerToken = 131072; ///< bytes of KV cache a token takes on a link
   PolicyWeights m_weights;
@@ -72,7 +72,7 @@
 struct HalfRule
 {
   std::string m_name;
-  std::optional<std::string> m_fleet;   ///< exactly one of fleet and account is set
+  std::optional<std::string> m_fleet; ///< exactly one of fleet and account is set
   std::optional<std::string> m_account;
   Owner m_owner = Owner::Here;
   std::uint64_t m_epoch = 1;
--- a/include/ferrytray/control/half_handover.hpp
+++ b/include/ferrytray/control/half_handover.hpp
@@ -11,10 +11,10 @@
 /// @brief Which half owns the work of a rule, as one half sees it.
 enum class HalfPhase : std::uint8_t
 {
-  Here,         ///< this half serves
-  HandingOver,  ///< this half refuses new work and finishes what runs
-  There,        ///< recorded: the other half may serve
-  Awaiting,     ///< this half should serve, but the other's record has not arrived
+  Here,        ///< this half serves
+  HandingOver, ///< this half refuses new work and finishes what runs
+  There,       ///< recorded: the other half may serve
+  Awaiting,    ///< this half should serve, but the other's record has not arrived
 };
 
 /// @brief One half's side of a hand-over. Nothing is shared but the recorded hand-over.
--- a/include/ferrytray/control/leaving_set.hpp
+++ b/include/ferrytray/control/leaving_set.hpp
@@ -33,7 +33,10 @@
     });
   }
 
-  [[nodiscard]] const std::set<std::pair<std::string, std::string>>& All() const { return m_leaving; }
+  [[nodiscard]] const std::set<std::pair<std::string, std::string>>& All() const
+  {
+    return m_leaving;
+  }
 
 private:
   std::set<std::pair<std::string, std::string>> m_leaving;
--- a/include/ferrytray/control/swap_planner.hpp
+++ b/include/ferrytray/control/swap_planner.hpp
@@ -15,7 +15,7 @@
 {
   std::string m_worker;
   std::string m_incarnation;
-  std::string m_version;   ///< loaded now; empty while it swaps
+  std::string m_version; ///< loaded now; empty while it swaps
   bool m_swapping = false;
   bool m_leaving = false;
   std::uint32_t m_queuedMillis = 0;
@@ -32,7 +32,8 @@
 struct SwapOptions
 {
   std::uint32_t m_maxConcurrent = 1;
-  base::Duration m_confirmTimeout = std::chrono::seconds(30); ///< after which an order is sent again
+  base::Duration m_confirmTimeout =
+    std::chrono::seconds(30); ///< after which an order is sent again
 };
 
 /// @brief Decides which workers of a fleet are ordered to swap next.
--- a/include/ferrytray/gate/answer_format.hpp
+++ b/include/ferrytray/gate/answer_format.hpp
@@ -14,8 +14,8 @@
 {
   std::uint32_t m_prompt = 0;
   std::uint32_t m_completion = 0;
-  std::uint32_t m_cached = 0;     ///< found in the worker's memory
-  std::uint32_t m_restored = 0;   ///< imported from a store
+  std::uint32_t m_cached = 0;   ///< found in the worker's memory
+  std::uint32_t m_restored = 0; ///< imported from a store
   std::uint32_t m_recomputed = 0;
 };
 
@@ -29,10 +29,15 @@
 /// @brief The error body: {"error": {"code", "message", "run", "request"}}.
 std::string ErrorBody(const base::Failure& aFailure, const std::string& aRequest);
 /// @brief Sends a whole error answer, with Retry-After where there is advice.
-void SendFailure(net::HttpReply& aReply, const base::Failure& aFailure, const std::string& aRequest);
+void SendFailure(net::HttpReply& aReply,
+                 const base::Failure& aFailure,
+                 const std::string& aRequest);
 
 /// @brief A whole answer.
-std::string WholeAnswer(AnswerShape aShape, const AnswerNames& aNames, const std::string& aText, const Usage& aUsage);
+std::string WholeAnswer(AnswerShape aShape,
+                        const AnswerNames& aNames,
+                        const std::string& aText,
+                        const Usage& aUsage);
 /// @brief One server-sent event with a piece of the text.
 std::string PieceEvent(AnswerShape aShape, const AnswerNames& aNames, const std::string& aText);
 /// @brief The last events of a stream.
--- /dev/null
+++ b/include/ferrytray/gate/cache_watch.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <set>    // for set
+#include <string> // for string
+
+#include "ferrytray/gate/gate_core.hpp" // for GateCore
+
+namespace ferrytray::gate {
+
+/// @brief Follows the cache events of this zone's engines and lists an engine afresh after a gap.
+class CacheWatch
+{
+public:
+  explicit CacheWatch(GateCore& aCore)
+    : m_core(aCore)
+  {
+  }
+
+  void Start();
+
+private:
+  void Poll();
+  void PollEvents(const std::string& aWorker, const std::string& aAddress);
+  void List(const std::string& aWorker, const std::string& aAddress);
+
+  GateCore& m_core;
+  std::set<std::string> m_busy;
+  net::TimerHandle m_timer;
+};
+
+} // namespace ferrytray::gate
--- a/include/ferrytray/gate/caller_answer.hpp
+++ b/include/ferrytray/gate/caller_answer.hpp
@@ -5,8 +5,8 @@
 #include <optional>   // for optional
 #include <string>     // for string
 
-#include "ferrytray/gate/answer_format.hpp"  // for Usage, AnswerNames
-#include "ferrytray/once/ticket_table.hpp"   // for KeptAnswer
+#include "ferrytray/gate/answer_format.hpp" // for Usage, AnswerNames
+#include "ferrytray/once/ticket_table.hpp"  // for KeptAnswer
 
 namespace ferrytray::gate {
 
@@ -14,7 +14,10 @@
 class CallerAnswer
 {
 public:
-  CallerAnswer(std::shared_ptr<net::HttpReply> aReply, AnswerNames aNames, AnswerShape aShape, bool aStream);
+  CallerAnswer(std::shared_ptr<net::HttpReply> aReply,
+               AnswerNames aNames,
+               AnswerShape aShape,
+               bool aStream);
 
   /// @brief More of the answer's text.
   void Deliver(const std::string& aText);
--- a/include/ferrytray/gate/caller_request.hpp
+++ b/include/ferrytray/gate/caller_request.hpp
@@ -22,12 +22,12 @@
 /// @brief What a caller's headers ask for, whatever the path.
 struct CallerTerms
 {
-  std::string m_key;                            ///< bearer key
+  std::string m_key; ///< bearer key
   std::optional<std::string> m_idempotencyKey;
   std::optional<std::string> m_ticket;
-  std::optional<bool> m_idempotent;             ///< from Ferrytray-Idempotent
-  std::optional<base::Duration> m_deadline;     ///< from Ferrytray-Deadline-Ms
-  bool m_forwarded = false;                     ///< another gate passed it on; it goes no further
+  std::optional<bool> m_idempotent;         ///< from Ferrytray-Idempotent
+  std::optional<base::Duration> m_deadline; ///< from Ferrytray-Deadline-Ms
+  bool m_forwarded = false;                 ///< another gate passed it on; it goes no further
 };
 
 /// @brief A request for a model, read from its JSON body.
--- a/include/ferrytray/gate/claims_link.hpp
+++ b/include/ferrytray/gate/claims_link.hpp
@@ -23,9 +23,13 @@
 
   /// @brief Claims a key. When the key is held already the answer comes at once.
   /// @return the claim's id, for Done and NotRun
-  base::Digest128 Claim(const base::Digest128& aKey, const base::Digest128& aRequest, OnSettled aOnSettled);
+  base::Digest128 Claim(const base::Digest128& aKey,
+                        const base::Digest128& aRequest,
+                        OnSettled aOnSettled);
   /// @brief The request ended; its answer is kept if there is one.
-  void Done(const base::Digest128& aClaim, const base::Digest128& aKey, std::optional<once::KeptAnswer> aAnswer);
+  void Done(const base::Digest128& aClaim,
+            const base::Digest128& aKey,
+            std::optional<once::KeptAnswer> aAnswer);
   /// @brief The request certainly ran nothing.
   void NotRun(const base::Digest128& aClaim);
 
--- a/include/ferrytray/gate/context_log.hpp
+++ b/include/ferrytray/gate/context_log.hpp
@@ -26,7 +26,10 @@
   std::optional<base::Duration> OnRequest(const std::string& aAccount,
                                           const base::Digest128& aContext,
                                           base::TimePoint aNow);
-  [[nodiscard]] const routing::ReturnGaps& Gaps(const std::string& aAccount) { return m_gaps[aAccount]; }
+  [[nodiscard]] const routing::ReturnGaps& Gaps(const std::string& aAccount)
+  {
+    return m_gaps[aAccount];
+  }
 
 private:
   struct Seen
--- a/include/ferrytray/gate/context_restore.hpp
+++ b/include/ferrytray/gate/context_restore.hpp
@@ -30,7 +30,7 @@
 /// @brief An import into an engine.
 struct ImportRequest
 {
-  std::string m_engine;   ///< IP:PORT
+  std::string m_engine; ///< IP:PORT
   StoreFound m_found;
   std::vector<base::Digest128> m_blocks; ///< the prompt's
   std::uint32_t m_skip = 0;              ///< blocks that the engine has already
@@ -42,6 +42,8 @@
 /// The import waits under its own name and is used only if the confirmation comes, so no run ever
 /// uses a block that was freed or replaced while it was being copied.
 /// @param aDone gets the import's name, or nothing: then recompute
-void ImportBlocks(GateCore& aCore, const ImportRequest& aRequest, std::function<void(std::optional<std::string>)> aDone);
+void ImportBlocks(GateCore& aCore,
+                  const ImportRequest& aRequest,
+                  std::function<void(std::optional<std::string>)> aDone);
 
 } // namespace ferrytray::gate
--- a/include/ferrytray/gate/engine_attempt.hpp
+++ b/include/ferrytray/gate/engine_attempt.hpp
@@ -5,8 +5,8 @@
 #include <string>     // for string
 #include <variant>    // for variant
 
-#include "ferrytray/gate/engine_stream.hpp"   // for EngineStream
-#include "ferrytray/gate/gate_core.hpp"       // for GateCore
+#include "ferrytray/gate/engine_stream.hpp"    // for EngineStream
+#include "ferrytray/gate/gate_core.hpp"        // for GateCore
 #include "ferrytray/once/stream_assembler.hpp" // for StreamAssembler
 
 namespace ferrytray::gate {
@@ -32,15 +32,16 @@
   std::string m_message;
 };
 
-using AttemptEnd = std::variant<AttemptComplete, AttemptNotStarted, AttemptWrongVersion, AttemptBroken>;
+using AttemptEnd =
+  std::variant<AttemptComplete, AttemptNotStarted, AttemptWrongVersion, AttemptBroken>;
 
 /// @brief What one attempt needs.
 struct AttemptRequest
 {
-  std::string m_engine;   ///< IP:PORT
+  std::string m_engine; ///< IP:PORT
   std::string m_attempt;
-  std::string m_version;  ///< the weight version that must answer
-  std::string m_body;     ///< JSON for the engine
+  std::string m_version; ///< the weight version that must answer
+  std::string m_body;    ///< JSON for the engine
   base::Duration m_timeout{};
 };
 
--- a/include/ferrytray/gate/fleet_view.hpp
+++ b/include/ferrytray/gate/fleet_view.hpp
@@ -8,8 +8,8 @@
 #include <string>   // for string
 #include <vector>   // for vector
 
-#include "ferrytray/base/digest.hpp"        // for Digest128
-#include "ferrytray/config/document.hpp"    // for Fleet
+#include "ferrytray/base/digest.hpp"         // for Digest128
+#include "ferrytray/config/document.hpp"     // for Fleet
 #include "ferrytray/control/leaving_set.hpp" // for LeavingSet
 #include "ferrytray/routing/cache_hints.hpp" // for CacheHints
 #include "ferrytray/routing/candidate.hpp"   // for WorkerView
@@ -26,6 +26,8 @@
   void OnEndpoints(std::vector<wire::EndpointStatus> aEndpoints, base::TimePoint aNow);
   /// @brief Work was sent to a worker; it is not in the reports yet.
   void OnSent(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow);
+  /// @brief Work that was sent has been done, whatever the reports say yet.
+  void OnAnswered(const std::string& aWorker, base::Duration aEngineTime);
   /// @brief The endpoint refused or broke; it is passed over for a moment.
   void OnFailure(const std::string& aEndpoint, base::TimePoint aNow);
   /// @brief The endpoint said itself that it leaves.
@@ -48,9 +50,11 @@
                                                         const std::set<std::string>& aTried,
                                                         base::TimePoint aNow) const;
   /// @brief The context's home stores in this zone (or any, if the zone has none).
-  [[nodiscard]] std::vector<const wire::EndpointStatus*> HomeStores(const base::Digest128& aContext) const;
+  [[nodiscard]] std::vector<const wire::EndpointStatus*> HomeStores(
+    const base::Digest128& aContext) const;
   /// @brief The shortest queue among a fleet's usable workers.
-  [[nodiscard]] std::optional<base::Duration> ShortestQueue(const std::string& aFleet, base::TimePoint aNow) const;
+  [[nodiscard]] std::optional<base::Duration> ShortestQueue(const std::string& aFleet,
+                                                            base::TimePoint aNow) const;
 
   void BeginService(const std::string& aEndpoint) { ++m_openCalls[aEndpoint]; }
   void EndService(const std::string& aEndpoint);
@@ -66,7 +70,8 @@
     base::Duration m_engineTime;
   };
 
-  [[nodiscard]] routing::WorkerView ViewOf(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const;
+  [[nodiscard]] routing::WorkerView ViewOf(const wire::EndpointStatus& aEndpoint,
+                                           base::TimePoint aNow) const;
   [[nodiscard]] bool Usable(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const;
 
   std::string m_zone;
--- a/include/ferrytray/gate/model_exchange.hpp
+++ b/include/ferrytray/gate/model_exchange.hpp
@@ -38,7 +38,10 @@
 class ModelExchange : public std::enable_shared_from_this<ModelExchange>
 {
 public:
-  ModelExchange(GateCore& aCore, ExchangeServices aServices, ModelCall aCall, std::shared_ptr<net::HttpReply> aReply);
+  ModelExchange(GateCore& aCore,
+                ExchangeServices aServices,
+                ModelCall aCall,
+                std::shared_ptr<net::HttpReply> aReply);
   ~ModelExchange();
   void Start();
 
@@ -53,7 +56,8 @@
   bool RefuseIfTooLate(const routing::Plan& aPlan, std::size_t aWorkers);
   void Restore();
   void Run(const std::string& aImport);
-  [[nodiscard]] std::string EngineBody(const std::string& aAttempt, const std::string& aImport) const;
+  [[nodiscard]] std::string EngineBody(const std::string& aAttempt,
+                                       const std::string& aImport) const;
   void OnText(const std::string& aText);
   void OnEnd(const AttemptEnd& aEnd);
   void Handle(const AttemptComplete& aEnd);
--- a/include/ferrytray/gate/once_guard.hpp
+++ b/include/ferrytray/gate/once_guard.hpp
@@ -33,7 +33,10 @@
 class OnceGuard : public std::enable_shared_from_this<OnceGuard>
 {
 public:
-  OnceGuard(GateCore& aCore, const CallerTerms& aTerms, std::string aAccount, const base::Digest128& aContent);
+  OnceGuard(GateCore& aCore,
+            const CallerTerms& aTerms,
+            std::string aAccount,
+            const base::Digest128& aContent);
 
   /// @brief Decides what to do with the request; calls once, perhaps later.
   void Begin(std::function<void(const OnceVerdict&)> aOnVerdict);
--- a/include/ferrytray/gate/options.hpp
+++ b/include/ferrytray/gate/options.hpp
@@ -22,8 +22,9 @@
   std::size_t m_maxHeaderBytes = 32U << 10U;
   std::size_t m_maxSlowCallerBytes = 4U << 20U; ///< unread answer at which a caller is dropped
   std::size_t m_keptAnswerBytes = 16U << 20U;
-  std::size_t m_queueCapacity = 4096;         ///< held requests of a fleet
-  base::Duration m_holdAbove = std::chrono::milliseconds(300); ///< engine queue at which requests are held here
+  std::size_t m_queueCapacity = 4096; ///< held requests of a fleet
+  base::Duration m_holdAbove =
+    std::chrono::milliseconds(300); ///< engine queue at which requests are held here
   base::Duration m_defaultDeadline = std::chrono::minutes(5);
   base::Duration m_longestDeadline = std::chrono::minutes(30);
   base::Duration m_drainWait = std::chrono::seconds(2); ///< for the balancer to notice a stop
--- a/include/ferrytray/gate/service_exchange.hpp
+++ b/include/ferrytray/gate/service_exchange.hpp
@@ -30,7 +30,9 @@
 private:
   void OnVerdict(const OnceVerdict& aVerdict);
   void Send();
-  void OnReply(const std::string& aEndpoint, const net::ClientOutcome& aOutcome, const std::string& aBody);
+  void OnReply(const std::string& aEndpoint,
+               const net::ClientOutcome& aOutcome,
+               const std::string& aBody);
   bool TryAgain(const std::string& aEndpoint, base::RunState aRun);
   void Answer(const net::ClientOutcome& aOutcome, const std::string& aBody);
   void Fail(base::ErrorCode aCode, const std::string& aMessage, base::RunState aRun);
--- a/include/ferrytray/keeper/endpoint_watch.hpp
+++ b/include/ferrytray/keeper/endpoint_watch.hpp
@@ -5,12 +5,12 @@
 #include <string>     // for string
 #include <vector>     // for vector
 
-#include "ferrytray/control/leaving_set.hpp"   // for LeavingSet
-#include "ferrytray/keeper/options.hpp"        // for KeeperOptions
-#include "ferrytray/membership/member.hpp"     // for LoadDigest
-#include "ferrytray/net/http_client.hpp"       // for HttpClient
-#include "ferrytray/wire/endpoint.hpp"         // for ListedHost
-#include "ferrytray/wire/frames.hpp"           // for EndpointStatus
+#include "ferrytray/control/leaving_set.hpp" // for LeavingSet
+#include "ferrytray/keeper/options.hpp"      // for KeeperOptions
+#include "ferrytray/membership/member.hpp"   // for LoadDigest
+#include "ferrytray/net/http_client.hpp"     // for HttpClient
+#include "ferrytray/wire/endpoint.hpp"       // for ListedHost
+#include "ferrytray/wire/frames.hpp"         // for EndpointStatus
 
 namespace ferrytray::keeper {
 
--- a/include/ferrytray/keeper/keeper.hpp
+++ b/include/ferrytray/keeper/keeper.hpp
@@ -24,7 +24,8 @@
 class Keeper
 {
 public:
-  static base::Result<std::unique_ptr<Keeper>> Create(net::Loop& aLoop, const KeeperOptions& aOptions);
+  static base::Result<std::unique_ptr<Keeper>> Create(net::Loop& aLoop,
+                                                      const KeeperOptions& aOptions);
   virtual ~Keeper() = default;
   [[nodiscard]] virtual net::Address HttpAddress() const = 0;
   [[nodiscard]] virtual net::Address ControlAddress() const = 0;
--- a/include/ferrytray/keeper/options.hpp
+++ b/include/ferrytray/keeper/options.hpp
@@ -13,15 +13,16 @@
 {
   std::string m_host;
   std::string m_zone;
-  std::string m_platform;                       ///< "http://IP:PORT"
-  net::Address m_http{ "127.0.0.1", 0 };        ///< status, health and metrics
-  net::Address m_control{ "127.0.0.1", 0 };     ///< frames from its gate and from peers (TCP)
-  net::Address m_gossip{ "127.0.0.1", 0 };      ///< datagrams between keepers (UDP)
+  std::string m_platform;                   ///< "http://IP:PORT"
+  net::Address m_http{ "127.0.0.1", 0 };    ///< status, health and metrics
+  net::Address m_control{ "127.0.0.1", 0 }; ///< frames from its gate and from peers (TCP)
+  net::Address m_gossip{ "127.0.0.1", 0 };  ///< datagrams between keepers (UDP)
   std::uint64_t m_incarnation = 0;
-  base::Duration m_round = std::chrono::milliseconds(500);     ///< membership and shares
+  base::Duration m_round = std::chrono::milliseconds(500); ///< membership and shares
   base::Duration m_loadPoll = std::chrono::milliseconds(200);
   base::Duration m_hostListPoll = std::chrono::milliseconds(500);
-  base::Duration m_renewAge = std::chrono::hours(12); ///< a scope's newest copy in the log is at most this old
+  base::Duration m_renewAge =
+    std::chrono::hours(12); ///< a scope's newest copy in the log is at most this old
   base::Duration m_lease = std::chrono::seconds(9);
 };
 
--- a/include/ferrytray/keeper/share_board.hpp
+++ b/include/ferrytray/keeper/share_board.hpp
@@ -17,7 +17,9 @@
   /// @brief This host's gate reported its demand (requests a second by account).
   void OnOwnDemand(const std::vector<std::pair<std::string, double>>& aDemand);
   /// @brief A peer's digest came.
-  void OnPeerDemand(const std::string& aHost, const std::vector<membership::DemandDigest>& aDemand, base::TimePoint aNow);
+  void OnPeerDemand(const std::string& aHost,
+                    const std::vector<membership::DemandDigest>& aDemand,
+                    base::TimePoint aNow);
   /// @brief The heaviest accounts here, for the next datagram.
   [[nodiscard]] std::vector<membership::DemandDigest> Digest(std::size_t aCount) const;
   /// @brief This host's share of every account heard of.
--- a/include/ferrytray/keeper/swap_controller.hpp
+++ b/include/ferrytray/keeper/swap_controller.hpp
@@ -4,9 +4,9 @@
 #include <string> // for string
 #include <vector> // for vector
 
+#include "ferrytray/config/document.hpp"      // for Fleet
 #include "ferrytray/control/lease.hpp"        // for LeaseTable, LeaseHolder
 #include "ferrytray/control/swap_planner.hpp" // for SwapPlanner
-#include "ferrytray/config/document.hpp"      // for Fleet
 #include "ferrytray/keeper/options.hpp"       // for KeeperOptions
 #include "ferrytray/wire/frames.hpp"          // for EndpointStatus
 #include "ferrytray/wire/log_client.hpp"      // for LogFollower
@@ -50,7 +50,9 @@
                   FleetControl& aControl,
                   const std::vector<wire::EndpointStatus>& aEndpoints,
                   base::TimePoint aNow);
-  void SendOrder(const config::Fleet& aFleet, const control::SwapOrder& aOrder, const std::string& aAddress);
+  void SendOrder(const config::Fleet& aFleet,
+                 const control::SwapOrder& aOrder,
+                 const std::string& aAddress);
 
   net::HttpClient& m_http;
   std::string m_holderName;
--- a/include/ferrytray/limits/fair_queue.hpp
+++ b/include/ferrytray/limits/fair_queue.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <cstddef>       // for size_t
-#include <cstdint>       // for uint64_t
-#include <deque>         // for deque
-#include <map>           // for map
-#include <optional>      // for optional
-#include <set>           // for set
-#include <string>        // for string
-#include <utility>       // for pair
+#include <cstddef>  // for size_t
+#include <cstdint>  // for uint64_t
+#include <deque>    // for deque
+#include <map>      // for map
+#include <optional> // for optional
+#include <set>      // for set
+#include <string>   // for string
+#include <utility>  // for pair
 
 namespace ferrytray::limits {
 
--- a/include/ferrytray/limits/retry_budget.hpp
+++ b/include/ferrytray/limits/retry_budget.hpp
@@ -11,9 +11,9 @@
 /// @brief Options of the retry budget.
 struct RetryOptions
 {
-  double m_perSuccess = 0.1;         ///< retries earned by a success
-  double m_reserve = 10;             ///< the most that can be saved up
-  std::uint32_t m_maxAttempts = 3;   ///< attempts of one request, the first included
+  double m_perSuccess = 0.1;       ///< retries earned by a success
+  double m_reserve = 10;           ///< the most that can be saved up
+  std::uint32_t m_maxAttempts = 3; ///< attempts of one request, the first included
 };
 
 /// @brief What is known of a request whose attempt has failed.
@@ -21,9 +21,9 @@
 {
   base::RunState m_run = base::RunState::Unknown;
   bool m_idempotent = false;
-  std::uint32_t m_attempts = 1;    ///< attempts made so far
-  base::TimePoint m_deadline;      ///< when the caller stops waiting
-  base::Duration m_expected{};     ///< the time that another attempt needs
+  std::uint32_t m_attempts = 1; ///< attempts made so far
+  base::TimePoint m_deadline;   ///< when the caller stops waiting
+  base::Duration m_expected{};  ///< the time that another attempt needs
 };
 
 /// @brief Decides whether a failed attempt may be tried again.
--- a/include/ferrytray/membership/member.hpp
+++ b/include/ferrytray/membership/member.hpp
@@ -21,9 +21,9 @@
 {
   std::string m_host;
   std::string m_zone;
-  std::string m_gossip;    ///< IP:PORT for datagrams (UDP)
-  std::string m_control;   ///< IP:PORT for frames (TCP)
-  std::string m_gate;      ///< IP:PORT where its gate serves callers; empty if it has none
+  std::string m_gossip;      ///< IP:PORT for datagrams (UDP)
+  std::string m_control;     ///< IP:PORT for frames (TCP)
+  std::string m_gate;        ///< IP:PORT where its gate serves callers; empty if it has none
   std::string m_gateControl; ///< IP:PORT where its gate takes ticket tables (TCP)
   std::uint64_t m_incarnation = 0;
   std::uint64_t m_heartbeat = 0; ///< counts up while it lives
--- a/include/ferrytray/membership/member_table.hpp
+++ b/include/ferrytray/membership/member_table.hpp
@@ -18,8 +18,8 @@
   base::Duration m_suspectAfter = std::chrono::seconds(3);
   base::Duration m_deadAfter = std::chrono::seconds(10);
   base::Duration m_forgetAfter = std::chrono::minutes(10);
-  std::size_t m_zonePeers = 2;         ///< peers of one's zone told in each round
-  std::size_t m_rowsPerMessage = 12;   ///< bounds a datagram, and so the bytes a second
+  std::size_t m_zonePeers = 2;           ///< peers of one's zone told in each round
+  std::size_t m_rowsPerMessage = 12;     ///< bounds a datagram, and so the bytes a second
   std::uint32_t m_remoteEveryRounds = 4; ///< every so many rounds one peer of another zone
 };
 
@@ -50,7 +50,10 @@
   /// @brief Tells the others of a planned stop.
   void Leave();
   void SetPosition(std::uint64_t aPosition) { Self().m_position = aPosition; }
-  void SetTickets(std::vector<std::string> aIncarnations) { Self().m_tickets = std::move(aIncarnations); }
+  void SetTickets(std::vector<std::string> aIncarnations)
+  {
+    Self().m_tickets = std::move(aIncarnations);
+  }
   void SetGate(const std::string& aAddress, const std::string& aControl)
   {
     Self().m_gate = aAddress;
--- a/include/ferrytray/once/ticket_table.hpp
+++ b/include/ferrytray/once/ticket_table.hpp
@@ -104,7 +104,9 @@
   /// @brief Every live ticket, for one named peer. A running one goes as Unknown.
   [[nodiscard]] std::vector<TicketRow> Export(base::TimePoint aNow) const;
   /// @brief Takes over another incarnation's tickets; a repeat changes nothing.
-  void Adopt(const std::string& aIncarnation, std::span<const TicketRow> aRows, base::TimePoint aNow);
+  void Adopt(const std::string& aIncarnation,
+             std::span<const TicketRow> aRows,
+             base::TimePoint aNow);
   /// @brief Incarnations whose tickets live here, this one first.
   [[nodiscard]] std::vector<std::string> Incarnations() const;
 
--- a/include/ferrytray/replay/config_replay.hpp
+++ b/include/ferrytray/replay/config_replay.hpp
@@ -89,12 +89,17 @@
   /// @brief Whether a record needs a newer program; the host then reports itself behind.
   [[nodiscard]] bool IsBehind() const;
   /// @brief Scopes whose newest copy in the log is older than an age.
-  [[nodiscard]] std::vector<RenewRecord> DueRenewals(base::Duration aNow, base::Duration aAge) const;
+  [[nodiscard]] std::vector<RenewRecord> DueRenewals(base::Duration aNow,
+                                                     base::Duration aAge) const;
 
 private:
   ReplayOutcome ApplyRecord(const PlacedRecord& aPlaced, const FileRecord& aFile);
   ReplayOutcome ApplyRecord(const PlacedRecord& aPlaced, const RenewRecord& aRenew);
-  void Install(ScopeState& aScope, LogOffset aAccepted, const std::string& aDigest, const std::string& aBody, int aSchema);
+  void Install(ScopeState& aScope,
+               LogOffset aAccepted,
+               const std::string& aDigest,
+               const std::string& aBody,
+               int aSchema);
 
   int m_newestSchema;
   LogOffset m_position = 0;
--- a/include/ferrytray/replay/record.hpp
+++ b/include/ferrytray/replay/record.hpp
@@ -15,7 +15,7 @@
 /// @brief An operator's file: the new content of one scope.
 struct FileRecord
 {
-  std::string m_id;     ///< random; how the author finds its own record after a lost reply
+  std::string m_id; ///< random; how the author finds its own record after a lost reply
   std::string m_scope;
   LogOffset m_base = 0; ///< offset of the record it replaces; 0 for a new scope
   std::string m_digest; ///< SHA-256 of the body
--- a/include/ferrytray/routing/cache_hints.hpp
+++ b/include/ferrytray/routing/cache_hints.hpp
@@ -34,24 +34,30 @@
   /// @brief A run ended there, so its blocks are there now.
   void OnRun(const std::string& aWorker, std::span<const base::Digest128> aBlocks);
   /// @brief The engine said how many blocks it really had; the rest are forgotten.
-  void OnFound(const std::string& aWorker, std::span<const base::Digest128> aBlocks, std::uint32_t aFound);
+  void OnFound(const std::string& aWorker,
+               std::span<const base::Digest128> aBlocks,
+               std::uint32_t aFound);
   /// @brief The engine's events since LastSequence().
   /// @return false when events are missing: the worker's hints are unknown until OnList
   bool OnEvents(const std::string& aWorker, std::span<const CacheEvent> aEvents);
   /// @brief The whole cache, listed afresh.
-  void OnList(const std::string& aWorker, std::uint64_t aSequence, std::span<const base::Digest128> aBlocks);
+  void OnList(const std::string& aWorker,
+              std::uint64_t aSequence,
+              std::span<const base::Digest128> aBlocks);
   /// @brief The worker was replaced or has swapped its weights.
   void Forget(const std::string& aWorker) { m_workers.erase(aWorker); }
 
   /// @brief How many blocks from the first on are probably there; 0 while unknown.
-  [[nodiscard]] std::uint32_t CachedPrefix(const std::string& aWorker, std::span<const base::Digest128> aBlocks) const;
+  [[nodiscard]] std::uint32_t CachedPrefix(const std::string& aWorker,
+                                           std::span<const base::Digest128> aBlocks) const;
   [[nodiscard]] std::uint64_t LastSequence(const std::string& aWorker) const;
 
 private:
   struct Worker
   {
     std::list<base::Digest128> m_recent;
-    std::unordered_map<base::Digest128, std::list<base::Digest128>::iterator, base::DigestHash> m_blocks;
+    std::unordered_map<base::Digest128, std::list<base::Digest128>::iterator, base::DigestHash>
+      m_blocks;
     std::uint64_t m_sequence = 0;
     bool m_unknown = false;
   };
--- a/include/ferrytray/routing/candidate.hpp
+++ b/include/ferrytray/routing/candidate.hpp
@@ -10,9 +10,9 @@
 struct RequestShape
 {
   std::uint32_t m_promptTokens = 0;
-  std::uint32_t m_blocks = 0;          ///< whole KV blocks in the prompt
+  std::uint32_t m_blocks = 0; ///< whole KV blocks in the prompt
   std::uint32_t m_tokensPerBlock = 256;
-  double m_bytesPerBlock = 0;          ///< on a store's link
+  double m_bytesPerBlock = 0; ///< on a store's link
 };
 
 /// @brief A worker as the gate sees it now.
@@ -34,7 +34,7 @@
   std::uint32_t m_storedBlocks = 0; ///< of this prompt, from the first on
   base::Duration m_linkQueue{};     ///< bytes ahead on its link, as time
   double m_bytesPerSecond = 1;
-  base::Duration m_path{};          ///< round trips of an import besides the bytes
+  base::Duration m_path{}; ///< round trips of an import besides the bytes
 };
 
 /// @brief How much each cost counts; from the fleet's configuration.
--- a/include/ferrytray/routing/estimate.hpp
+++ b/include/ferrytray/routing/estimate.hpp
@@ -9,12 +9,12 @@
 /// @brief How a worker comes by the context, and what that is expected to cost.
 struct Plan
 {
-  std::uint32_t m_restoreBlocks = 0;   ///< blocks from the store, after those the worker has
+  std::uint32_t m_restoreBlocks = 0; ///< blocks from the store, after those the worker has
   std::uint32_t m_recomputeTokens = 0;
-  base::Duration m_firstToken{};       ///< from now until the first token
-  base::Duration m_engineTime{};       ///< prefill that the request puts on the worker
+  base::Duration m_firstToken{}; ///< from now until the first token
+  base::Duration m_engineTime{}; ///< prefill that the request puts on the worker
   double m_linkBytes = 0;
-  double m_cost = 0;                   ///< weighted; the lowest wins
+  double m_cost = 0; ///< weighted; the lowest wins
 };
 
 /// @brief How long a worker's queue is now, by a report that lags.
--- a/include/ferrytray/routing/keep.hpp
+++ b/include/ferrytray/routing/keep.hpp
@@ -52,14 +52,15 @@
 struct StorePressure
 {
   double m_freeBytes = 0;
-  double m_lowestValue = 0;         ///< KeepValue of what would be displaced
-  base::Duration m_importQueue{};   ///< imports waiting on its link
+  double m_lowestValue = 0;       ///< KeepValue of what would be displaced
+  base::Duration m_importQueue{}; ///< imports waiting on its link
 };
 
 struct KeepOptions
 {
-  base::Duration m_yieldTo = std::chrono::milliseconds(200); ///< imports waiting longer stop exports
-  double m_leastValue = 0; ///< what a byte must save a second at least
+  base::Duration m_yieldTo =
+    std::chrono::milliseconds(200); ///< imports waiting longer stop exports
+  double m_leastValue = 0;          ///< what a byte must save a second at least
 };
 
 /// @brief Whether a context should be exported now.
--- a/include/ferrytray/settings/settings.hpp
+++ b/include/ferrytray/settings/settings.hpp
@@ -15,16 +15,16 @@
 enum class SettingKind : std::uint8_t
 {
   Text,
-  Count,    ///< a whole number, 0 or more
-  Number,   ///< a number, 0 or more
-  Millis,   ///< a whole number of milliseconds
-  Flag,     ///< true or false
+  Count,  ///< a whole number, 0 or more
+  Number, ///< a number, 0 or more
+  Millis, ///< a whole number of milliseconds
+  Flag,   ///< true or false
 };
 
 /// @brief One row of a program's table of settings.
 struct Setting
 {
-  std::string m_flag;     ///< such as "listen"; given as --listen
+  std::string m_flag; ///< such as "listen"; given as --listen
   std::string m_default;
   std::string m_help;
   SettingKind m_kind = SettingKind::Text;
@@ -44,7 +44,10 @@
   {
   }
 
-  [[nodiscard]] const std::string& Text(const std::string& aFlag) const { return m_values.at(aFlag); }
+  [[nodiscard]] const std::string& Text(const std::string& aFlag) const
+  {
+    return m_values.at(aFlag);
+  }
   [[nodiscard]] std::uint64_t Count(const std::string& aFlag) const;
   [[nodiscard]] double Number(const std::string& aFlag) const;
   [[nodiscard]] base::Duration Millis(const std::string& aFlag) const;
--- a/include/ferrytray/telemetry/log_line.hpp
+++ b/include/ferrytray/telemetry/log_line.hpp
@@ -23,8 +23,7 @@
   LogLine& Add(std::string_view aKey, std::string_view aValue);
 
   template<typename Number>
-    requires std::is_arithmetic_v<Number>
-  LogLine& Add(std::string_view aKey, Number aNumber)
+  requires std::is_arithmetic_v<Number> LogLine& Add(std::string_view aKey, Number aNumber)
   {
     return Add(aKey, std::string_view(std::to_string(aNumber)));
   }
--- a/include/ferrytray/wire/endpoint.hpp
+++ b/include/ferrytray/wire/endpoint.hpp
@@ -11,7 +11,7 @@
 /// @brief What stands behind an address of the platform's host list.
 enum class Role : std::uint8_t
 {
-  Entry,   ///< a host of this system
+  Entry, ///< a host of this system
   Engine,
   Service,
   Store,
@@ -22,7 +22,7 @@
 {
   std::string m_name;
   Role m_role = Role::Engine;
-  std::string m_pool;        ///< the fleet or service that it belongs to; empty for stores
+  std::string m_pool; ///< the fleet or service that it belongs to; empty for stores
   std::string m_zone;
   std::string m_address;     ///< IP:PORT; for an entry host its keeper's datagrams
   std::string m_incarnation; ///< changes when another process takes the address
--- a/include/ferrytray/wire/frames.hpp
+++ b/include/ferrytray/wire/frames.hpp
@@ -60,11 +60,11 @@
 /// @brief A gate's own news, every round.
 struct GateReport
 {
-  std::string m_address;                 ///< where it serves callers
-  std::string m_control;                 ///< where it takes ticket tables (TCP frames)
-  std::uint64_t m_position = 0;          ///< configuration in force there
+  std::string m_address;        ///< where it serves callers
+  std::string m_control;        ///< where it takes ticket tables (TCP frames)
+  std::uint64_t m_position = 0; ///< configuration in force there
   std::uint64_t m_openWork = 0;
-  std::vector<std::string> m_tickets;    ///< incarnations whose tickets live there
+  std::vector<std::string> m_tickets;                   ///< incarnations whose tickets live there
   std::vector<std::pair<std::string, double>> m_demand; ///< requests a second by account
   std::vector<std::pair<std::string, std::string>> m_leaving; ///< endpoint, incarnation
 };
@@ -82,8 +82,14 @@
   std::string m_incarnation;
 };
 
-using Frame =
-  std::variant<Hello, StateUpdate, EndpointUpdate, PeerUpdate, ShareUpdate, GateReport, TicketHandover, TicketAck>;
+using Frame = std::variant<Hello,
+                           StateUpdate,
+                           EndpointUpdate,
+                           PeerUpdate,
+                           ShareUpdate,
+                           GateReport,
+                           TicketHandover,
+                           TicketAck>;
 
 /// @brief A frame's bytes (cereal's binary archive).
 std::string EncodeFrame(const Frame& aFrame);
--- a/include/ferrytray/wire/log_client.hpp
+++ b/include/ferrytray/wire/log_client.hpp
@@ -60,7 +60,10 @@
   using OnPage = std::function<void(const LogPage&)>;
   using OnState = std::function<void(bool aReachable)>;
 
-  LogFollower(net::Loop& aLoop, net::HttpClient& aHttp, const std::string& aPlatform, const std::string& aStream);
+  LogFollower(net::Loop& aLoop,
+              net::HttpClient& aHttp,
+              const std::string& aPlatform,
+              const std::string& aStream);
   /// @brief Begins. Each page that has records, and the first one, is handed over.
   void Start(std::uint64_t aFrom, OnPage aOnPage, OnState aOnState);
   /// @brief Whether the stream's end was reached once.
--- a/src/ferrytray/blocks/chain_test.cpp
+++ b/src/ferrytray/blocks/chain_test.cpp
@@ -31,8 +31,8 @@
   const std::string prompt = Prompt(2048, 'x');
   std::set<base::Digest128> all;
   const blocks::BlockScope scopes[] = {
-    { "a", "m", "1" }, { "b", "m", "1" }, { "a", "n", "1" }, { "a", "m", "2" }, { "am", "", "1" },
-    { "", "am", "1" },
+    { "a", "m", "1" }, { "b", "m", "1" }, { "a", "n", "1" },
+    { "a", "m", "2" }, { "am", "", "1" }, { "", "am", "1" },
   };
   for (const auto& scope : scopes) {
     for (const auto& name : blocks::ChainBlocks(scope, prompt, {})) {
@@ -44,21 +44,24 @@
 
 TEST(Chain, ALaterBlockDependsOnAnEarlierOne)
 {
-  const auto first = blocks::ChainBlocks({ "a", "m", "1" }, Prompt(1024, 'x') + Prompt(1024, 'z'), {});
-  const auto second = blocks::ChainBlocks({ "a", "m", "1" }, Prompt(1024, 'y') + Prompt(1024, 'z'), {});
+  const auto first =
+    blocks::ChainBlocks({ "a", "m", "1" }, Prompt(1024, 'x') + Prompt(1024, 'z'), {});
+  const auto second =
+    blocks::ChainBlocks({ "a", "m", "1" }, Prompt(1024, 'y') + Prompt(1024, 'z'), {});
   CHECK(first[1] != second[1]);
 }
 
 TEST(Chain, AnExtendedPromptKeepsItsPrefixNames)
 {
-  const bool holds = rc::check("prefix names", [](const std::string& aHead, const std::string& aTail) {
-    const blocks::BlockLayout layout{ 8, 2 };
-    const auto shorter = blocks::ChainBlocks({ "a", "m", "1" }, aHead, layout);
-    const auto longer = blocks::ChainBlocks({ "a", "m", "1" }, aHead + aTail, layout);
-    RC_ASSERT(shorter.size() <= longer.size());
-    for (std::size_t i = 0; i < shorter.size(); ++i) {
-      RC_ASSERT(shorter[i] == longer[i]);
-    }
-  });
+  const bool holds =
+    rc::check("prefix names", [](const std::string& aHead, const std::string& aTail) {
+      const blocks::BlockLayout layout{ 8, 2 };
+      const auto shorter = blocks::ChainBlocks({ "a", "m", "1" }, aHead, layout);
+      const auto longer = blocks::ChainBlocks({ "a", "m", "1" }, aHead + aTail, layout);
+      RC_ASSERT(shorter.size() <= longer.size());
+      for (std::size_t i = 0; i < shorter.size(); ++i) {
+        RC_ASSERT(shorter[i] == longer[i]);
+      }
+    });
   CHECK(holds);
 }
--- a/src/ferrytray/config/check.cpp
+++ b/src/ferrytray/config/check.cpp
@@ -29,7 +29,8 @@
     for (const auto& item : aDocument.*aList) {
       for (const std::string& value : aValue(item)) {
         if (!taken.insert(value).second) {
-          Add(base::ErrorCode::ConfigDuplicate, aWhat + " '" + value + "' stands elsewhere already");
+          Add(base::ErrorCode::ConfigDuplicate,
+              aWhat + " '" + value + "' stands elsewhere already");
         }
       }
     }
@@ -60,7 +61,9 @@
 }
 
 template<typename List>
-std::set<std::string> NamesOf(const Document& aDocument, const std::vector<Document>& aOthers, List aList)
+std::set<std::string> NamesOf(const Document& aDocument,
+                              const std::vector<Document>& aOthers,
+                              List aList)
 {
   std::set<std::string> names;
   for (const auto& item : aDocument.*aList) {
@@ -113,7 +116,9 @@
 
 } // namespace
 
-Problems CheckAgainst(const Document& aDocument, const std::vector<Document>& aOthers, const std::string& aFile)
+Problems CheckAgainst(const Document& aDocument,
+                      const std::vector<Document>& aOthers,
+                      const std::string& aFile)
 {
   Checker checker(aOthers, aFile);
   checker.Unique(aDocument, &Document::m_models, NameOf<Model>, "model");
--- a/src/ferrytray/config/parse.cpp
+++ b/src/ferrytray/config/parse.cpp
@@ -1,9 +1,9 @@
 #include "ferrytray/config/parse.hpp"
 
-#include <algorithm> // for any_of
+#include <algorithm>  // for any_of
 #include <functional> // for function
-#include <map>       // for map
-#include <set>       // for set
+#include <map>        // for map
+#include <set>        // for set
 
 #include "ferrytray/config/yaml_reader.hpp" // for MappingReader
 
@@ -30,14 +30,17 @@
   }
   MappingReader reader(aNode, "weights", aFile);
   BOOST_LEAF_CHECK(reader.CheckShape());
-  BOOST_LEAF_ASSIGN(weights.m_firstToken, reader.NumberOr("first_token", weights.m_firstToken, kSmallestRate));
+  BOOST_LEAF_ASSIGN(weights.m_firstToken,
+                    reader.NumberOr("first_token", weights.m_firstToken, kSmallestRate));
   BOOST_LEAF_ASSIGN(weights.m_recompute, reader.NumberOr("recompute", weights.m_recompute, 0));
   BOOST_LEAF_ASSIGN(weights.m_link, reader.NumberOr("link", weights.m_link, 0));
   BOOST_LEAF_CHECK(reader.CheckNoOtherKeys());
   return weights;
 }
 
-leaf::result<std::uint32_t> ReadCount(MappingReader& aReader, const char* aKey, std::uint32_t aDefault)
+leaf::result<std::uint32_t> ReadCount(MappingReader& aReader,
+                                      const char* aKey,
+                                      std::uint32_t aDefault)
 {
   BOOST_LEAF_AUTO(number, aReader.CountOr(aKey, aDefault));
   return static_cast<std::uint32_t>(number);
@@ -49,11 +52,13 @@
   BOOST_LEAF_ASSIGN(fleet.m_name, aReader.Text("name"));
   BOOST_LEAF_ASSIGN(fleet.m_model, aReader.Text("model"));
   BOOST_LEAF_ASSIGN(fleet.m_version, aReader.Text("version"));
-  BOOST_LEAF_ASSIGN(fleet.m_maxConcurrentSwaps, ReadCount(aReader, "max_concurrent_swaps", fleet.m_maxConcurrentSwaps));
+  BOOST_LEAF_ASSIGN(fleet.m_maxConcurrentSwaps,
+                    ReadCount(aReader, "max_concurrent_swaps", fleet.m_maxConcurrentSwaps));
   BOOST_LEAF_ASSIGN(fleet.m_checksFencing, aReader.FlagOr("checks_fencing", fleet.m_checksFencing));
   BOOST_LEAF_ASSIGN(fleet.m_blockBytes, ReadCount(aReader, "block_bytes", fleet.m_blockBytes));
   BOOST_LEAF_ASSIGN(fleet.m_blockTokens, ReadCount(aReader, "block_tokens", fleet.m_blockTokens));
-  BOOST_LEAF_ASSIGN(fleet.m_kvBytesPerToken, ReadCount(aReader, "kv_bytes_per_token", fleet.m_kvBytesPerToken));
+  BOOST_LEAF_ASSIGN(fleet.m_kvBytesPerToken,
+                    ReadCount(aReader, "kv_bytes_per_token", fleet.m_kvBytesPerToken));
   BOOST_LEAF_ASSIGN(fleet.m_weights, ReadWeights(aReader.Child("weights"), aFile));
   return fleet;
 }
@@ -84,16 +89,19 @@
   ClientAccount account;
   BOOST_LEAF_ASSIGN(account.m_name, aReader.Text("name"));
   BOOST_LEAF_ASSIGN(account.m_keyDigests, aReader.Texts("key_digests"));
-  BOOST_LEAF_ASSIGN(account.m_requestsPerSecond,
-                    aReader.NumberOr("requests_per_second", account.m_requestsPerSecond, kSmallestRate));
+  BOOST_LEAF_ASSIGN(
+    account.m_requestsPerSecond,
+    aReader.NumberOr("requests_per_second", account.m_requestsPerSecond, kSmallestRate));
   BOOST_LEAF_ASSIGN(account.m_burst, aReader.NumberOr("burst", account.m_burst, 1));
-  BOOST_LEAF_ASSIGN(account.m_maxConcurrent, ReadCount(aReader, "max_concurrent", account.m_maxConcurrent));
+  BOOST_LEAF_ASSIGN(account.m_maxConcurrent,
+                    ReadCount(aReader, "max_concurrent", account.m_maxConcurrent));
   BOOST_LEAF_ASSIGN(account.m_weight, aReader.NumberOr("weight", account.m_weight, kSmallestRate));
   for (const std::string& digest : account.m_keyDigests) {
     if (!IsSha256Hex(digest)) {
-      return aReader.Fail(base::ErrorCode::ConfigBadValue,
-                          aNode["key_digests"],
-                          "'key_digests' expects SHA-256 digests (64 lower-case hexadecimal digits), never a key");
+      return aReader.Fail(
+        base::ErrorCode::ConfigBadValue,
+        aNode["key_digests"],
+        "'key_digests' expects SHA-256 digests (64 lower-case hexadecimal digits), never a key");
     }
   }
   return account;
@@ -102,9 +110,9 @@
 leaf::result<Owner> ReadOwner(MappingReader& aReader, const YAML::Node& aNode)
 {
   BOOST_LEAF_AUTO(text, aReader.Text("owner"));
-  static const std::map<std::string, Owner> kOwners{
-    { "here", Owner::Here }, { "handing-over", Owner::HandingOver }, { "there", Owner::There }
-  };
+  static const std::map<std::string, Owner> kOwners{ { "here", Owner::Here },
+                                                     { "handing-over", Owner::HandingOver },
+                                                     { "there", Owner::There } };
   const auto found = kOwners.find(text);
   if (found == kOwners.end()) {
     return aReader.Fail(base::ErrorCode::ConfigBadValue,
@@ -124,7 +132,8 @@
   BOOST_LEAF_ASSIGN(rule.m_epoch, aReader.CountOr("epoch", 1));
   BOOST_LEAF_ASSIGN(rule.m_otherHalf, aReader.Text("other_half"));
   if (fleet.empty() == account.empty()) {
-    return aReader.Fail(base::ErrorCode::ConfigBadValue, aNode, "expected exactly one of 'fleet' and 'account'");
+    return aReader.Fail(
+      base::ErrorCode::ConfigBadValue, aNode, "expected exactly one of 'fleet' and 'account'");
   }
   if (!fleet.empty()) {
     rule.m_fleet = fleet;
@@ -155,7 +164,8 @@
     BOOST_LEAF_AUTO(item, aRead(reader, node));
     BOOST_LEAF_CHECK(reader.CheckNoOtherKeys());
     if (!names.insert(item.m_name).second) {
-      return reader.Fail(base::ErrorCode::ConfigDuplicate, node, "name '" + item.m_name + "' stands twice");
+      return reader.Fail(
+        base::ErrorCode::ConfigDuplicate, node, "name '" + item.m_name + "' stands twice");
     }
     items.push_back(std::move(item));
   }
@@ -181,11 +191,14 @@
   Document document;
   BOOST_LEAF_ASSIGN(document.m_scope, top.Text("scope"));
   BOOST_LEAF_ASSIGN(document.m_models, ReadList<Model>(top, "models", aFile, ReadModel));
-  BOOST_LEAF_ASSIGN(document.m_fleets, ReadList<Fleet>(top, "fleets", aFile, [&](MappingReader& aReader, const YAML::Node&) {
-                      return ReadFleet(aReader, aFile);
-                    }));
+  BOOST_LEAF_ASSIGN(
+    document.m_fleets,
+    ReadList<Fleet>(top, "fleets", aFile, [&](MappingReader& aReader, const YAML::Node&) {
+      return ReadFleet(aReader, aFile);
+    }));
   BOOST_LEAF_ASSIGN(document.m_services, ReadList<Service>(top, "services", aFile, ReadService));
-  BOOST_LEAF_ASSIGN(document.m_accounts, ReadList<ClientAccount>(top, "accounts", aFile, ReadAccount));
+  BOOST_LEAF_ASSIGN(document.m_accounts,
+                    ReadList<ClientAccount>(top, "accounts", aFile, ReadAccount));
   BOOST_LEAF_ASSIGN(document.m_rules, ReadList<HalfRule>(top, "rules", aFile, ReadRule));
   BOOST_LEAF_CHECK(top.CheckNoOtherKeys());
   return document;
@@ -198,7 +211,8 @@
                                     aFile,
                                     1,
                                     1,
-                                    "file has " + std::to_string(aText.size()) + " bytes; expected at most " +
+                                    "file has " + std::to_string(aText.size()) +
+                                      " bytes; expected at most " +
                                       std::to_string(kMaxFileBytes) });
   }
   if (aText.find('\0') != std::string_view::npos) {
@@ -223,7 +237,9 @@
 tl::expected<Document, Problems> Parse(std::string_view aText, const std::string& aFile)
 {
   using Outcome = tl::expected<Document, Problems>;
-  const auto fail = [](Problem aProblem) -> Outcome { return tl::unexpected(Problems{ std::move(aProblem) }); };
+  const auto fail = [](Problem aProblem) -> Outcome {
+    return tl::unexpected(Problems{ std::move(aProblem) });
+  };
   return leaf::try_handle_all(
     [&]() -> leaf::result<Outcome> {
       BOOST_LEAF_AUTO(document, ParseOrThrow(aText, aFile));
@@ -231,13 +247,16 @@
     },
     [&](Problem aProblem) { return fail(std::move(aProblem)); },
     [&](leaf::catch_<YAML::Exception> aCaught) { return fail(FromYaml(aCaught.matched, aFile)); },
-    [&] { return fail({ base::ErrorCode::ConfigSyntax, aFile, 1, 1, "unreadable" }); });
+    [&] {
+      return fail({ base::ErrorCode::ConfigSyntax, aFile, 1, 1, "unreadable" });
+    });
 }
 
 std::string ToString(const Problem& aProblem)
 {
-  return aProblem.m_file + ":" + std::to_string(aProblem.m_line) + ":" + std::to_string(aProblem.m_column) + ": " +
-         aProblem.m_message + " (error " + std::to_string(static_cast<int>(aProblem.m_code)) + ")";
+  return aProblem.m_file + ":" + std::to_string(aProblem.m_line) + ":" +
+         std::to_string(aProblem.m_column) + ": " + aProblem.m_message + " (error " +
+         std::to_string(static_cast<int>(aProblem.m_code)) + ")";
 }
 
 } // namespace ferrytray::config
--- a/src/ferrytray/config/parse_test.cpp
+++ b/src/ferrytray/config/parse_test.cpp
@@ -28,7 +28,8 @@
     path_prefix: /catalogue
 accounts:
   - name: procurement
-    key_digests: [)" + kDigest + R"(]
+    key_digests: [)" + kDigest +
+                          R"(]
     requests_per_second: 5
 rules:
   - name: move-lab
@@ -59,7 +60,8 @@
 
 TEST(ConfigParse, SaysWhereAndWhatWasExpected)
 {
-  const auto parsed = config::Parse("schema: 1\nscope: a\nfleets:\n  - name: x\n    modle: y\n", "f.yaml");
+  const auto parsed =
+    config::Parse("schema: 1\nscope: a\nfleets:\n  - name: x\n    modle: y\n", "f.yaml");
   STRCMP_EQUAL("f.yaml:4:5: fleets: key 'model' is missing (error 7003)",
                config::ToString(parsed.error().front()).c_str());
   const auto unknown = config::Parse("schema: 1\nscope: a\nflets: []\n", "f.yaml");
--- a/src/ferrytray/config/yaml_reader.cpp
+++ b/src/ferrytray/config/yaml_reader.cpp
@@ -39,7 +39,9 @@
       return Fail(base::ErrorCode::ConfigBadValue, pair.first, "expected a plain key");
     }
     if (!seen.insert(pair.first.Scalar()).second) {
-      return Fail(base::ErrorCode::ConfigDuplicate, pair.first, "key '" + pair.first.Scalar() + "' stands twice");
+      return Fail(base::ErrorCode::ConfigDuplicate,
+                  pair.first,
+                  "key '" + pair.first.Scalar() + "' stands twice");
     }
   }
   return {};
@@ -53,17 +55,20 @@
   return node[aKey];
 }
 
-leaf::result<std::string> MappingReader::Scalar(const YAML::Node& aNode, const std::string& aKey) const
+leaf::result<std::string> MappingReader::Scalar(const YAML::Node& aNode,
+                                                const std::string& aKey) const
 {
   if (!aNode.IsScalar()) {
     return Fail(base::ErrorCode::ConfigBadValue, aNode, "'" + aKey + "' expects a single value");
   }
   const std::string& text = aNode.Scalar();
-  const bool printable = std::all_of(text.begin(), text.end(), [](unsigned char aByte) { return aByte >= ' '; });
+  const bool printable =
+    std::all_of(text.begin(), text.end(), [](unsigned char aByte) { return aByte >= ' '; });
   if (!printable || text.size() > kMaxNameBytes) {
     return Fail(base::ErrorCode::ConfigBadValue,
                 aNode,
-                "'" + aKey + "' expects at most " + std::to_string(kMaxNameBytes) + " printable bytes");
+                "'" + aKey + "' expects at most " + std::to_string(kMaxNameBytes) +
+                  " printable bytes");
   }
   return text;
 }
@@ -89,7 +94,9 @@
   return Text(aKey);
 }
 
-leaf::result<double> MappingReader::NumberOr(const std::string& aKey, double aDefault, double aLeast)
+leaf::result<double> MappingReader::NumberOr(const std::string& aKey,
+                                             double aDefault,
+                                             double aLeast)
 {
   const YAML::Node child = Child(aKey);
   if (!child.IsDefined()) {
@@ -101,7 +108,8 @@
   if (!read || number < aLeast) {
     return Fail(base::ErrorCode::ConfigBadValue,
                 child,
-                "'" + aKey + "' expects a number of at least " + std::to_string(aLeast) + ", not '" + text + "'");
+                "'" + aKey + "' expects a number of at least " + std::to_string(aLeast) +
+                  ", not '" + text + "'");
   }
   return number;
 }
@@ -130,7 +138,9 @@
   }
   BOOST_LEAF_AUTO(text, Scalar(child, aKey));
   if (text != "true" && text != "false") {
-    return Fail(base::ErrorCode::ConfigBadValue, child, "'" + aKey + "' expects true or false, not '" + text + "'");
+    return Fail(base::ErrorCode::ConfigBadValue,
+                child,
+                "'" + aKey + "' expects true or false, not '" + text + "'");
   }
   return text == "true";
 }
@@ -142,7 +152,9 @@
     return Fail(base::ErrorCode::ConfigMissingKey, m_node, "key '" + aKey + "' is missing");
   }
   if (!child.IsSequence() || child.size() == 0) {
-    return Fail(base::ErrorCode::ConfigBadValue, child, "'" + aKey + "' expects a list of one or more values");
+    return Fail(base::ErrorCode::ConfigBadValue,
+                child,
+                "'" + aKey + "' expects a list of one or more values");
   }
   std::vector<std::string> texts;
   for (const auto& item : child) {
--- a/src/ferrytray/config/yaml_reader.hpp
+++ b/src/ferrytray/config/yaml_reader.hpp
@@ -2,12 +2,12 @@
 
 #include <algorithm> // for all_of
 #include <charconv>  // for from_chars
-#include <cstdint>  // for uint64_t
-#include <set>      // for set
-#include <string>   // for string
+#include <cstdint>   // for uint64_t
+#include <set>       // for set
+#include <string>    // for string
 
-#include <boost/leaf.hpp>   // for result, new_error
-#include <yaml-cpp/yaml.h>  // for Node
+#include <boost/leaf.hpp>  // for result, new_error
+#include <yaml-cpp/yaml.h> // for Node
 
 #include "ferrytray/config/parse.hpp" // for Problem
 
--- a/src/ferrytray/control/control_test.cpp
+++ b/src/ferrytray/control/control_test.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/control/half_handover.hpp"
-#include "ferrytray/control/leaving_set.hpp"
 #include "ferrytray/control/lease.hpp"
+#include "ferrytray/control/leaving_set.hpp"
 #include "ferrytray/control/swap_planner.hpp"
 
 #include <algorithm> // for count_if
@@ -95,7 +95,8 @@
     base::Duration now{};
     std::uint64_t offset = 0;
     base::Duration lastOrder[2] = { -1h, -1h };
-    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 4000)));
+    const auto steps =
+      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 4000)));
     for (const int step : steps) {
       now += std::chrono::milliseconds(step);
       const int who = step % 2;
@@ -122,7 +123,8 @@
   void setup() override
   {
     for (int i = 0; i < 6; ++i) {
-      m_workers.push_back({ "w" + std::to_string(i), "1", "old", false, false, static_cast<std::uint32_t>(i) });
+      m_workers.push_back(
+        { "w" + std::to_string(i), "1", "old", false, false, static_cast<std::uint32_t>(i) });
     }
   }
 };
@@ -199,7 +201,8 @@
     halves[0].SetGates({ "g" });
     halves[1].SetGates({ "g" });
     std::vector<std::uint64_t> records[2];
-    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100)));
+    const auto steps =
+      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100)));
     for (const int step : steps) {
       const int who = step % 2;
       control::HalfHandover& half = halves[who];
--- a/src/ferrytray/control/half_handover.cpp
+++ b/src/ferrytray/control/half_handover.cpp
@@ -14,7 +14,9 @@
   return true;
 }
 
-void HalfHandover::OnGateReport(const std::string& aGate, std::uint64_t aEpoch, std::uint64_t aOpenWork)
+void HalfHandover::OnGateReport(const std::string& aGate,
+                                std::uint64_t aEpoch,
+                                std::uint64_t aOpenWork)
 {
   if (m_phase != HalfPhase::HandingOver || aEpoch != m_epoch) {
     return;
@@ -26,7 +28,8 @@
 
 bool HalfHandover::MayRecord() const
 {
-  const bool allDrained = std::includes(m_drained.begin(), m_drained.end(), m_gates.begin(), m_gates.end());
+  const bool allDrained =
+    std::includes(m_drained.begin(), m_drained.end(), m_gates.begin(), m_gates.end());
   return m_phase == HalfPhase::HandingOver && allDrained;
 }
 
--- a/src/ferrytray/gate/answer_format.cpp
+++ b/src/ferrytray/gate/answer_format.cpp
@@ -81,7 +81,10 @@
   aReply.Send(base::HttpStatus(aFailure.m_code), headers, ErrorBody(aFailure, aRequest));
 }
 
-std::string WholeAnswer(AnswerShape aShape, const AnswerNames& aNames, const std::string& aText, const Usage& aUsage)
+std::string WholeAnswer(AnswerShape aShape,
+                        const AnswerNames& aNames,
+                        const std::string& aText,
+                        const Usage& aUsage)
 {
   json answer = Envelope(aShape, aNames, false);
   answer["choices"] = { Choice(aShape, aText, false, true) };
--- /dev/null
+++ b/src/ferrytray/gate/cache_watch.cpp
@@ -0,0 +1,101 @@
+#include "ferrytray/gate/cache_watch.hpp"
+
+#include <vector> // for vector
+
+#include <nlohmann/json.hpp> // for json
+
+namespace ferrytray::gate {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr base::Duration kPollEvery = std::chrono::milliseconds(500);
+constexpr base::Duration kTimeout = std::chrono::seconds(2);
+
+net::ClientRequest Get(const std::string& aAddress, const std::string& aPath)
+{
+  net::ClientRequest request;
+  request.m_url = "http://" + aAddress + aPath;
+  request.m_timeout = kTimeout;
+  return request;
+}
+
+std::vector<routing::CacheEvent> ReadEvents(const json& aReply)
+{
+  std::vector<routing::CacheEvent> events;
+  for (const json& row : aReply.at("events")) {
+    const auto block = base::DigestFromHex(row.at("block").get<std::string>());
+    events.push_back({ row.at("sequence").get<std::uint64_t>(),
+                       block.value_or(base::Digest128{}),
+                       row.at("stored").get<bool>() });
+  }
+  return events;
+}
+
+std::vector<base::Digest128> ReadBlocks(const json& aReply)
+{
+  std::vector<base::Digest128> blocks;
+  for (const json& name : aReply.at("blocks")) {
+    const auto block = base::DigestFromHex(name.get<std::string>());
+    if (block) {
+      blocks.push_back(*block);
+    }
+  }
+  return blocks;
+}
+
+} // namespace
+
+void CacheWatch::Start()
+{
+  m_timer = m_core.m_loop.Every(kPollEvery, [this] { Poll(); });
+}
+
+void CacheWatch::Poll()
+{
+  for (const wire::EndpointStatus& endpoint : m_core.m_view.Endpoints()) {
+    const bool own = endpoint.m_host.m_zone == m_core.m_options.m_zone;
+    const bool engine = endpoint.m_host.m_role == wire::Role::Engine;
+    if (own && engine && m_busy.insert(endpoint.m_host.m_name).second) {
+      PollEvents(endpoint.m_host.m_name, endpoint.m_host.m_address);
+    }
+  }
+}
+
+void CacheWatch::PollEvents(const std::string& aWorker, const std::string& aAddress)
+{
+  const std::uint64_t last = m_core.m_view.Hints().LastSequence(aWorker);
+  m_core.m_http->Fetch(
+    Get(aAddress, "/events?after=" + std::to_string(last)),
+    [this, aWorker, aAddress](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+      m_busy.erase(aWorker);
+      if (aOutcome.m_status != 200) {
+        return;
+      }
+      try {
+        if (!m_core.m_view.Hints().OnEvents(aWorker, ReadEvents(json::parse(aBody)))) {
+          m_core.m_metrics.Count("cache_event_gaps_total");
+          List(aWorker, aAddress);
+        }
+      } catch (const json::exception&) {
+        m_core.m_metrics.Count("cache_events_malformed_total");
+      }
+    });
+}
+
+void CacheWatch::List(const std::string& aWorker, const std::string& aAddress)
+{
+  m_core.m_http->Fetch(
+    Get(aAddress, "/kv/list"),
+    [this, aWorker](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+      const json reply = json::parse(aBody, nullptr, false);
+      if (aOutcome.m_status != 200 || !reply.is_object() || !reply.contains("blocks")) {
+        return;
+      }
+      const auto sequence = reply.value("sequence", std::uint64_t{ 0 });
+      m_core.m_view.Hints().OnList(aWorker, sequence, ReadBlocks(reply));
+    });
+}
+
+} // namespace ferrytray::gate
--- a/src/ferrytray/gate/caller_answer.cpp
+++ b/src/ferrytray/gate/caller_answer.cpp
@@ -9,7 +9,10 @@
 
 } // namespace
 
-CallerAnswer::CallerAnswer(std::shared_ptr<net::HttpReply> aReply, AnswerNames aNames, AnswerShape aShape, bool aStream)
+CallerAnswer::CallerAnswer(std::shared_ptr<net::HttpReply> aReply,
+                           AnswerNames aNames,
+                           AnswerShape aShape,
+                           bool aStream)
   : m_reply(std::move(aReply))
   , m_names(std::move(aNames))
   , m_shape(aShape)
@@ -21,7 +24,8 @@
 {
   if (!m_streaming) {
     m_streaming = true;
-    m_reply->StartStream(200, { { "Content-Type", kEventStream }, { "X-Request-Id", m_names.m_request } });
+    m_reply->StartStream(
+      200, { { "Content-Type", kEventStream }, { "X-Request-Id", m_names.m_request } });
   }
 }
 
@@ -49,7 +53,8 @@
     return kept;
   }
   kept.m_body = WholeAnswer(m_shape, m_names, m_text, aUsage);
-  m_reply->Send(200, { { "Content-Type", kJson }, { "X-Request-Id", m_names.m_request } }, kept.m_body);
+  m_reply->Send(
+    200, { { "Content-Type", kJson }, { "X-Request-Id", m_names.m_request } }, kept.m_body);
   return kept;
 }
 
--- a/src/ferrytray/gate/caller_request.cpp
+++ b/src/ferrytray/gate/caller_request.cpp
@@ -32,7 +32,8 @@
   const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), millis);
   const bool whole = code == std::errc() && end == text.data() + text.size();
   if (!whole || millis == 0 || millis > kMaxDeadlineMillis) {
-    return base::Fail(ErrorCode::InvalidField, "Ferrytray-Deadline-Ms expects milliseconds from 1 to 86400000");
+    return base::Fail(ErrorCode::InvalidField,
+                      "Ferrytray-Deadline-Ms expects milliseconds from 1 to 86400000");
   }
   return std::chrono::milliseconds(millis);
 }
@@ -53,12 +54,16 @@
 {
   std::string prompt;
   for (const json& message : aMessages) {
-    prompt += message.at("role").get<std::string>() + ": " + message.at("content").get<std::string>() + "\n";
+    prompt += message.at("role").get<std::string>() + ": " +
+              message.at("content").get<std::string>() + "\n";
   }
   return prompt;
 }
 
-base::Result<std::uint32_t> ReadCount(const json& aBody, const char* aName, std::uint32_t aDefault, std::uint32_t aMost)
+base::Result<std::uint32_t> ReadCount(const json& aBody,
+                                      const char* aName,
+                                      std::uint32_t aDefault,
+                                      std::uint32_t aMost)
 {
   const auto found = aBody.find(aName);
   if (found == aBody.end()) {
@@ -67,7 +72,8 @@
   const bool fits = found->is_number_unsigned() && found->get<std::uint64_t>() <= aMost;
   if (!fits) {
     return base::Fail(ErrorCode::InvalidField,
-                      "field '" + std::string(aName) + "' expects a whole number up to " + std::to_string(aMost));
+                      "field '" + std::string(aName) + "' expects a whole number up to " +
+                        std::to_string(aMost));
   }
   return found->get<std::uint32_t>();
 }
@@ -79,7 +85,8 @@
     return base::Fail(ErrorCode::MissingField, "field '" + std::string(field) + "' is missing");
   }
   try {
-    return aShape == AnswerShape::Chat ? FlattenMessages(aBody.at(field)) : aBody.at(field).get<std::string>();
+    return aShape == AnswerShape::Chat ? FlattenMessages(aBody.at(field))
+                                       : aBody.at(field).get<std::string>();
   } catch (const json::exception&) {
     return base::Fail(ErrorCode::InvalidField,
                       aShape == AnswerShape::Chat ? "field 'messages' expects [{role, content}]"
@@ -123,7 +130,8 @@
 {
   constexpr std::string_view kBearer = "Bearer ";
   const std::string_view authorization = aRequest.Header("Authorization");
-  if (authorization.substr(0, kBearer.size()) != kBearer || authorization.size() == kBearer.size()) {
+  if (authorization.substr(0, kBearer.size()) != kBearer ||
+      authorization.size() == kBearer.size()) {
     return base::Fail(ErrorCode::MissingKey, "expected 'Authorization: Bearer KEY'");
   }
   const auto deadline = ReadDeadline(aRequest);
@@ -142,7 +150,8 @@
   terms.m_deadline = *deadline;
   terms.m_forwarded = !aRequest.Header("Ferrytray-Forwarded").empty();
   if (terms.m_idempotencyKey && terms.m_ticket) {
-    return base::Fail(ErrorCode::InvalidField, "Idempotency-Key and Ferrytray-Ticket exclude each other");
+    return base::Fail(ErrorCode::InvalidField,
+                      "Idempotency-Key and Ferrytray-Ticket exclude each other");
   }
   if (terms.m_idempotencyKey.value_or("").size() > kMaxKeyBytes) {
     return base::Fail(ErrorCode::InvalidField, "Idempotency-Key expects at most 256 bytes");
@@ -164,7 +173,8 @@
 
 base::Digest128 ContentDigest(const net::HttpRequest& aRequest)
 {
-  const base::Digest128 path = base::HashWithSeed({}, aRequest.m_method + " " + aRequest.m_path + "?" + aRequest.m_query);
+  const base::Digest128 path =
+    base::HashWithSeed({}, aRequest.m_method + " " + aRequest.m_path + "?" + aRequest.m_query);
   return base::HashWithSeed(path, aRequest.m_body);
 }
 
--- a/src/ferrytray/gate/claims_link.cpp
+++ b/src/ferrytray/gate/claims_link.cpp
@@ -36,9 +36,12 @@
 
 void ClaimsLink::Start()
 {
-  m_follower.Start(1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool aReachable) {
-    telemetry::LogLine("claim_log").Add("reachable", aReachable ? "yes" : "no");
-  });
+  m_follower.Start(
+    1,
+    [this](const wire::LogPage& aPage) { OnPage(aPage); },
+    [](bool aReachable) {
+      telemetry::LogLine("claim_log").Add("reachable", aReachable ? "yes" : "no");
+    });
   m_tick = m_loop.Every(kTick, [this] { Perform(m_coordinator.OnTick(base::MonotonicNow())); });
 }
 
@@ -54,7 +57,9 @@
   }
 }
 
-base::Digest128 ClaimsLink::Claim(const base::Digest128& aKey, const base::Digest128& aRequest, OnSettled aOnSettled)
+base::Digest128 ClaimsLink::Claim(const base::Digest128& aKey,
+                                  const base::Digest128& aRequest,
+                                  OnSettled aOnSettled)
 {
   const base::Digest128 id = RandomId();
   const auto held = m_coordinator.Table().Find(aKey);
@@ -71,7 +76,9 @@
   return id;
 }
 
-void ClaimsLink::Done(const base::Digest128& aClaim, const base::Digest128& aKey, std::optional<once::KeptAnswer> aAnswer)
+void ClaimsLink::Done(const base::Digest128& aClaim,
+                      const base::Digest128& aKey,
+                      std::optional<once::KeptAnswer> aAnswer)
 {
   if (aAnswer) {
     m_answers.Keep(aKey, std::move(*aAnswer));
@@ -98,9 +105,10 @@
 
 void ClaimsLink::PerformOne(const once::AppendBatch& aAction)
 {
-  m_appender.Append(once::EncodeEntries(aAction.m_entries), [this](const base::Result<std::uint64_t>& aOffset) {
-    Perform(m_coordinator.OnAppendEnded(aOffset.has_value()));
-  });
+  m_appender.Append(once::EncodeEntries(aAction.m_entries),
+                    [this](const base::Result<std::uint64_t>& aOffset) {
+                      Perform(m_coordinator.OnAppendEnded(aOffset.has_value()));
+                    });
 }
 
 void ClaimsLink::PerformOne(const once::ClaimWon& aAction)
--- a/src/ferrytray/gate/context_restore.cpp
+++ b/src/ferrytray/gate/context_restore.cpp
@@ -26,7 +26,10 @@
   return names;
 }
 
-net::ClientRequest PostJson(const std::string& aAddress, const std::string& aPath, const json& aBody, base::Duration aTimeout)
+net::ClientRequest PostJson(const std::string& aAddress,
+                            const std::string& aPath,
+                            const json& aBody,
+                            base::Duration aTimeout)
 {
   net::ClientRequest request;
   request.m_method = "POST";
@@ -38,7 +41,9 @@
   return request;
 }
 
-StoreFound ReadFound(const wire::ListedHost& aStore, const net::ClientOutcome& aOutcome, const std::string& aBody)
+StoreFound ReadFound(const wire::ListedHost& aStore,
+                     const net::ClientOutcome& aOutcome,
+                     const std::string& aBody)
 {
   StoreFound found;
   if (aOutcome.m_status != 200) {
@@ -48,7 +53,8 @@
     const json reply = json::parse(aBody);
     found.m_generations = reply.at("generations").get<std::vector<std::uint64_t>>();
     found.m_view.m_storedBlocks = static_cast<std::uint32_t>(found.m_generations.size());
-    found.m_view.m_linkQueue = base::FromSeconds(reply.at("link_queue_ms").get<double>() / kMillisPerSecond);
+    found.m_view.m_linkQueue =
+      base::FromSeconds(reply.at("link_queue_ms").get<double>() / kMillisPerSecond);
     found.m_view.m_bytesPerSecond = std::max(1.0, reply.at("bytes_per_second").get<double>());
     found.m_view.m_path = kImportRoundTrips;
     found.m_pressure.m_freeBytes = reply.at("free_bytes").get<double>();
@@ -87,7 +93,9 @@
   }
   auto post = PostJson(aRequest.m_found.m_address, "/kv/confirm", body, kConfirmTimeout);
   aCore.m_http->Fetch(
-    std::move(post), [&aCore, aRequest, aImport, aDone](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+    std::move(post),
+    [&aCore, aRequest, aImport, aDone](const net::ClientOutcome& aOutcome,
+                                       const std::string& aBody) {
       const json reply = json::parse(aBody, nullptr, false);
       const bool same = aOutcome.m_status == 200 && reply.is_object() && reply.value("same", false);
       if (same) {
@@ -95,8 +103,11 @@
         return;
       }
       aCore.m_metrics.Count("imports_dropped_total");
-      telemetry::LogLine("import_dropped").Add("import", aImport).Add("store", aRequest.m_found.m_store);
-      auto drop = PostJson(aRequest.m_engine, "/kv/drop", { { "import", aImport } }, kConfirmTimeout);
+      telemetry::LogLine("import_dropped")
+        .Add("import", aImport)
+        .Add("store", aRequest.m_found.m_store);
+      auto drop =
+        PostJson(aRequest.m_engine, "/kv/drop", { { "import", aImport } }, kConfirmTimeout);
       aCore.m_http->Fetch(std::move(drop), [](const auto&, const auto&) {});
       aDone(std::nullopt);
     });
@@ -108,7 +119,8 @@
                   const std::vector<base::Digest128>& aBlocks,
                   std::function<void(const StoreFound&)> aDone)
 {
-  const auto homes = aBlocks.empty() ? std::vector<const wire::EndpointStatus*>{} : aCore.m_view.HomeStores(aBlocks.front());
+  const auto homes = aBlocks.empty() ? std::vector<const wire::EndpointStatus*>{}
+                                     : aCore.m_view.HomeStores(aBlocks.front());
   if (homes.empty()) {
     aDone({});
     return;
@@ -132,7 +144,9 @@
   }
 }
 
-void ImportBlocks(GateCore& aCore, const ImportRequest& aRequest, std::function<void(std::optional<std::string>)> aDone)
+void ImportBlocks(GateCore& aCore,
+                  const ImportRequest& aRequest,
+                  std::function<void(std::optional<std::string>)> aDone)
 {
   const std::string import = aCore.NextAttempt();
   const std::span<const base::Digest128> blocks(aRequest.m_blocks);
@@ -140,18 +154,18 @@
                    { "store", "http://" + aRequest.m_found.m_address },
                    { "skip", aRequest.m_skip },
                    { "blocks", HexNames(blocks.subspan(aRequest.m_skip, aRequest.m_count)) } };
-  aCore.m_http->Fetch(
-    PostJson(aRequest.m_engine, "/kv/import", body, kImportTimeout),
-    [&aCore, aRequest, import, aDone](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-      const json reply = json::parse(aBody, nullptr, false);
-      const bool answered = aOutcome.m_status == 200 && reply.is_object();
-      const std::uint32_t imported = answered ? reply.value("imported", 0U) : 0;
-      if (imported == 0 || imported > aRequest.m_count) {
-        aDone(std::nullopt);
-        return;
-      }
-      Confirm(aCore, aRequest, import, imported, aDone);
-    });
+  aCore.m_http->Fetch(PostJson(aRequest.m_engine, "/kv/import", body, kImportTimeout),
+                      [&aCore, aRequest, import, aDone](const net::ClientOutcome& aOutcome,
+                                                        const std::string& aBody) {
+                        const json reply = json::parse(aBody, nullptr, false);
+                        const bool answered = aOutcome.m_status == 200 && reply.is_object();
+                        const std::uint32_t imported = answered ? reply.value("imported", 0U) : 0;
+                        if (imported == 0 || imported > aRequest.m_count) {
+                          aDone(std::nullopt);
+                          return;
+                        }
+                        Confirm(aCore, aRequest, import, imported, aDone);
+                      });
 }
 
 } // namespace ferrytray::gate
--- a/src/ferrytray/gate/decision_log.cpp
+++ b/src/ferrytray/gate/decision_log.cpp
@@ -12,8 +12,8 @@
 
 std::string Summary(const routing::Plan& aPlan)
 {
-  return std::to_string(aPlan.m_firstToken.count()) + "us/r" + std::to_string(aPlan.m_restoreBlocks) + "/c" +
-         std::to_string(aPlan.m_recomputeTokens);
+  return std::to_string(aPlan.m_firstToken.count()) + "us/r" +
+         std::to_string(aPlan.m_restoreBlocks) + "/c" + std::to_string(aPlan.m_recomputeTokens);
 }
 
 json ToJson(const ScoredCandidate& aCandidate)
--- a/src/ferrytray/gate/engine_attempt.cpp
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -81,7 +81,8 @@
   if (aPiece.m_last) {
     m_usage = aPiece.m_usage;
   }
-  const std::string ready = m_assembler.Accept({ kThisAttempt, aPiece.m_offset, aPiece.m_text, aPiece.m_last });
+  const std::string ready =
+    m_assembler.Accept({ kThisAttempt, aPiece.m_offset, aPiece.m_text, aPiece.m_last });
   if (!ready.empty()) {
     m_handlers.m_onText(ready);
   }
--- a/src/ferrytray/gate/engine_stream.cpp
+++ b/src/ferrytray/gate/engine_stream.cpp
@@ -57,7 +57,8 @@
   m_rest.append(aBytes);
   std::vector<EngineEvent> events;
   std::size_t start = 0;
-  for (std::size_t end = m_rest.find(kSeparator); end != std::string::npos; end = m_rest.find(kSeparator, start)) {
+  for (std::size_t end = m_rest.find(kSeparator); end != std::string::npos;
+       end = m_rest.find(kSeparator, start)) {
     const std::string_view line = std::string_view(m_rest).substr(start, end - start);
     start = end + kSeparator.size();
     if (line.substr(0, kData.size()) != kData || line.substr(kData.size()) == "[DONE]") {
--- a/src/ferrytray/gate/exporter.cpp
+++ b/src/ferrytray/gate/exporter.cpp
@@ -32,7 +32,9 @@
     return;
   }
   const routing::ReturnGaps& gaps = m_core.m_contexts.Gaps(aJob.m_account);
-  const routing::KeepCandidate context{ aJob.m_bytes, aJob.m_recomputeSeconds, base::Duration::zero() };
+  const routing::KeepCandidate context{ aJob.m_bytes,
+                                        aJob.m_recomputeSeconds,
+                                        base::Duration::zero() };
   const bool keep = routing::ShouldExport(context, gaps, aJob.m_store.m_pressure, {});
   const double worth = routing::KeepValue(context, gaps);
   telemetry::LogLine("keep")
@@ -64,25 +66,32 @@
   for (const base::Digest128& block : job.m_job.m_blocks) {
     names.push_back(base::ToHex(block));
   }
-  const json body{ { "upload", upload }, { "store", "http://" + job.m_job.m_store.m_address }, { "blocks", names } };
-  m_core.m_http->Fetch(Post(job.m_job.m_engine, "/kv/export", body),
-                       [this, job, upload](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-                         if (aOutcome.m_status != 200) {
-                           Finish(job, false);
-                           return;
-                         }
-                         Commit(job, upload, aBody);
-                       });
+  const json body{ { "upload", upload },
+                   { "store", "http://" + job.m_job.m_store.m_address },
+                   { "blocks", names } };
+  m_core.m_http->Fetch(
+    Post(job.m_job.m_engine, "/kv/export", body),
+    [this, job, upload](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+      if (aOutcome.m_status != 200) {
+        Finish(job, false);
+        return;
+      }
+      Commit(job, upload, aBody);
+    });
 }
 
-void Exporter::Commit(const Job& aJob, const std::string& aUpload, const std::string& aManifestReply)
+void Exporter::Commit(const Job& aJob,
+                      const std::string& aUpload,
+                      const std::string& aManifestReply)
 {
   const json reply = json::parse(aManifestReply, nullptr, false);
   if (!reply.is_object() || !reply.contains("manifest")) {
     Finish(aJob, false);
     return;
   }
-  const json body{ { "upload", aUpload }, { "manifest", reply["manifest"] }, { "worth", aJob.m_worth } };
+  const json body{ { "upload", aUpload },
+                   { "manifest", reply["manifest"] },
+                   { "worth", aJob.m_worth } };
   m_core.m_http->Fetch(Post(aJob.m_job.m_store.m_address, "/kv/commit", body),
                        [this, aJob](const net::ClientOutcome& aOutcome, const std::string&) {
                          Finish(aJob, aOutcome.m_status == 200);
@@ -95,7 +104,8 @@
     .Add("request", aJob.m_job.m_request)
     .Add("store", aJob.m_job.m_store.m_store)
     .Add("ok", aKept ? "yes" : "no");
-  m_core.m_metrics.Count(aKept ? "exports_total{result=\"kept\"}" : "exports_total{result=\"failed\"}");
+  m_core.m_metrics.Count(aKept ? "exports_total{result=\"kept\"}"
+                               : "exports_total{result=\"failed\"}");
   if (aKept) {
     m_core.m_metrics.Count("export_link_bytes_total", aJob.m_job.m_bytes);
   }
--- a/src/ferrytray/gate/fleet_queues.cpp
+++ b/src/ferrytray/gate/fleet_queues.cpp
@@ -56,7 +56,8 @@
   if (queue == m_queues.end()) {
     return base::Duration::zero();
   }
-  return base::FromSeconds(queue->second.m_queue.QueuedCost() / static_cast<double>(std::max<std::size_t>(1, aWorkers)));
+  return base::FromSeconds(queue->second.m_queue.QueuedCost() /
+                           static_cast<double>(std::max<std::size_t>(1, aWorkers)));
 }
 
 void FleetQueues::Pump()
--- a/src/ferrytray/gate/fleet_view.cpp
+++ b/src/ferrytray/gate/fleet_view.cpp
@@ -58,6 +58,16 @@
   }
 }
 
+void FleetView::OnAnswered(const std::string& aWorker, base::Duration aEngineTime)
+{
+  std::deque<Sent>& sent = m_sent[aWorker];
+  const auto done = std::find_if(
+    sent.begin(), sent.end(), [&](const Sent& aSent) { return aSent.m_engineTime == aEngineTime; });
+  if (done != sent.end()) {
+    sent.erase(done);
+  }
+}
+
 void FleetView::OnFailure(const std::string& aEndpoint, base::TimePoint aNow)
 {
   m_failedUntil[aEndpoint] = aNow + kPassOverFailed;
@@ -84,16 +94,19 @@
 {
   const auto failed = m_failedUntil.find(aEndpoint.m_host.m_name);
   const bool passedOver = failed != m_failedUntil.end() && aNow < failed->second;
-  return !passedOver && !m_leaving.Contains(aEndpoint.m_host.m_name, aEndpoint.m_host.m_incarnation);
+  return !passedOver &&
+         !m_leaving.Contains(aEndpoint.m_host.m_name, aEndpoint.m_host.m_incarnation);
 }
 
-routing::WorkerView FleetView::ViewOf(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const
+routing::WorkerView FleetView::ViewOf(const wire::EndpointStatus& aEndpoint,
+                                      base::TimePoint aNow) const
 {
   routing::WorkerView view;
   const base::Duration sinceUpdate = aNow - m_updated;
   view.m_reportAge = std::chrono::milliseconds(aEndpoint.m_reportAgeMillis) + sinceUpdate;
   view.m_reportedWait = std::chrono::milliseconds(aEndpoint.m_load.m_queuedMillis);
-  view.m_tokensPerSecond = aEndpoint.m_load.m_tokensPerSecond > 0 ? aEndpoint.m_load.m_tokensPerSecond : kUnknownSpeed;
+  view.m_tokensPerSecond =
+    aEndpoint.m_load.m_tokensPerSecond > 0 ? aEndpoint.m_load.m_tokensPerSecond : kUnknownSpeed;
   view.m_path = aEndpoint.m_host.m_zone == m_zone ? kZonePath : kOtherZonePath;
   view.m_usable = Usable(aEndpoint, aNow);
   const base::TimePoint reportedAt = aNow - view.m_reportAge;
@@ -116,14 +129,17 @@
   std::vector<Candidate> candidates;
   std::vector<std::string> names;
   for (const wire::EndpointStatus& endpoint : m_endpoints) {
-    const bool inFleet = endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet.m_name;
+    const bool inFleet =
+      endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet.m_name;
     if (!inFleet || aTried.contains(endpoint.m_host.m_name)) {
       continue;
     }
     Candidate candidate{ &endpoint, ViewOf(endpoint, aNow) };
-    const bool runsAnother = !endpoint.m_load.m_version.empty() && endpoint.m_load.m_version != aFleet.m_version;
+    const bool runsAnother =
+      !endpoint.m_load.m_version.empty() && endpoint.m_load.m_version != aFleet.m_version;
     // A worker of another version would refuse; it is swapped by the keepers, not by requests.
-    candidate.m_view.m_usable = candidate.m_view.m_usable && !runsAnother && !endpoint.m_load.m_swapping;
+    candidate.m_view.m_usable =
+      candidate.m_view.m_usable && !runsAnother && !endpoint.m_load.m_swapping;
     candidate.m_view.m_cachedBlocks = m_hints.CachedPrefix(endpoint.m_host.m_name, aBlocks);
     candidates.push_back(candidate);
     names.push_back(endpoint.m_host.m_name);
@@ -134,9 +150,10 @@
   const auto homes = routing::RendezvousHomes(aBlocks.front(), names, kHomeWorkers);
   std::size_t place = 0;
   for (const std::size_t home : homes) {
-    const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const Candidate& aCandidate) {
-      return aCandidate.m_endpoint->m_host.m_name == names[home];
-    });
+    const auto found =
+      std::find_if(candidates.begin(), candidates.end(), [&](const Candidate& aCandidate) {
+        return aCandidate.m_endpoint->m_host.m_name == names[home];
+      });
     std::swap(candidates[place++], *found);
   }
   return candidates;
@@ -149,7 +166,8 @@
   const wire::EndpointStatus* best = nullptr;
   int fewest = 0;
   for (const wire::EndpointStatus& endpoint : m_endpoints) {
-    const bool fits = endpoint.m_host.m_role == wire::Role::Service && endpoint.m_host.m_pool == aService;
+    const bool fits =
+      endpoint.m_host.m_role == wire::Role::Service && endpoint.m_host.m_pool == aService;
     if (!fits || aTried.contains(endpoint.m_host.m_name) || !Usable(endpoint, aNow)) {
       continue;
     }
@@ -165,7 +183,8 @@
   return best;
 }
 
-std::vector<const wire::EndpointStatus*> FleetView::HomeStores(const base::Digest128& aContext) const
+std::vector<const wire::EndpointStatus*> FleetView::HomeStores(
+  const base::Digest128& aContext) const
 {
   std::vector<const wire::EndpointStatus*> stores;
   std::vector<std::string> names;
@@ -189,11 +208,13 @@
   return homes;
 }
 
-std::optional<base::Duration> FleetView::ShortestQueue(const std::string& aFleet, base::TimePoint aNow) const
+std::optional<base::Duration> FleetView::ShortestQueue(const std::string& aFleet,
+                                                       base::TimePoint aNow) const
 {
   std::optional<base::Duration> shortest;
   for (const wire::EndpointStatus& endpoint : m_endpoints) {
-    const bool inFleet = endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet;
+    const bool inFleet =
+      endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet;
     if (!inFleet || !Usable(endpoint, aNow) || endpoint.m_load.m_swapping) {
       continue;
     }
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp> // for json
 
+#include "ferrytray/gate/cache_watch.hpp"      // for CacheWatch
 #include "ferrytray/gate/model_exchange.hpp"   // for ModelExchange
 #include "ferrytray/gate/service_exchange.hpp" // for ServiceExchange
 #include "ferrytray/gate/ticket_handover.hpp"  // for TicketMover
@@ -62,6 +63,7 @@
     : m_core(aLoop, aOptions)
     , m_queues(m_core)
     , m_exporter(m_core)
+    , m_cacheWatch(m_core)
     , m_mover(m_core)
   {
   }
@@ -72,7 +74,9 @@
     options.m_listen = m_core.m_options.m_listen;
     options.m_maxBodyBytes = m_core.m_options.m_maxBodyBytes * kReadFactor;
     auto server = net::HttpServer::Create(
-      m_core.m_loop, options, [this](HttpRequest aRequest, ReplyPtr aReply) { OnRequest(aRequest, aReply); });
+      m_core.m_loop, options, [this](HttpRequest aRequest, ReplyPtr aReply) {
+        OnRequest(aRequest, aReply);
+      });
     if (!server) {
       return tl::unexpected(server.error());
     }
@@ -89,10 +93,12 @@
     };
     handlers.m_onShares = [this](const wire::ShareUpdate& aUpdate) { OnShares(aUpdate); };
     handlers.m_makeReport = [this] { return MakeReport(); };
-    m_core.m_keeper = std::make_unique<KeeperLink>(m_core.m_loop, m_core.m_options, std::move(handlers));
+    m_core.m_keeper =
+      std::make_unique<KeeperLink>(m_core.m_loop, m_core.m_options, std::move(handlers));
     m_core.m_keeper->Start();
     m_core.m_claims.Start();
     m_queues.Start();
+    m_cacheWatch.Start();
     m_expiry = m_core.m_loop.Every(kSecond, [this] { OnSecond(); });
   }
 
@@ -132,7 +138,9 @@
     const base::TimePoint now = base::MonotonicNow();
     for (const config::ClientAccount* account : m_core.m_keeper->Registry().Accounts()) {
       m_core.m_limiter.SetLimit(
-        account->m_name, { account->m_requestsPerSecond, account->m_burst, account->m_maxConcurrent }, now);
+        account->m_name,
+        { account->m_requestsPerSecond, account->m_burst, account->m_maxConcurrent },
+        now);
     }
   }
 
@@ -186,15 +194,19 @@
     }
   }
 
-  base::Result<void> Serve(const HttpRequest& aRequest, const ReplyPtr& aReply, const std::string& aId)
+  base::Result<void> Serve(const HttpRequest& aRequest,
+                           const ReplyPtr& aReply,
+                           const std::string& aId)
   {
     if (aRequest.m_body.size() > m_core.m_options.m_maxBodyBytes) {
       return base::Fail(ErrorCode::BodyTooLarge,
-                        "the body is over " + std::to_string(m_core.m_options.m_maxBodyBytes) + " bytes");
+                        "the body is over " + std::to_string(m_core.m_options.m_maxBodyBytes) +
+                          " bytes");
     }
     if (HeaderBytes(aRequest) > m_core.m_options.m_maxHeaderBytes) {
       return base::Fail(ErrorCode::HeaderTooLarge,
-                        "the headers are over " + std::to_string(m_core.m_options.m_maxHeaderBytes) + " bytes");
+                        "the headers are over " +
+                          std::to_string(m_core.m_options.m_maxHeaderBytes) + " bytes");
     }
     if (!m_core.m_keeper->HasConfig()) {
       return base::Fail(ErrorCode::NotReady, "no configuration is in force yet");
@@ -203,7 +215,8 @@
     if (!terms) {
       return tl::unexpected(terms.error());
     }
-    const config::ClientAccount* account = m_core.m_keeper->Registry().AccountByKey(base::Sha256Hex(terms->m_key));
+    const config::ClientAccount* account =
+      m_core.m_keeper->Registry().AccountByKey(base::Sha256Hex(terms->m_key));
     if (account == nullptr) {
       return base::Fail(ErrorCode::UnknownKey, "the key belongs to no client account");
     }
@@ -217,16 +230,21 @@
     return ServeService(aRequest, aReply, aId, *terms, *account);
   }
 
-  base::Result<void> IssueTicket(const HttpRequest& aRequest, const ReplyPtr& aReply, const config::ClientAccount& aAccount)
+  base::Result<void> IssueTicket(const HttpRequest& aRequest,
+                                 const ReplyPtr& aReply,
+                                 const config::ClientAccount& aAccount)
   {
     if (aRequest.m_method != "POST") {
       return base::Fail(ErrorCode::MethodNotAllowed, "expected POST");
     }
-    const auto ticket = m_core.m_tickets.Issue(aAccount.m_name, base::RandomHex128(), base::MonotonicNow());
+    const auto ticket =
+      m_core.m_tickets.Issue(aAccount.m_name, base::RandomHex128(), base::MonotonicNow());
     if (!ticket) {
       return tl::unexpected(ticket.error());
     }
-    aReply->Send(200, { { "Content-Type", "application/json" } }, nlohmann::json{ { "ticket", *ticket } }.dump());
+    aReply->Send(200,
+                 { { "Content-Type", "application/json" } },
+                 nlohmann::json{ { "ticket", *ticket } }.dump());
     return {};
   }
 
@@ -261,7 +279,8 @@
     if (fleet == nullptr) {
       return base::Fail(ErrorCode::UnknownModel, "no fleet serves model '" + model->m_model + "'");
     }
-    for (const config::HalfRule* rule : { registry.RuleForFleet(fleet->m_name), registry.RuleForAccount(aAccount.m_name) }) {
+    for (const config::HalfRule* rule :
+         { registry.RuleForFleet(fleet->m_name), registry.RuleForAccount(aAccount.m_name) }) {
       const auto owner = CheckOwner(rule);
       if (!owner) {
         return owner;
@@ -273,7 +292,9 @@
       return admitted;
     }
     ModelCall call{ aId, aRequest, aTerms, std::move(*model), aAccount, *fleet, now };
-    std::make_shared<ModelExchange>(m_core, ExchangeServices{ m_queues, m_exporter }, std::move(call), aReply)->Start();
+    std::make_shared<ModelExchange>(
+      m_core, ExchangeServices{ m_queues, m_exporter }, std::move(call), aReply)
+      ->Start();
     return {};
   }
 
@@ -322,7 +343,8 @@
     const std::string explain = "/explain/";
     if (aRequest.m_path.rfind(explain, 0) == 0) {
       const std::string found = m_core.m_decisions.Explain(aRequest.m_path.substr(explain.size()));
-      return text(found.empty() ? 404 : 200, found.empty() ? "no such request is remembered\n" : found);
+      return text(found.empty() ? 404 : 200,
+                  found.empty() ? "no such request is remembered\n" : found);
     }
     return false;
   }
@@ -333,7 +355,8 @@
     telemetry::Metrics& metrics = m_core.m_metrics;
     metrics.Set("open_requests", static_cast<double>(m_core.m_openWork));
     metrics.Set("open_connections", static_cast<double>(counters.m_accepted - counters.m_closed));
-    metrics.Set("connections_without_request_total", static_cast<double>(counters.m_closedBeforeRequest));
+    metrics.Set("connections_without_request_total",
+                static_cast<double>(counters.m_closedBeforeRequest));
     metrics.Set("tickets", static_cast<double>(m_core.m_tickets.Size()));
     metrics.Set("held_keys", static_cast<double>(m_core.m_claims.HeldKeys()));
     metrics.Set("config_position", static_cast<double>(m_core.m_keeper->Position()));
@@ -344,6 +367,7 @@
   GateCore m_core;
   FleetQueues m_queues;
   Exporter m_exporter;
+  CacheWatch m_cacheWatch;
   TicketMover m_mover;
   std::unique_ptr<net::HttpServer> m_server;
   std::map<std::string, double> m_demand;
--- a/src/ferrytray/gate/keeper_link.cpp
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -29,22 +29,23 @@
 
 void KeeperLink::Connect()
 {
-  net::ConnectFrames(m_loop, m_options.m_keeper, [this](std::shared_ptr<net::FrameChannel> aChannel) {
-    if (!aChannel) {
-      m_retry = m_loop.After(kReconnect, [this] { Connect(); });
-      return;
-    }
-    telemetry::LogLine("keeper_connected").Add("position", m_position);
-    m_channel = aChannel;
-    aChannel->OnFrame([this](std::string_view aBytes) { OnFrame(aBytes); });
-    aChannel->OnClosed([this] {
-      telemetry::LogLine("keeper_lost").Add("position", m_position);
-      m_channel = nullptr;
-      m_retry = m_loop.After(kReconnect, [this] { Connect(); });
+  net::ConnectFrames(
+    m_loop, m_options.m_keeper, [this](std::shared_ptr<net::FrameChannel> aChannel) {
+      if (!aChannel) {
+        m_retry = m_loop.After(kReconnect, [this] { Connect(); });
+        return;
+      }
+      telemetry::LogLine("keeper_connected").Add("position", m_position);
+      m_channel = aChannel;
+      aChannel->OnFrame([this](std::string_view aBytes) { OnFrame(aBytes); });
+      aChannel->OnClosed([this] {
+        telemetry::LogLine("keeper_lost").Add("position", m_position);
+        m_channel = nullptr;
+        m_retry = m_loop.After(kReconnect, [this] { Connect(); });
+      });
+      aChannel->Send(wire::EncodeFrame(wire::Hello{ m_options.m_host, true, m_position }));
+      ReportNow();
     });
-    aChannel->Send(wire::EncodeFrame(wire::Hello{ m_options.m_host, true, m_position }));
-    ReportNow();
-  });
 }
 
 void KeeperLink::ReportNow()
@@ -71,7 +72,9 @@
     }
     auto parsed = config::Parse(scope.m_body, scope.m_scope);
     if (!parsed) {
-      telemetry::LogLine("config_unparsed").Add("scope", scope.m_scope).Add("why", parsed.error().front().m_message);
+      telemetry::LogLine("config_unparsed")
+        .Add("scope", scope.m_scope)
+        .Add("why", parsed.error().front().m_message);
       continue;
     }
     accepted = scope.m_accepted;
@@ -103,8 +106,8 @@
 {
   const membership::Member* home = nullptr;
   for (const membership::Member& member : m_members) {
-    const bool has =
-      std::find(member.m_tickets.begin(), member.m_tickets.end(), aIncarnation) != member.m_tickets.end();
+    const bool has = std::find(member.m_tickets.begin(), member.m_tickets.end(), aIncarnation) !=
+                     member.m_tickets.end();
     const bool better = home == nullptr || member.m_state == membership::MemberState::Alive;
     if (has && better && !member.m_gate.empty()) {
       home = &member;
--- a/src/ferrytray/gate/model_exchange.cpp
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -46,10 +46,11 @@
 {
   m_open = true;
   ++m_core.m_openWork;
-  const base::Duration deadline = m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
+  const base::Duration deadline =
+    m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
   m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
-  m_guard =
-    std::make_shared<OnceGuard>(m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
+  m_guard = std::make_shared<OnceGuard>(
+    m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
   const std::weak_ptr<ModelExchange> weak = weak_from_this();
   m_answer.OnClosed([weak] {
     if (const auto self = weak.lock()) {
@@ -79,10 +80,13 @@
 void ModelExchange::BeginRun()
 {
   const auto self = shared_from_this();
-  m_deadlineTimer = m_core.m_loop.After(m_deadline - base::MonotonicNow(), [self] { self->OnDeadline(); });
-  const blocks::BlockScope scope{ m_call.m_account.m_name, m_call.m_fleet.m_model, m_call.m_fleet.m_version };
-  m_blocks =
-    blocks::ChainBlocks(scope, m_call.m_model.m_prompt, { m_call.m_fleet.m_blockBytes, m_call.m_fleet.m_blockTokens });
+  m_deadlineTimer =
+    m_core.m_loop.After(m_deadline - base::MonotonicNow(), [self] { self->OnDeadline(); });
+  const blocks::BlockScope scope{ m_call.m_account.m_name,
+                                  m_call.m_fleet.m_model,
+                                  m_call.m_fleet.m_version };
+  m_blocks = blocks::ChainBlocks(
+    scope, m_call.m_model.m_prompt, { m_call.m_fleet.m_blockBytes, m_call.m_fleet.m_blockTokens });
   if (m_blocks.empty()) {
     Decide();
     return;
@@ -98,9 +102,14 @@
 
 routing::RequestShape ModelExchange::Shape() const
 {
-  const auto promptTokens = static_cast<std::uint32_t>(m_call.m_model.m_prompt.size() / kBytesPerToken);
-  const double bytesPerBlock = static_cast<double>(m_call.m_fleet.m_blockTokens) * m_call.m_fleet.m_kvBytesPerToken;
-  return { promptTokens, static_cast<std::uint32_t>(m_blocks.size()), m_call.m_fleet.m_blockTokens, bytesPerBlock };
+  const auto promptTokens =
+    static_cast<std::uint32_t>(m_call.m_model.m_prompt.size() / kBytesPerToken);
+  const double bytesPerBlock =
+    static_cast<double>(m_call.m_fleet.m_blockTokens) * m_call.m_fleet.m_kvBytesPerToken;
+  return { promptTokens,
+           static_cast<std::uint32_t>(m_blocks.size()),
+           m_call.m_fleet.m_blockTokens,
+           bytesPerBlock };
 }
 
 bool ModelExchange::HoldIfBusy()
@@ -143,7 +152,9 @@
   const auto choice = routing::Choose(Shape(), workers, stores, options, random, plans);
   if (!choice) {
     Record(candidates, plans, "");
-    Fail(ErrorCode::NoEndpoint, "no worker of fleet '" + m_call.m_fleet.m_name + "' can be used", kComeBack);
+    Fail(ErrorCode::NoEndpoint,
+         "no worker of fleet '" + m_call.m_fleet.m_name + "' can be used",
+         kComeBack);
     return;
   }
   if (RefuseIfTooLate(choice->m_plan, workers.size()) || HoldIfBusy()) {
@@ -165,7 +176,9 @@
                            const std::vector<std::optional<routing::Plan>>& aPlans,
                            const std::string& aWorker)
 {
-  Decision decision{ m_call.m_request, m_call.m_account.m_name, m_call.m_fleet.m_name, aWorker, {} };
+  Decision decision{
+    m_call.m_request, m_call.m_account.m_name, m_call.m_fleet.m_name, aWorker, {}
+  };
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     decision.m_candidates.push_back({ aCandidates[i].m_endpoint->m_host.m_name, aPlans[i] });
   }
@@ -179,7 +192,9 @@
   }
   const base::Duration drain = m_services.m_queues.ExpectedDrain(m_call.m_fleet.m_name, aWorkers);
   const base::Duration held = m_wasHeld ? base::Duration::zero() : drain;
-  const limits::AdmissionView view{ m_call.m_arrival, m_deadline, aPlan.m_firstToken + held, drain };
+  const limits::AdmissionView view{
+    m_call.m_arrival, m_deadline, aPlan.m_firstToken + held, drain
+  };
   const auto verdict = limits::CheckDeadline(view, base::MonotonicNow());
   if (verdict) {
     return false;
@@ -194,7 +209,9 @@
     Run("");
     return;
   }
-  const ImportRequest import{ m_workerAddress, m_store, m_blocks, m_workerCached, m_choice.m_plan.m_restoreBlocks };
+  const ImportRequest import{
+    m_workerAddress, m_store, m_blocks, m_workerCached, m_choice.m_plan.m_restoreBlocks
+  };
   const auto self = shared_from_this();
   ImportBlocks(m_core, import, [self](std::optional<std::string> aImport) {
     if (!self->m_open) {
@@ -218,20 +235,22 @@
   // lose its place to the time of its import.
   const auto arrival = static_cast<std::uint64_t>(m_call.m_arrival.time_since_epoch().count());
   const std::uint64_t mask = (std::uint64_t{ 1 } << kPriorityShift) - 1;
-  const std::uint64_t priority = (std::uint64_t{ m_call.m_model.m_priority } << kPriorityShift) | (arrival & mask);
-  return json{ { "model", m_call.m_fleet.m_model },
-               { "prompt", m_call.m_model.m_prompt },
-               { "max_tokens", m_call.m_model.m_maxTokens },
-               { "stream", true },
-               { "cache_salt", m_call.m_account.m_name },
-               { "priority", priority },
-               { "x_request", m_call.m_request },
-               { "x_attempt", aAttempt },
-               { "x_version", m_call.m_fleet.m_version },
-               { "x_incarnation", m_workerIncarnation },
-               { "x_import", aImport },
-               { "x_blocks", names } }
-    .dump(-1, ' ', false, json::error_handler_t::replace);
+  const std::uint64_t priority =
+    (std::uint64_t{ m_call.m_model.m_priority } << kPriorityShift) | (arrival & mask);
+  return json{
+    { "model", m_call.m_fleet.m_model },
+    { "prompt", m_call.m_model.m_prompt },
+    { "max_tokens", m_call.m_model.m_maxTokens },
+    { "stream", true },
+    { "cache_salt", m_call.m_account.m_name },
+    { "priority", priority },
+    { "x_request", m_call.m_request },
+    { "x_attempt", aAttempt },
+    { "x_version", m_call.m_fleet.m_version },
+    { "x_incarnation", m_workerIncarnation },
+    { "x_import", aImport },
+    { "x_blocks", names }
+  }.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 void ModelExchange::Run(const std::string& aImport)
@@ -253,7 +272,9 @@
 {
   if (!m_answer.HasText()) {
     const double seconds = base::Seconds(base::MonotonicNow() - m_call.m_arrival);
-    m_core.m_metrics.Observe("first_token_seconds{fleet=\"" + m_call.m_fleet.m_name + "\"}", seconds);
+    m_core.m_view.OnAnswered(m_worker, m_choice.m_plan.m_engineTime);
+    m_core.m_metrics.Observe("first_token_seconds{fleet=\"" + m_call.m_fleet.m_name + "\"}",
+                             seconds);
     if (m_call.m_model.m_stream) {
       // The deadline is for the first token of a stream, and for the whole of other answers.
       m_deadlineTimer.reset();
@@ -299,7 +320,8 @@
   }
   m_core.m_view.Hints().OnRun(m_worker, m_blocks);
   const routing::RequestShape shape = Shape();
-  const double newBlocks = static_cast<double>(m_blocks.size() - std::min<std::size_t>(m_blocks.size(), m_store.m_view.m_storedBlocks));
+  const double newBlocks = static_cast<double>(
+    m_blocks.size() - std::min<std::size_t>(m_blocks.size(), m_store.m_view.m_storedBlocks));
   m_services.m_exporter.Consider({ m_call.m_request,
                                    m_call.m_account.m_name,
                                    m_workerAddress,
@@ -324,7 +346,9 @@
 {
   m_mayHaveRun = true;
   if (!TryAgain(RunState::Unknown)) {
-    Fail(ErrorCode::VersionMismatch, "the worker ran another weight version; its answer was dropped", kComeBack);
+    Fail(ErrorCode::VersionMismatch,
+         "the worker ran another weight version; its answer was dropped",
+         kComeBack);
   }
 }
 
@@ -343,7 +367,9 @@
   const base::TimePoint now = base::MonotonicNow();
   m_core.m_view.OnFailure(m_worker, now);
   m_tried.insert(m_worker);
-  const limits::FailedAttempt failed{ aRun, Idempotent(), m_attempts, m_deadline, m_choice.m_plan.m_firstToken };
+  const limits::FailedAttempt failed{
+    aRun, Idempotent(), m_attempts, m_deadline, m_choice.m_plan.m_firstToken
+  };
   if (!m_core.m_retries.TryRetry(failed, now)) {
     return false;
   }
--- a/src/ferrytray/gate/once_guard.cpp
+++ b/src/ferrytray/gate/once_guard.cpp
@@ -16,7 +16,10 @@
 
 } // namespace
 
-OnceGuard::OnceGuard(GateCore& aCore, const CallerTerms& aTerms, std::string aAccount, const base::Digest128& aContent)
+OnceGuard::OnceGuard(GateCore& aCore,
+                     const CallerTerms& aTerms,
+                     std::string aAccount,
+                     const base::Digest128& aContent)
   : m_core(aCore)
   , m_terms(aTerms)
   , m_account(std::move(aAccount))
@@ -61,7 +64,8 @@
 {
   // Only a known member is asked: an address from a caller's token would be a way in.
   const membership::Member* home = m_core.m_keeper->TicketHome(aIncarnation);
-  const bool canPass = home != nullptr && !m_terms.m_forwarded && home->m_host != m_core.m_options.m_host;
+  const bool canPass =
+    home != nullptr && !m_terms.m_forwarded && home->m_host != m_core.m_options.m_host;
   if (!canPass) {
     return Refusal(ErrorCode::TicketUnknown, RunState::Unknown, "the gate that would know is gone");
   }
@@ -72,8 +76,8 @@
 {
   m_key = once::KeyDigest(m_account, *m_terms.m_idempotencyKey);
   const auto self = shared_from_this();
-  const base::Digest128 claim =
-    m_core.m_claims.Claim(m_key, m_content, [self](const once::ClaimAction& aAction) { self->OnClaim(aAction); });
+  const base::Digest128 claim = m_core.m_claims.Claim(
+    m_key, m_content, [self](const once::ClaimAction& aAction) { self->OnClaim(aAction); });
   if (!m_claimEnded) {
     m_claim = claim;
   }
@@ -91,14 +95,17 @@
     m_onVerdict(VerdictForHolder(lost->m_holder));
     return;
   }
-  m_onVerdict(Refusal(
-    ErrorCode::ClaimLogUnavailable, RunState::NotRun, "the platform's log cannot settle the key now; nothing was run"));
+  m_onVerdict(Refusal(ErrorCode::ClaimLogUnavailable,
+                      RunState::NotRun,
+                      "the platform's log cannot settle the key now; nothing was run"));
 }
 
 OnceVerdict OnceGuard::VerdictForHolder(const once::LiveClaim& aHolder) const
 {
   if (aHolder.m_claim.m_request != m_content) {
-    return Refusal(ErrorCode::KeyReusedForOtherRequest, RunState::NotRun, "the key was used for another request");
+    return Refusal(ErrorCode::KeyReusedForOtherRequest,
+                   RunState::NotRun,
+                   "the key was used for another request");
   }
   if (const auto kept = m_core.m_claims.KeptAnswer(m_key)) {
     return ReplayAnswer{ *kept };
@@ -108,13 +115,16 @@
     return Refusal(ErrorCode::ClaimPending, RunState::Unknown, "the request is being run");
   }
   if (here) {
-    return Refusal(ErrorCode::ClaimOutcomeUnknown, RunState::Unknown, "the request has ended and its answer is gone");
+    return Refusal(ErrorCode::ClaimOutcomeUnknown,
+                   RunState::Unknown,
+                   "the request has ended and its answer is gone");
   }
   const OnceVerdict passOn = PassOnTo(aHolder.m_claim.m_holder);
   if (std::holds_alternative<PassOn>(passOn)) {
     return passOn;
   }
-  return Refusal(ErrorCode::ClaimOutcomeUnknown, RunState::Unknown, "the gate that ran the request is gone");
+  return Refusal(
+    ErrorCode::ClaimOutcomeUnknown, RunState::Unknown, "the gate that ran the request is gone");
 }
 
 void OnceGuard::Finish(const once::KeptAnswer& aAnswer)
--- a/src/ferrytray/gate/pass_through.cpp
+++ b/src/ferrytray/gate/pass_through.cpp
@@ -18,8 +18,12 @@
 net::Headers HeadersToPass(const net::HttpRequest& aRequest)
 {
   net::Headers headers{ { "Ferrytray-Forwarded", "true" } };
-  for (const char* name :
-       { "Authorization", "Content-Type", "Idempotency-Key", "Ferrytray-Ticket", "Ferrytray-Idempotent", "Ferrytray-Deadline-Ms" }) {
+  for (const char* name : { "Authorization",
+                            "Content-Type",
+                            "Idempotency-Key",
+                            "Ferrytray-Ticket",
+                            "Ferrytray-Idempotent",
+                            "Ferrytray-Deadline-Ms" }) {
     const std::string_view value = aRequest.Header(name);
     if (!value.empty()) {
       headers.emplace_back(name, std::string(value));
@@ -33,7 +37,8 @@
   if (!aPassing.m_streaming) {
     aPassing.m_streaming = true;
     const char* type = aBytes.substr(0, 5) == "data:" ? "text/event-stream" : "application/json";
-    aPassing.m_reply->StartStream(aPassing.m_status, { { "Content-Type", type }, { "X-Request-Id", aPassing.m_requestId } });
+    aPassing.m_reply->StartStream(
+      aPassing.m_status, { { "Content-Type", type }, { "X-Request-Id", aPassing.m_requestId } });
   }
   aPassing.m_reply->Write(std::string(aBytes));
 }
@@ -42,9 +47,10 @@
 {
   const bool whole = aOutcome.m_end == net::WireEnd::Complete;
   // The other gate may have run it before, so even a request that was not sent is not "not run".
-  const base::Failure failure{
-    base::ErrorCode::TicketUnknown, "the gate that would know did not answer", base::RunState::Unknown, {}
-  };
+  const base::Failure failure{ base::ErrorCode::TicketUnknown,
+                               "the gate that would know did not answer",
+                               base::RunState::Unknown,
+                               {} };
   if (aPassing.m_streaming) {
     if (!whole) {
       aPassing.m_reply->Write(ErrorEvent(failure, aPassing.m_requestId));
@@ -67,7 +73,8 @@
 {
   net::ClientRequest request;
   request.m_method = aRequest.m_method;
-  request.m_url = "http://" + aAddress + aRequest.m_path + (aRequest.m_query.empty() ? "" : "?" + aRequest.m_query);
+  request.m_url = "http://" + aAddress + aRequest.m_path +
+                  (aRequest.m_query.empty() ? "" : "?" + aRequest.m_query);
   request.m_headers = HeadersToPass(aRequest);
   request.m_body = aRequest.m_body;
   request.m_timeout = aCore.m_options.m_longestDeadline;
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -20,12 +20,15 @@
 /// Whether a plain service said clearly that it did not start.
 bool SaysNotStarted(const net::ClientOutcome& aOutcome, const std::string& aBody)
 {
-  return aOutcome.m_status == kUnavailable && aBody.find("\"x_started\":false") != std::string::npos;
+  return aOutcome.m_status == kUnavailable &&
+         aBody.find("\"x_started\":false") != std::string::npos;
 }
 
 } // namespace
 
-ServiceExchange::ServiceExchange(GateCore& aCore, ServiceCall aCall, std::shared_ptr<net::HttpReply> aReply)
+ServiceExchange::ServiceExchange(GateCore& aCore,
+                                 ServiceCall aCall,
+                                 std::shared_ptr<net::HttpReply> aReply)
   : m_core(aCore)
   , m_call(std::move(aCall))
   , m_reply(std::move(aReply))
@@ -41,10 +44,11 @@
 {
   m_open = true;
   ++m_core.m_openWork;
-  const base::Duration deadline = m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
+  const base::Duration deadline =
+    m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
   m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
-  m_guard =
-    std::make_shared<OnceGuard>(m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
+  m_guard = std::make_shared<OnceGuard>(
+    m_core, m_call.m_terms, m_call.m_account.m_name, ContentDigest(m_call.m_http));
   const auto self = shared_from_this();
   m_guard->Begin([self](const OnceVerdict& aVerdict) { self->OnVerdict(aVerdict); });
 }
@@ -78,9 +82,12 @@
 void ServiceExchange::Send()
 {
   const base::TimePoint now = base::MonotonicNow();
-  const wire::EndpointStatus* endpoint = m_core.m_view.PickService(m_call.m_service.m_name, m_tried, now);
+  const wire::EndpointStatus* endpoint =
+    m_core.m_view.PickService(m_call.m_service.m_name, m_tried, now);
   if (endpoint == nullptr) {
-    Fail(ErrorCode::NoEndpoint, "no endpoint of the service can be used", m_mayHaveRun ? RunState::Unknown : RunState::NotRun);
+    Fail(ErrorCode::NoEndpoint,
+         "no endpoint of the service can be used",
+         m_mayHaveRun ? RunState::Unknown : RunState::NotRun);
     return;
   }
   const std::string name = endpoint->m_host.m_name;
@@ -104,12 +111,15 @@
   request.m_ownConnection = !Idempotent();
   m_core.m_view.BeginService(name);
   const auto self = shared_from_this();
-  m_core.m_http->Fetch(std::move(request), [self, name](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-    self->OnReply(name, aOutcome, aBody);
-  });
+  m_core.m_http->Fetch(std::move(request),
+                       [self, name](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+                         self->OnReply(name, aOutcome, aBody);
+                       });
 }
 
-void ServiceExchange::OnReply(const std::string& aEndpoint, const net::ClientOutcome& aOutcome, const std::string& aBody)
+void ServiceExchange::OnReply(const std::string& aEndpoint,
+                              const net::ClientOutcome& aOutcome,
+                              const std::string& aBody)
 {
   m_core.m_view.EndService(aEndpoint);
   const bool complete = aOutcome.m_end == net::WireEnd::Complete;
@@ -133,7 +143,9 @@
   } else if (notSent) {
     Fail(ErrorCode::EndpointUnreachable, "the service cannot be reached", overall);
   } else {
-    Fail(refused ? ErrorCode::EndpointRefused : ErrorCode::EndpointBroke, "the service's answer broke", overall);
+    Fail(refused ? ErrorCode::EndpointRefused : ErrorCode::EndpointBroke,
+         "the service's answer broke",
+         overall);
   }
 }
 
--- a/src/ferrytray/gate/ticket_handover.cpp
+++ b/src/ferrytray/gate/ticket_handover.cpp
@@ -15,8 +15,9 @@
 
 base::Result<void> TicketMover::Listen()
 {
-  auto server = net::FrameServer::Create(
-    m_core.m_loop, m_core.m_options.m_control, [this](const auto& aChannel) { OnChannel(aChannel); });
+  auto server = net::FrameServer::Create(m_core.m_loop,
+                                         m_core.m_options.m_control,
+                                         [this](const auto& aChannel) { OnChannel(aChannel); });
   if (!server) {
     return tl::unexpected(server.error());
   }
@@ -28,9 +29,10 @@
 {
   const std::string ip = aChannel->RemoteIp();
   const auto& members = m_core.m_keeper->Members();
-  const bool known = std::any_of(members.begin(), members.end(), [&](const membership::Member& aMember) {
-    return aMember.m_gossip.substr(0, aMember.m_gossip.rfind(':')) == ip;
-  });
+  const bool known =
+    std::any_of(members.begin(), members.end(), [&](const membership::Member& aMember) {
+      return aMember.m_gossip.substr(0, aMember.m_gossip.rfind(':')) == ip;
+    });
   if (!known) {
     m_core.m_metrics.Count("ticket_tables_refused_total");
     m_core.m_loop.Post([aChannel] { aChannel->Close(); });
@@ -69,14 +71,15 @@
   const auto rows = m_core.m_tickets.Export(base::MonotonicNow());
   const membership::Member* peer = nullptr;
   for (const membership::Member& member : m_core.m_keeper->Members()) {
-    const bool can = member.m_state == membership::MemberState::Alive && !member.m_gateControl.empty() &&
-                     member.m_host != m_core.m_options.m_host;
+    const bool can = member.m_state == membership::MemberState::Alive &&
+                     !member.m_gateControl.empty() && member.m_host != m_core.m_options.m_host;
     const bool better = peer == nullptr || member.m_zone == m_core.m_options.m_zone;
     if (can && better) {
       peer = &member;
     }
   }
-  const auto address = peer == nullptr ? tl::unexpected(base::Failure{}) : net::ParseAddress(peer->m_gateControl);
+  const auto address =
+    peer == nullptr ? tl::unexpected(base::Failure{}) : net::ParseAddress(peer->m_gateControl);
   if (rows.empty() || !address) {
     Finish();
     return;
@@ -90,18 +93,19 @@
 void TicketMover::SendTo(const net::Address& aPeer)
 {
   m_retry = m_core.m_loop.After(kRetryEvery, [this, aPeer] { SendTo(aPeer); });
-  net::ConnectFrames(m_core.m_loop, aPeer, [this](const std::shared_ptr<net::FrameChannel>& aChannel) {
-    if (!aChannel) {
-      return;
-    }
-    aChannel->OnFrame([this](std::string_view aBytes) {
-      const auto frame = wire::DecodeFrame(aBytes);
-      if (frame && std::holds_alternative<wire::TicketAck>(*frame)) {
-        Finish();
+  net::ConnectFrames(
+    m_core.m_loop, aPeer, [this](const std::shared_ptr<net::FrameChannel>& aChannel) {
+      if (!aChannel) {
+        return;
       }
+      aChannel->OnFrame([this](std::string_view aBytes) {
+        const auto frame = wire::DecodeFrame(aBytes);
+        if (frame && std::holds_alternative<wire::TicketAck>(*frame)) {
+          Finish();
+        }
+      });
+      aChannel->Send(m_frame);
     });
-    aChannel->Send(m_frame);
-  });
 }
 
 void TicketMover::Finish()
--- a/src/ferrytray/keeper/config_sync.cpp
+++ b/src/ferrytray/keeper/config_sync.cpp
@@ -31,7 +31,9 @@
   for (const wire::LogRecord& record : aRecords) {
     auto decoded = replay::Decode(record.m_body);
     if (!decoded) {
-      telemetry::LogLine("config_unreadable").Add("offset", record.m_offset).Add("why", decoded.error().m_message);
+      telemetry::LogLine("config_unreadable")
+        .Add("offset", record.m_offset)
+        .Add("why", decoded.error().m_message);
       continue;
     }
     placed.push_back({ record.m_offset, record.m_time, std::move(*decoded) });
@@ -51,7 +53,9 @@
 {
   m_onChange = std::move(aOnChange);
   m_follower.Start(
-    1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool aReachable) {
+    1,
+    [this](const wire::LogPage& aPage) { OnPage(aPage); },
+    [](bool aReachable) {
       telemetry::LogLine("config_log").Add("reachable", aReachable ? "yes" : "no");
     });
 }
@@ -70,7 +74,8 @@
     return;
   }
   m_bootRecords.insert(m_bootRecords.end(), placed.begin(), placed.end());
-  const std::uint64_t last = aPage.m_records.empty() ? aPage.m_next - 1 : aPage.m_records.back().m_offset;
+  const std::uint64_t last =
+    aPage.m_records.empty() ? aPage.m_next - 1 : aPage.m_records.back().m_offset;
   if (last + 1 < aPage.m_next) {
     return;
   }
@@ -101,10 +106,11 @@
     return;
   }
   m_renewing = true;
-  m_appender.Append(replay::Encode(due.front()), [this, scope = due.front().m_scope](const auto& aOffset) {
-    m_renewing = false;
-    telemetry::LogLine("config_renewed").Add("scope", scope).Add("ok", aOffset ? "yes" : "no");
-  });
+  m_appender.Append(
+    replay::Encode(due.front()), [this, scope = due.front().m_scope](const auto& aOffset) {
+      m_renewing = false;
+      telemetry::LogLine("config_renewed").Add("scope", scope).Add("ok", aOffset ? "yes" : "no");
+    });
 }
 
 } // namespace ferrytray::keeper
--- a/src/ferrytray/keeper/endpoint_watch.cpp
+++ b/src/ferrytray/keeper/endpoint_watch.cpp
@@ -18,7 +18,9 @@
 
 } // namespace
 
-EndpointWatch::EndpointWatch(net::Loop& aLoop, net::HttpClient& aHttp, const KeeperOptions& aOptions)
+EndpointWatch::EndpointWatch(net::Loop& aLoop,
+                             net::HttpClient& aHttp,
+                             const KeeperOptions& aOptions)
   : m_loop(aLoop)
   , m_http(aHttp)
   , m_options(aOptions)
@@ -42,12 +44,13 @@
   net::ClientRequest request;
   request.m_url = m_options.m_platform + "/hosts";
   request.m_timeout = kPollTimeout;
-  m_http.Fetch(std::move(request), [this](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-    m_listing = false;
-    if (aOutcome.m_status == kOk) {
-      OnHostList(aBody);
-    }
-  });
+  m_http.Fetch(std::move(request),
+               [this](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+                 m_listing = false;
+                 if (aOutcome.m_status == kOk) {
+                   OnHostList(aBody);
+                 }
+               });
 }
 
 void EndpointWatch::OnHostList(const std::string& aJson)
@@ -67,7 +70,8 @@
     }
     current[host.m_name] = host.m_incarnation;
     const auto before = m_endpoints.find(host.m_name);
-    const bool same = before != m_endpoints.end() && before->second.m_host.m_incarnation == host.m_incarnation;
+    const bool same =
+      before != m_endpoints.end() && before->second.m_host.m_incarnation == host.m_incarnation;
     Known known = same ? before->second : Known{};
     known.m_host = host;
     if (host.m_leaving) {
@@ -91,17 +95,18 @@
     net::ClientRequest request;
     request.m_url = "http://" + known.m_host.m_address + "/load";
     request.m_timeout = kPollTimeout;
-    m_http.Fetch(std::move(request),
-                 [this, endpoint = name](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-                   const auto found = m_endpoints.find(endpoint);
-                   if (found == m_endpoints.end()) {
-                     return;
-                   }
-                   found->second.m_polling = false;
-                   if (aOutcome.m_status == kOk) {
-                     OnLoad(endpoint, aBody);
-                   }
-                 });
+    m_http.Fetch(
+      std::move(request),
+      [this, endpoint = name](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+        const auto found = m_endpoints.find(endpoint);
+        if (found == m_endpoints.end()) {
+          return;
+        }
+        found->second.m_polling = false;
+        if (aOutcome.m_status == kOk) {
+          OnLoad(endpoint, aBody);
+        }
+      });
   }
 }
 
@@ -122,7 +127,9 @@
 void EndpointWatch::MarkLeaving(const std::string& aEndpoint, const std::string& aIncarnation)
 {
   if (!m_leaving.Contains(aEndpoint, aIncarnation)) {
-    telemetry::LogLine("endpoint_leaving").Add("endpoint", aEndpoint).Add("incarnation", aIncarnation);
+    telemetry::LogLine("endpoint_leaving")
+      .Add("endpoint", aEndpoint)
+      .Add("incarnation", aIncarnation);
     m_leaving.Add(aEndpoint, aIncarnation);
   }
 }
@@ -146,14 +153,17 @@
 {
   std::vector<wire::EndpointStatus> all;
   for (const auto& [name, known] : m_endpoints) {
-    wire::EndpointStatus status{ known.m_host, known.m_load, MillisBetween(known.m_reportedAt, aNow) };
+    wire::EndpointStatus status{ known.m_host,
+                                 known.m_load,
+                                 MillisBetween(known.m_reportedAt, aNow) };
     status.m_host.m_leaving = m_leaving.Contains(name, known.m_host.m_incarnation);
     all.push_back(std::move(status));
   }
   return all;
 }
 
-std::vector<membership::LoadDigest> EndpointWatch::NextDigests(std::size_t aCount, base::TimePoint aNow)
+std::vector<membership::LoadDigest> EndpointWatch::NextDigests(std::size_t aCount,
+                                                               base::TimePoint aNow)
 {
   std::vector<membership::LoadDigest> digests;
   for (std::size_t step = 0; step < m_endpoints.size() && digests.size() < aCount; ++step) {
@@ -161,7 +171,8 @@
     next = next == m_endpoints.end() ? m_endpoints.begin() : next;
     m_digestCursor = next->first;
     const Known& known = next->second;
-    const bool own = known.m_host.m_role == wire::Role::Engine && known.m_host.m_zone == m_options.m_zone;
+    const bool own =
+      known.m_host.m_role == wire::Role::Engine && known.m_host.m_zone == m_options.m_zone;
     if (own && known.m_reportedAt != base::TimePoint{}) {
       digests.push_back({ next->first,
                           known.m_load.m_queuedMillis,
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -60,13 +60,17 @@
   base::Result<void> Listen()
   {
     auto gossip = net::DatagramSocket::Create(
-      m_loop, m_options.m_gossip, [this](const net::Address& aFrom, std::string_view aBytes) { OnDatagram(aFrom, aBytes); });
-    auto control =
-      net::FrameServer::Create(m_loop, m_options.m_control, [this](auto aChannel) { OnChannel(std::move(aChannel)); });
+      m_loop, m_options.m_gossip, [this](const net::Address& aFrom, std::string_view aBytes) {
+        OnDatagram(aFrom, aBytes);
+      });
+    auto control = net::FrameServer::Create(
+      m_loop, m_options.m_control, [this](auto aChannel) { OnChannel(std::move(aChannel)); });
     net::HttpServerOptions httpOptions;
     httpOptions.m_listen = m_options.m_http;
-    auto http = net::HttpServer::Create(
-      m_loop, httpOptions, [this](net::HttpRequest aRequest, auto aReply) { OnHttp(aRequest, aReply); });
+    auto http =
+      net::HttpServer::Create(m_loop, httpOptions, [this](net::HttpRequest aRequest, auto aReply) {
+        OnHttp(aRequest, aReply);
+      });
     for (const base::Failure* failure : { gossip ? nullptr : &gossip.error(),
                                           control ? nullptr : &control.error(),
                                           http ? nullptr : &http.error() }) {
@@ -89,7 +93,8 @@
     self.m_control = net::ToString(m_control->ListenAddress());
     self.m_incarnation = m_options.m_incarnation;
     const std::uint64_t seed = base::Hash64(self.m_host, std::to_string(self.m_incarnation));
-    m_members = std::make_unique<membership::MemberTable>(self, membership::MembershipOptions{}, seed);
+    m_members =
+      std::make_unique<membership::MemberTable>(self, membership::MembershipOptions{}, seed);
     m_config.Start([this] { OnConfigChange(); });
     m_endpoints.Start([this](const auto& aEntries) { OnEntryHosts(aEntries); });
     m_swaps.Start();
@@ -200,15 +205,17 @@
     const net::FrameChannel* raw = aChannel.get();
     aChannel->OnFrame([this, raw](std::string_view aBytes) { OnFrame(raw, aBytes); });
     aChannel->OnClosed([this, raw] {
-      std::erase_if(m_subscribers, [raw](const Subscriber& aEntry) { return aEntry.m_channel.get() == raw; });
+      std::erase_if(m_subscribers,
+                    [raw](const Subscriber& aEntry) { return aEntry.m_channel.get() == raw; });
     });
   }
 
   void OnFrame(const net::FrameChannel* aChannel, std::string_view aBytes)
   {
-    const auto found = std::find_if(m_subscribers.begin(), m_subscribers.end(), [&](const Subscriber& aEntry) {
-      return aEntry.m_channel.get() == aChannel;
-    });
+    const auto found =
+      std::find_if(m_subscribers.begin(), m_subscribers.end(), [&](const Subscriber& aEntry) {
+        return aEntry.m_channel.get() == aChannel;
+      });
     const auto frame = wire::DecodeFrame(aBytes);
     if (found == m_subscribers.end() || !frame) {
       m_metrics.Count("frames_dropped_total");
@@ -248,7 +255,10 @@
     }
   }
 
-  void PushEndpoints() { SendToGates(wire::EndpointUpdate{ m_endpoints.Endpoints(base::MonotonicNow()) }); }
+  void PushEndpoints()
+  {
+    SendToGates(wire::EndpointUpdate{ m_endpoints.Endpoints(base::MonotonicNow()) });
+  }
   void PushPeers() { SendToGates(wire::PeerUpdate{ m_members->Live() }); }
 
   // --- membership --------------------------------------------------------------------------
@@ -335,8 +345,9 @@
   [[nodiscard]] std::uint64_t PositionInForce() const
   {
     const std::uint64_t mine = m_config.Replay().Position();
-    const bool hasGate = std::any_of(
-      m_subscribers.begin(), m_subscribers.end(), [](const Subscriber& aEntry) { return aEntry.m_isGate; });
+    const bool hasGate = std::any_of(m_subscribers.begin(),
+                                     m_subscribers.end(),
+                                     [](const Subscriber& aEntry) { return aEntry.m_isGate; });
     return hasGate ? std::min(mine, m_gate.m_position) : mine;
   }
 
@@ -350,7 +361,8 @@
     if (aRequest.m_path == "/healthz") {
       sendText(200, "ok\n");
     } else if (aRequest.m_path == "/readyz") {
-      sendText(m_config.Ready() ? 200 : 503, m_config.Ready() ? "ready\n" : "no configuration yet\n");
+      sendText(m_config.Ready() ? 200 : 503,
+               m_config.Ready() ? "ready\n" : "no configuration yet\n");
     } else if (aRequest.m_path == "/metrics") {
       m_metrics.Set("members_live", static_cast<double>(m_members->Live().size()));
       m_metrics.Set("config_position", static_cast<double>(m_config.Replay().Position()));
@@ -403,12 +415,9 @@
     for (const auto& [name, scope] : m_config.Replay().Scopes()) {
       scopes[name] = { { "offset", scope.m_accepted }, { "behind", !scope.m_schemaKnown } };
     }
-    return { { "host", m_options.m_host },
-             { "position", m_config.Replay().Position() },
-             { "ready", m_config.Ready() },
-             { "log_reachable", m_config.LogReachable() },
-             { "members", members },
-             { "endpoints", endpoints },
+    return { { "host", m_options.m_host },  { "position", m_config.Replay().Position() },
+             { "ready", m_config.Ready() }, { "log_reachable", m_config.LogReachable() },
+             { "members", members },        { "endpoints", endpoints },
              { "scopes", scopes } };
   }
 
@@ -437,7 +446,8 @@
 
 } // namespace
 
-base::Result<std::unique_ptr<Keeper>> Keeper::Create(net::Loop& aLoop, const KeeperOptions& aOptions)
+base::Result<std::unique_ptr<Keeper>> Keeper::Create(net::Loop& aLoop,
+                                                     const KeeperOptions& aOptions)
 {
   auto keeper = std::make_unique<KeeperImpl>(aLoop, aOptions);
   const auto listening = keeper->Listen();
--- a/src/ferrytray/keeper/lease_codec.cpp
+++ b/src/ferrytray/keeper/lease_codec.cpp
@@ -8,8 +8,11 @@
 
 std::string EncodeLease(const control::LeaseRecord& aRecord)
 {
-  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(aRecord.m_duration).count();
-  return json{ { "holder", aRecord.m_holder }, { "leases", aRecord.m_leases }, { "duration_ms", millis } }.dump();
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRecord.m_duration).count();
+  return json{
+    { "holder", aRecord.m_holder }, { "leases", aRecord.m_leases }, { "duration_ms", millis }
+  }.dump();
 }
 
 base::Result<control::LeaseRecord> DecodeLease(std::string_view aBytes)
@@ -18,9 +21,11 @@
     const json object = json::parse(aBytes);
     return control::LeaseRecord{ object.at("holder").get<std::string>(),
                                  object.at("leases").get<std::vector<std::string>>(),
-                                 std::chrono::milliseconds(object.at("duration_ms").get<std::int64_t>()) };
+                                 std::chrono::milliseconds(
+                                   object.at("duration_ms").get<std::int64_t>()) };
   } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("lease record: ") + error.what());
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      std::string("lease record: ") + error.what());
   }
 }
 
--- a/src/ferrytray/keeper/swap_controller.cpp
+++ b/src/ferrytray/keeper/swap_controller.cpp
@@ -29,21 +29,26 @@
 }
 
 /// Whether this host is the first of a lease in rendezvous order.
-bool IsFirst(const std::string& aSelf, const std::string& aLease, const std::vector<std::string>& aHosts)
+bool IsFirst(const std::string& aSelf,
+             const std::string& aLease,
+             const std::vector<std::string>& aHosts)
 {
   const auto score = [&](const std::string& aHost) {
     return base::HashWithSeed(base::HashWithSeed({}, aLease), aHost);
   };
   const base::Digest128 mine = score(aSelf);
-  return std::none_of(aHosts.begin(), aHosts.end(), [&](const std::string& aHost) { return score(aHost) > mine; });
+  return std::none_of(
+    aHosts.begin(), aHosts.end(), [&](const std::string& aHost) { return score(aHost) > mine; });
 }
 
-std::vector<control::WorkerVersion> WorkersOf(const std::string& aFleet, const std::vector<wire::EndpointStatus>& aEndpoints)
+std::vector<control::WorkerVersion> WorkersOf(const std::string& aFleet,
+                                              const std::vector<wire::EndpointStatus>& aEndpoints)
 {
   std::vector<control::WorkerVersion> workers;
   for (const wire::EndpointStatus& endpoint : aEndpoints) {
     const bool reported = !endpoint.m_load.m_incarnation.empty();
-    if (endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet && reported) {
+    if (endpoint.m_host.m_role == wire::Role::Engine && endpoint.m_host.m_pool == aFleet &&
+        reported) {
       workers.push_back({ endpoint.m_host.m_name,
                           endpoint.m_host.m_incarnation,
                           endpoint.m_load.m_version,
@@ -57,7 +62,9 @@
 
 } // namespace
 
-SwapController::SwapController(net::Loop& aLoop, net::HttpClient& aHttp, const KeeperOptions& aOptions)
+SwapController::SwapController(net::Loop& aLoop,
+                               net::HttpClient& aHttp,
+                               const KeeperOptions& aOptions)
   : m_http(aHttp)
   , m_holderName(aOptions.m_host + "#" + std::to_string(aOptions.m_incarnation))
   , m_holderOptions(HolderOptionsOf(aOptions))
@@ -68,7 +75,8 @@
 
 void SwapController::Start()
 {
-  m_follower.Start(1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool) {});
+  m_follower.Start(
+    1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool) {});
 }
 
 void SwapController::OnPage(const wire::LogPage& aPage)
@@ -96,11 +104,13 @@
   const std::string self = m_holderName.substr(0, m_holderName.rfind('#'));
   std::vector<std::string> wanted;
   for (const config::Fleet* fleet : aFleets) {
-    auto& fleetControl = m_fleets.try_emplace(fleet->m_name, m_holderName, m_holderOptions).first->second;
+    auto& fleetControl =
+      m_fleets.try_emplace(fleet->m_name, m_holderName, m_holderOptions).first->second;
     const auto held = m_leases.Find(LeaseOf(fleet->m_name));
     const bool mine = held && held->m_holder == m_holderName;
     const bool first = IsFirst(self, LeaseOf(fleet->m_name), aHosts);
-    if ((mine || first) && fleetControl.m_holder.ShouldAppend(held, m_follower.PlatformTime(), aNow)) {
+    if ((mine || first) &&
+        fleetControl.m_holder.ShouldAppend(held, m_follower.PlatformTime(), aNow)) {
       wanted.push_back(LeaseOf(fleet->m_name));
       fleetControl.m_holder.OnAppendSent(aNow);
     }
@@ -144,7 +154,9 @@
   }
 }
 
-void SwapController::SendOrder(const config::Fleet& aFleet, const control::SwapOrder& aOrder, const std::string& aAddress)
+void SwapController::SendOrder(const config::Fleet& aFleet,
+                               const control::SwapOrder& aOrder,
+                               const std::string& aAddress)
 {
   const FleetControl& fleetControl = m_fleets.at(aFleet.m_name);
   if (!fleetControl.m_holder.MayOrder(aFleet.m_checksFencing, base::MonotonicNow())) {
@@ -158,15 +170,18 @@
   net::ClientRequest request;
   request.m_method = "POST";
   request.m_url = "http://" + aAddress + "/orders";
-  request.m_body = nlohmann::json{ { "version", aOrder.m_version },
-                                   { "incarnation", aOrder.m_incarnation },
-                                   { "fence", fleetControl.m_holder.Fence() } }
-                     .dump();
+  request.m_body = nlohmann::json{
+    { "version", aOrder.m_version },
+    { "incarnation", aOrder.m_incarnation },
+    { "fence", fleetControl.m_holder.Fence() }
+  }.dump();
   request.m_timeout = m_holderOptions.m_longestSend;
   request.m_ownConnection = true;
-  m_http.Fetch(std::move(request), [worker = aOrder.m_worker](const net::ClientOutcome& aOutcome, const std::string&) {
-    telemetry::LogLine("swap_order_reply").Add("worker", worker).Add("status", aOutcome.m_status);
-  });
+  m_http.Fetch(
+    std::move(request),
+    [worker = aOrder.m_worker](const net::ClientOutcome& aOutcome, const std::string&) {
+      telemetry::LogLine("swap_order_reply").Add("worker", worker).Add("status", aOutcome.m_status);
+    });
 }
 
 bool SwapController::HoldsAny(base::TimePoint aNow) const
--- a/src/ferrytray/membership/member_table.cpp
+++ b/src/ferrytray/membership/member_table.cpp
@@ -48,7 +48,9 @@
   }
 }
 
-bool MemberTable::OnMessage(const GossipMessage& aMessage, const std::string& aFromIp, base::TimePoint aNow)
+bool MemberTable::OnMessage(const GossipMessage& aMessage,
+                            const std::string& aFromIp,
+                            base::TimePoint aNow)
 {
   if (!m_allowedIps.contains(aFromIp)) {
     ++m_dropped;
@@ -70,10 +72,11 @@
   if (added || !IsNewer(aTheirs, row.m_member)) {
     return;
   }
-  const bool leaving =
-    row.m_member.m_state == MemberState::Leaving && row.m_member.m_incarnation == aTheirs.m_incarnation;
+  const bool leaving = row.m_member.m_state == MemberState::Leaving &&
+                       row.m_member.m_incarnation == aTheirs.m_incarnation;
   row.m_member = aTheirs;
-  row.m_member.m_state = leaving || aTheirs.m_state == MemberState::Leaving ? MemberState::Leaving : MemberState::Alive;
+  row.m_member.m_state =
+    leaving || aTheirs.m_state == MemberState::Leaving ? MemberState::Leaving : MemberState::Alive;
   row.m_heard = aNow;
   row.m_changed = m_round;
 }
@@ -194,7 +197,8 @@
     const auto& tickets = row.m_member.m_tickets;
     const bool has = std::find(tickets.begin(), tickets.end(), aIncarnation) != tickets.end();
     // The last of the list of adopters is where a handed-over table went.
-    if (has && MayUse(row.m_member) && (home == nullptr || row.m_member.m_state == MemberState::Alive)) {
+    if (has && MayUse(row.m_member) &&
+        (home == nullptr || row.m_member.m_state == MemberState::Alive)) {
       home = &row.m_member;
     }
   }
--- a/src/ferrytray/membership/member_table_test.cpp
+++ b/src/ferrytray/membership/member_table_test.cpp
@@ -35,7 +35,8 @@
       m_list.push_back(HostNumber(i));
     }
     for (int i = 1; i <= aHosts; ++i) {
-      m_tables.push_back(std::make_unique<MemberTable>(HostNumber(i), membership::MembershipOptions{}, i));
+      m_tables.push_back(
+        std::make_unique<MemberTable>(HostNumber(i), membership::MembershipOptions{}, i));
       m_tables.back()->OnHostList(m_list, kStart);
     }
   }
@@ -103,7 +104,8 @@
   network.m_tables[4] = nullptr;
   network.Rounds(60);
   CHECK(network.m_tables[0]->Find("h5")->m_state == MemberState::Dead);
-  network.m_tables[4] = std::make_unique<MemberTable>(HostNumber(5, 2), membership::MembershipOptions{}, 99);
+  network.m_tables[4] =
+    std::make_unique<MemberTable>(HostNumber(5, 2), membership::MembershipOptions{}, 99);
   network.m_tables[4]->OnHostList(network.m_list, network.m_now);
   network.Rounds(30);
   CHECK(network.m_tables[0]->Find("h5")->m_state == MemberState::Alive);
@@ -142,7 +144,8 @@
 {
   FakeNetwork network(3);
   auto stranger = HostNumber(77);
-  CHECK_FALSE(network.m_tables[0]->OnMessage({ "h77", { stranger }, {}, {}, {} }, "10.0.0.77", kStart));
+  CHECK_FALSE(
+    network.m_tables[0]->OnMessage({ "h77", { stranger }, {}, {}, {} }, "10.0.0.77", kStart));
   LONGS_EQUAL(1, network.m_tables[0]->DroppedMessages());
   CHECK(network.m_tables[0]->Find("h77") == nullptr);
 }
--- a/src/ferrytray/net/datagram.cpp
+++ b/src/ferrytray/net/datagram.cpp
@@ -3,8 +3,8 @@
 #include <array>   // for array
 #include <utility> // for move
 
-#include <asio/buffer.hpp>     // for buffer
-#include <asio/ip/udp.hpp>     // for udp
+#include <asio/buffer.hpp> // for buffer
+#include <asio/ip/udp.hpp> // for udp
 
 #include "ferrytray/net/loop_impl.hpp" // for LoopImpl
 
@@ -82,8 +82,7 @@
                                                                      const Address& aListen,
                                                                      DatagramHandler aHandler)
 {
-  auto socket =
-    std::make_unique<AsioDatagramSocket>(aLoop.Impl().m_context, std::move(aHandler));
+  auto socket = std::make_unique<AsioDatagramSocket>(aLoop.Impl().m_context, std::move(aHandler));
   const asio::error_code error = socket->Bind(aListen);
   if (error) {
     return base::Fail(base::ErrorCode::ListenFailed,
--- a/src/ferrytray/net/frame_channel.cpp
+++ b/src/ferrytray/net/frame_channel.cpp
@@ -34,8 +34,7 @@
   std::string bytes;
   bytes.reserve(kLengthBytes + aFrame.size());
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    bytes.push_back(
-      static_cast<char>(aFrame.size() >> (kBitsPerByte * (kLengthBytes - 1 - i))));
+    bytes.push_back(static_cast<char>(aFrame.size() >> (kBitsPerByte * (kLengthBytes - 1 - i))));
   }
   bytes.append(aFrame);
   return bytes;
@@ -90,7 +89,10 @@
     return error ? std::string() : remote.address().to_string();
   }
 
-  void OnFrame(std::function<void(std::string_view)> aCall) override { m_onFrame = std::move(aCall); }
+  void OnFrame(std::function<void(std::string_view)> aCall) override
+  {
+    m_onFrame = std::move(aCall);
+  }
   void OnClosed(std::function<void()> aCall) override { m_onClosed = std::move(aCall); }
 
 private:
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -4,8 +4,8 @@
 #include <unordered_map> // for unordered_map
 #include <utility>       // for move
 
-#include <asio/post.hpp>                    // for post
 #include <asio/posix/stream_descriptor.hpp> // for stream_descriptor
+#include <asio/post.hpp>                    // for post
 #include <asio/steady_timer.hpp>            // for steady_timer
 #include <curl/curl.h>                      // for curl_easy_*, curl_multi_*
 
@@ -81,9 +81,13 @@
     call->m_events = std::move(aEvents);
     Prepare(*call, aRequest);
     const CallId id = call->m_id;
-    CURL* easy = call->m_easy;
     m_calls.emplace(id, std::move(call));
-    curl_multi_add_handle(m_multi, easy);
+    if (m_inCallback) {
+      // libcurl refuses new handles from within its own callback.
+      asio::post(m_context, [this, id] { Add(id); });
+    } else {
+      Add(id);
+    }
     return id;
   }
 
@@ -105,6 +109,14 @@
   }
 
 private:
+  void Add(CallId aId)
+  {
+    const auto found = m_calls.find(aId);
+    if (found != m_calls.end()) {
+      curl_multi_add_handle(m_multi, found->second->m_easy);
+    }
+  }
+
   void Prepare(Call& aCall, const ClientRequest& aRequest)
   {
     CURL* easy = aCall.m_easy;
--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -71,7 +71,8 @@
 struct Traits : public restinio::default_single_thread_traits_t
 {
   using connection_state_listener_t = ConnectionWatch;
-  using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+  using request_handler_t =
+    std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
 };
 
 using Server = restinio::http_server_t<Traits>;
@@ -224,13 +225,15 @@
       .max_pipelined_requests(2)
       .buffer_size(2U << 10U)
       .connection_state_listener(m_watch)
-      .socket_options_setter([](auto& aSocket) { aSocket.set_option(asio::ip::tcp::no_delay(true)); })
+      .socket_options_setter(
+        [](auto& aSocket) { aSocket.set_option(asio::ip::tcp::no_delay(true)); })
       .acceptor_options_setter(
         [](auto& aAcceptor) { aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         m_address.m_port = aAcceptor.local_endpoint().port();
       })
-      .request_handler([this](restinio::request_handle_t aRequest) { return Handle(std::move(aRequest)); });
+      .request_handler(
+        [this](restinio::request_handle_t aRequest) { return Handle(std::move(aRequest)); });
   }
 
   restinio::request_handling_status_t Handle(restinio::request_handle_t aRequest)
--- a/src/ferrytray/once/claim_coordinator.cpp
+++ b/src/ferrytray/once/claim_coordinator.cpp
@@ -44,7 +44,8 @@
   return MaybeAppend();
 }
 
-ClaimActions ClaimCoordinator::OnRecord(const LogPosition& aAt, std::span<const ClaimEntry> aEntries)
+ClaimActions ClaimCoordinator::OnRecord(const LogPosition& aAt,
+                                        std::span<const ClaimEntry> aEntries)
 {
   ClaimActions actions;
   for (const ClaimEntry& entry : aEntries) {
--- a/src/ferrytray/once/claim_test.cpp
+++ b/src/ferrytray/once/claim_test.cpp
@@ -64,7 +64,7 @@
   once::ClaimCoordinator m_two;
   std::vector<once::ClaimEntry> m_log;
 
-  void ReadAll(once::ClaimCoordinator& aReader, once::ClaimActions& aActions)
+  void ReadAll(once::ClaimCoordinator & aReader, once::ClaimActions & aActions)
   {
     for (std::size_t i = 0; i < m_log.size(); ++i) {
       for (auto& action : aReader.OnRecord({ i, 0s }, { &m_log[i], 1 })) {
@@ -139,11 +139,14 @@
 
 TEST(Claims, RecordsSurviveTheirEncoding)
 {
-  const std::vector<once::ClaimEntry> entries{ ClaimBy(1, "a"), once::Release{ { 3, 4 } }, once::Done{ { 5, 6 } } };
+  const std::vector<once::ClaimEntry> entries{ ClaimBy(1, "a"),
+                                               once::Release{ { 3, 4 } },
+                                               once::Done{ { 5, 6 } } };
   const std::string text = once::EncodeEntries(entries);
   const auto back = once::DecodeEntries(text);
   STRCMP_EQUAL(text.c_str(), once::EncodeEntries(*back).c_str());
-  CHECK(once::DecodeEntries("[{\"t\":\"claim\"}]").error().m_code == base::ErrorCode::PlatformMalformed);
+  CHECK(once::DecodeEntries("[{\"t\":\"claim\"}]").error().m_code ==
+        base::ErrorCode::PlatformMalformed);
   CHECK_FALSE(once::DecodeEntries("\xff\x00").has_value());
 }
 
@@ -217,10 +220,12 @@
     constexpr auto kWindow = 10s;
     once::ClaimTable all(kWindow);
     once::ClaimTable fresh(kWindow);
-    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 60)));
+    const auto steps =
+      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 60)));
     for (std::size_t at = 0; at < steps.size(); ++at) {
       const base::Duration time = std::chrono::seconds(at / 4);
-      const auto id = static_cast<std::uint64_t>(at - static_cast<std::size_t>(steps[at]) % (at + 1));
+      const auto id =
+        static_cast<std::uint64_t>(at - static_cast<std::size_t>(steps[at]) % (at + 1));
       const once::ClaimEntry entry =
         steps[at] % 3 == 0 ? once::ClaimEntry(once::Release{ { 0, id } }) : ClaimBy(id, "g");
       all.Apply({ at, time }, { &entry, 1 });
--- a/src/ferrytray/once/ticket_table.cpp
+++ b/src/ferrytray/once/ticket_table.cpp
@@ -32,7 +32,8 @@
   }
   ++count;
   std::string ticket = m_incarnation + "." + std::string(aSecret);
-  m_tickets.emplace(ticket, Entry{ aAccount, TicketState::Issued, {}, {}, aNow + m_options.m_lifetime });
+  m_tickets.emplace(ticket,
+                    Entry{ aAccount, TicketState::Issued, {}, {}, aNow + m_options.m_lifetime });
   return ticket;
 }
 
@@ -50,10 +51,12 @@
   }
   Entry* entry = FindEntry(aTicket);
   if (entry == nullptr || entry->m_expires <= aNow) {
-    return Refusal(base::ErrorCode::TicketUnknown, base::RunState::Unknown, "ticket is not known here");
+    return Refusal(
+      base::ErrorCode::TicketUnknown, base::RunState::Unknown, "ticket is not known here");
   }
   if (entry->m_account != aAccount) {
-    return Refusal(base::ErrorCode::TicketForeign, base::RunState::NotRun, "ticket of another account");
+    return Refusal(
+      base::ErrorCode::TicketForeign, base::RunState::NotRun, "ticket of another account");
   }
   const bool started = entry->m_state != TicketState::Issued;
   if (started && entry->m_request != aRequest) {
@@ -65,7 +68,9 @@
     return RedeemReplay{ entry->m_answer };
   }
   if (started) {
-    return Refusal(base::ErrorCode::TicketInUse, base::RunState::Unknown, "ticket is in use or its answer is gone");
+    return Refusal(base::ErrorCode::TicketInUse,
+                   base::RunState::Unknown,
+                   "ticket is in use or its answer is gone");
   }
   if (m_frozen) {
     return Refusal(base::ErrorCode::ShuttingDown, base::RunState::NotRun, "this gate is stopping");
@@ -115,7 +120,8 @@
     }
     const bool running = entry.m_state == TicketState::Running;
     const TicketState state = running ? TicketState::Unknown : entry.m_state;
-    rows.push_back({ ticket, entry.m_account, state, entry.m_request, entry.m_answer, entry.m_expires - aNow });
+    rows.push_back(
+      { ticket, entry.m_account, state, entry.m_request, entry.m_answer, entry.m_expires - aNow });
   }
   return rows;
 }
--- a/src/ferrytray/replay/config_replay.cpp
+++ b/src/ferrytray/replay/config_replay.cpp
@@ -10,7 +10,8 @@
 
 const std::string& ScopeOf(const ConfigRecord& aRecord)
 {
-  return std::visit([](const auto& aRecord) -> const std::string& { return aRecord.m_scope; }, aRecord);
+  return std::visit([](const auto& aRecord) -> const std::string& { return aRecord.m_scope; },
+                    aRecord);
 }
 
 /// The accepted offset that a record proves to have been in force once.
@@ -51,7 +52,8 @@
     return Unchanged{};
   }
   m_position = aRecord.m_offset;
-  return std::visit([&](const auto& aBody) { return ApplyRecord(aRecord, aBody); }, aRecord.m_record);
+  return std::visit([&](const auto& aBody) { return ApplyRecord(aRecord, aBody); },
+                    aRecord.m_record);
 }
 
 ReplayOutcome ConfigReplay::ApplyRecord(const PlacedRecord& aPlaced, const FileRecord& aFile)
@@ -59,7 +61,9 @@
   ScopeState& scope = m_scopes[aFile.m_scope];
   scope.m_scope = aFile.m_scope;
   if (aFile.m_base != scope.m_accepted) {
-    return Rejected{ aFile.m_id, aFile.m_scope, scope.m_accepted, "built on a file that is not in force" };
+    return Rejected{
+      aFile.m_id, aFile.m_scope, scope.m_accepted, "built on a file that is not in force"
+    };
   }
   if (base::Sha256Hex(aFile.m_body) != aFile.m_digest) {
     return Rejected{ aFile.m_id, aFile.m_scope, scope.m_accepted, "digest does not match" };
@@ -101,7 +105,8 @@
   }
 }
 
-std::vector<std::string> ConfigReplay::Adopt(LogOffset aPosition, std::span<const ScopeState> aScopes)
+std::vector<std::string> ConfigReplay::Adopt(LogOffset aPosition,
+                                             std::span<const ScopeState> aScopes)
 {
   std::vector<std::string> changed;
   if (aPosition <= m_position) {
@@ -149,7 +154,8 @@
   std::vector<RenewRecord> due;
   for (const auto& [name, scope] : m_scopes) {
     // A body that this program cannot read is left to hosts that can.
-    if (scope.m_accepted == 0 || !scope.m_schemaKnown || scope.m_body.empty() || aNow - scope.m_keptSince < aAge) {
+    if (scope.m_accepted == 0 || !scope.m_schemaKnown || scope.m_body.empty() ||
+        aNow - scope.m_keptSince < aAge) {
       continue;
     }
     due.push_back({ scope.m_scope, scope.m_accepted, scope.m_digest, scope.m_body, 1 });
--- a/src/ferrytray/replay/config_replay_test.cpp
+++ b/src/ferrytray/replay/config_replay_test.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
-FileRecord File(const std::string& aId, replay::LogOffset aBase, const std::string& aBody, int aSchema = 1)
+FileRecord File(const std::string& aId,
+                replay::LogOffset aBase,
+                const std::string& aBody,
+                int aSchema = 1)
 {
   return { aId, "s", aBase, base::Sha256Hex(aBody), aBody, aSchema };
 }
@@ -67,7 +70,9 @@
 {
   // The log begins at 10. A paused host renewed offset 1 at 10, although 5 was in force by then.
   const std::vector<PlacedRecord> kept{
-    { 10, 0s, Renewal(1, "A") }, { 11, 0s, File("lost", 1, "X") }, { 12, 0s, Renewal(5, "B") },
+    { 10, 0s, Renewal(1, "A") },
+    { 11, 0s, File("lost", 1, "X") },
+    { 12, 0s, Renewal(5, "B") },
   };
   m_replay.Bootstrap(kept);
   STRCMP_EQUAL("B", BodyOf(m_replay).c_str());
@@ -130,7 +135,8 @@
     std::vector<PlacedRecord> log;
     std::vector<std::pair<replay::LogOffset, std::string>> history;
     replay::LogOffset lastCopy = 0;
-    const auto steps = *rc::gen::resize(100, rc::gen::container<std::vector<int>>(150, rc::gen::inRange(0, 100)));
+    const auto steps =
+      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(150, rc::gen::inRange(0, 100)));
     for (std::size_t i = 0; i < steps.size(); ++i) {
       const replay::LogOffset offset = i + 1;
       const auto* state = all.Find("s");
@@ -171,13 +177,14 @@
 TEST(ConfigReplay, TheRegistryReplacesOneScopeAtATime)
 {
   replay::Registry registry;
-  const auto make = [](const std::string& aScope, const std::string& aAccount, const std::string& aKey) {
-    auto document = std::make_shared<config::Document>();
-    document->m_scope = aScope;
-    document->m_accounts.push_back({ aAccount, { aKey }, 1, 1, 1, 1 });
-    document->m_services.push_back({ aScope, "/" + aScope, false });
-    return document;
-  };
+  const auto make =
+    [](const std::string& aScope, const std::string& aAccount, const std::string& aKey) {
+      auto document = std::make_shared<config::Document>();
+      document->m_scope = aScope;
+      document->m_accounts.push_back({ aAccount, { aKey }, 1, 1, 1, 1 });
+      document->m_services.push_back({ aScope, "/" + aScope, false });
+      return document;
+    };
   registry.Put(make("one", "lab", "k1"));
   registry.Put(make("two", "bench", "k2"));
   registry.Put(make("one", "lab", "k3"));
--- a/src/ferrytray/replay/record.cpp
+++ b/src/ferrytray/replay/record.cpp
@@ -10,8 +10,12 @@
 
 json ToJson(const FileRecord& aFile)
 {
-  return { { "t", "file" },          { "id", aFile.m_id },         { "scope", aFile.m_scope },
-           { "base", aFile.m_base }, { "digest", aFile.m_digest }, { "body", aFile.m_body },
+  return { { "t", "file" },
+           { "id", aFile.m_id },
+           { "scope", aFile.m_scope },
+           { "base", aFile.m_base },
+           { "digest", aFile.m_digest },
+           { "body", aFile.m_body },
            { "schema", aFile.m_schema } };
 }
 
@@ -39,18 +43,24 @@
     const json object = json::parse(aBytes);
     const std::string kind = object.at("t").get<std::string>();
     if (kind == "renew") {
-      return RenewRecord{ object.at("scope").get<std::string>(),  object.at("accepted").get<LogOffset>(),
-                          object.at("digest").get<std::string>(), object.at("body").get<std::string>(),
+      return RenewRecord{ object.at("scope").get<std::string>(),
+                          object.at("accepted").get<LogOffset>(),
+                          object.at("digest").get<std::string>(),
+                          object.at("body").get<std::string>(),
                           object.at("schema").get<int>() };
     }
     if (kind == "file") {
-      return FileRecord{ object.at("id").get<std::string>(),   object.at("scope").get<std::string>(),
-                         object.at("base").get<LogOffset>(),   object.at("digest").get<std::string>(),
-                         object.at("body").get<std::string>(), object.at("schema").get<int>() };
+      return FileRecord{
+        object.at("id").get<std::string>(),   object.at("scope").get<std::string>(),
+        object.at("base").get<LogOffset>(),   object.at("digest").get<std::string>(),
+        object.at("body").get<std::string>(), object.at("schema").get<int>()
+      };
     }
-    return base::Fail(base::ErrorCode::PlatformMalformed, "configuration record of kind '" + kind + "'");
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      "configuration record of kind '" + kind + "'");
   } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("configuration record: ") + error.what());
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      std::string("configuration record: ") + error.what());
   }
 }
 
--- a/src/ferrytray/replay/registry.cpp
+++ b/src/ferrytray/replay/registry.cpp
@@ -92,7 +92,8 @@
   const config::Service* best = nullptr;
   for (const auto& [prefix, service] : m_byPrefix) {
     const bool starts = aPath.substr(0, prefix.size()) == prefix;
-    const bool atBoundary = aPath.size() == prefix.size() || aPath[std::min(prefix.size(), aPath.size() - 1)] == '/';
+    const bool atBoundary =
+      aPath.size() == prefix.size() || aPath[std::min(prefix.size(), aPath.size() - 1)] == '/';
     if (starts && atBoundary) {
       best = service;
     }
--- a/src/ferrytray/routing/cache_hints.cpp
+++ b/src/ferrytray/routing/cache_hints.cpp
@@ -10,7 +10,9 @@
   }
 }
 
-void CacheHints::OnFound(const std::string& aWorker, std::span<const base::Digest128> aBlocks, std::uint32_t aFound)
+void CacheHints::OnFound(const std::string& aWorker,
+                         std::span<const base::Digest128> aBlocks,
+                         std::uint32_t aFound)
 {
   Worker& worker = m_workers[aWorker];
   for (std::size_t i = aFound; i < aBlocks.size(); ++i) {
@@ -39,7 +41,9 @@
   return !worker.m_unknown;
 }
 
-void CacheHints::OnList(const std::string& aWorker, std::uint64_t aSequence, std::span<const base::Digest128> aBlocks)
+void CacheHints::OnList(const std::string& aWorker,
+                        std::uint64_t aSequence,
+                        std::span<const base::Digest128> aBlocks)
 {
   Worker fresh;
   fresh.m_sequence = aSequence;
@@ -50,7 +54,8 @@
   m_workers[aWorker] = std::move(fresh);
 }
 
-std::uint32_t CacheHints::CachedPrefix(const std::string& aWorker, std::span<const base::Digest128> aBlocks) const
+std::uint32_t CacheHints::CachedPrefix(const std::string& aWorker,
+                                       std::span<const base::Digest128> aBlocks) const
 {
   const auto found = m_workers.find(aWorker);
   if (found == m_workers.end() || found->second.m_unknown) {
--- a/src/ferrytray/routing/choose.cpp
+++ b/src/ferrytray/routing/choose.cpp
@@ -46,8 +46,8 @@
 {
   std::optional<Choice> best;
   const auto consider = [&](std::size_t aIndex) {
-    const auto plan =
-      CheapestPlan(aRequest, aWorkers[aIndex], aStores[aIndex], aOptions.m_weights, aOptions.m_trust);
+    const auto plan = CheapestPlan(
+      aRequest, aWorkers[aIndex], aStores[aIndex], aOptions.m_weights, aOptions.m_trust);
     if (!aPlans.empty()) {
       aPlans[aIndex] = plan;
     }
--- a/src/ferrytray/routing/estimate.cpp
+++ b/src/ferrytray/routing/estimate.cpp
@@ -24,20 +24,25 @@
   const double linkSeconds = plan.m_linkBytes / aStore.m_bytesPerSecond;
   base::Duration ready = aWait;
   if (plan.m_restoreBlocks > 0) {
-    const base::Duration import = aStore.m_linkQueue + aStore.m_path + base::FromSeconds(linkSeconds);
+    const base::Duration import =
+      aStore.m_linkQueue + aStore.m_path + base::FromSeconds(linkSeconds);
     ready = std::max(aWait, import);
   }
   plan.m_firstToken = aWorker.m_path + ready + plan.m_engineTime;
   // Context that is kept somewhere and computed all the same is what the share recomputed counts.
   const std::uint32_t kept = std::max(cached, std::min(aStore.m_storedBlocks, aRequest.m_blocks));
-  const std::uint32_t wasted = (kept - std::min(kept, cached + plan.m_restoreBlocks)) * aRequest.m_tokensPerBlock;
+  const std::uint32_t wasted =
+    (kept - std::min(kept, cached + plan.m_restoreBlocks)) * aRequest.m_tokensPerBlock;
   plan.m_cost = aWeights.m_firstToken * base::Seconds(plan.m_firstToken) +
-                aWeights.m_recompute * wasted / aWorker.m_tokensPerSecond + aWeights.m_link * linkSeconds;
+                aWeights.m_recompute * wasted / aWorker.m_tokensPerSecond +
+                aWeights.m_link * linkSeconds;
   return plan;
 }
 
 /// The blocks whose import lasts just as long as the queue.
-std::uint32_t BreakPoint(const RequestShape& aRequest, const StoreView& aStore, base::Duration aWait)
+std::uint32_t BreakPoint(const RequestShape& aRequest,
+                         const StoreView& aStore,
+                         base::Duration aWait)
 {
   const base::Duration spare = aWait - aStore.m_linkQueue - aStore.m_path;
   if (spare <= base::Duration::zero() || aRequest.m_bytesPerBlock <= 0) {
@@ -73,7 +78,8 @@
   if (stored <= cached) {
     return best;
   }
-  const std::uint32_t middle = std::clamp(cached + BreakPoint(aRequest, aStore, wait), cached, stored);
+  const std::uint32_t middle =
+    std::clamp(cached + BreakPoint(aRequest, aStore, wait), cached, stored);
   for (const std::uint32_t upTo : std::array{ stored, middle }) {
     const Plan plan = PlanFor(upTo, aRequest, aWorker, aStore, aWeights, wait);
     if (plan.m_cost < best.m_cost) {
--- a/src/ferrytray/routing/keep.cpp
+++ b/src/ferrytray/routing/keep.cpp
@@ -41,7 +41,8 @@
 double ReturnGaps::CountAfter(std::size_t aBucket, double aFrom) const
 {
   const double start = BucketStart(aBucket);
-  const double share = std::clamp((BucketEnd(aBucket) - aFrom) / (BucketEnd(aBucket) - start), 0.0, 1.0);
+  const double share =
+    std::clamp((BucketEnd(aBucket) - aFrom) / (BucketEnd(aBucket) - start), 0.0, 1.0);
   return (m_returns[aBucket] + kPrior) * share;
 }
 
@@ -84,7 +85,8 @@
 
 double KeepValue(const KeepCandidate& aContext, const ReturnGaps& aGaps)
 {
-  return aContext.m_recomputeSeconds * aGaps.ReturnRate(aContext.m_idle) / std::max(1.0, aContext.m_bytes);
+  return aContext.m_recomputeSeconds * aGaps.ReturnRate(aContext.m_idle) /
+         std::max(1.0, aContext.m_bytes);
 }
 
 bool ShouldExport(const KeepCandidate& aContext,
--- a/src/ferrytray/routing/rendezvous.cpp
+++ b/src/ferrytray/routing/rendezvous.cpp
@@ -15,7 +15,10 @@
     scored.emplace_back(base::HashWithSeed(aKey, aNames[i]).m_low, i);
   }
   const std::size_t count = std::min(aCount, scored.size());
-  std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(), std::greater<>());
+  std::partial_sort(scored.begin(),
+                    scored.begin() + static_cast<std::ptrdiff_t>(count),
+                    scored.end(),
+                    std::greater<>());
   std::vector<std::size_t> homes;
   homes.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
--- a/src/ferrytray/routing/routing_test.cpp
+++ b/src/ferrytray/routing/routing_test.cpp
@@ -32,17 +32,24 @@
 }
 
 /// The naive twin: tries every number of blocks and writes the formula out anew.
-double NaiveBestFirstToken(const RequestShape& aRequest, const WorkerView& aWorker, const StoreView& aStore)
+double NaiveBestFirstToken(const RequestShape& aRequest,
+                           const WorkerView& aWorker,
+                           const StoreView& aStore)
 {
-  const double wait =
-    std::max(0.0, base::Seconds(aWorker.m_reportedWait + aWorker.m_sentSince) - base::Seconds(aWorker.m_reportAge));
+  const double wait = std::max(0.0,
+                               base::Seconds(aWorker.m_reportedWait + aWorker.m_sentSince) -
+                                 base::Seconds(aWorker.m_reportAge));
   double best = 1e18;
   const std::uint32_t cached = std::min(aWorker.m_cachedBlocks, aRequest.m_blocks);
-  for (std::uint32_t upTo = cached; upTo <= std::max(cached, std::min(aStore.m_storedBlocks, aRequest.m_blocks)); ++upTo) {
-    const double import = upTo == cached ? 0
-                                         : base::Seconds(aStore.m_linkQueue + aStore.m_path) +
-                                             (upTo - cached) * aRequest.m_bytesPerBlock / aStore.m_bytesPerSecond;
-    const double compute = (aRequest.m_promptTokens - upTo * aRequest.m_tokensPerBlock) / aWorker.m_tokensPerSecond;
+  for (std::uint32_t upTo = cached;
+       upTo <= std::max(cached, std::min(aStore.m_storedBlocks, aRequest.m_blocks));
+       ++upTo) {
+    const double import =
+      upTo == cached ? 0
+                     : base::Seconds(aStore.m_linkQueue + aStore.m_path) +
+                         (upTo - cached) * aRequest.m_bytesPerBlock / aStore.m_bytesPerSecond;
+    const double compute =
+      (aRequest.m_promptTokens - upTo * aRequest.m_tokensPerBlock) / aWorker.m_tokensPerSecond;
     best = std::min(best, std::max(wait, import) + compute);
   }
   return best;
@@ -165,7 +172,8 @@
   m_workers[10].m_reportedWait = 1s;
   int herd = 0;
   for (std::uint64_t gate = 0; gate < 200; ++gate) {
-    const auto choice = routing::Choose(kLong, m_workers, m_stores, m_options, base::Hash64("g", std::to_string(gate)));
+    const auto choice = routing::Choose(
+      kLong, m_workers, m_stores, m_options, base::Hash64("g", std::to_string(gate)));
     herd += choice->m_worker == 10 ? 1 : 0;
   }
   CHECK(herd > 0);
--- a/src/ferrytray/settings/settings.cpp
+++ b/src/ferrytray/settings/settings.cpp
@@ -75,19 +75,24 @@
     from = "--" + aSetting.m_flag;
   }
   if (aSetting.m_required && value.empty()) {
-    return leaf::new_error(base::Failure{
-      base::ErrorCode::SettingInvalid, "--" + aSetting.m_flag + " (or " + variable + ") is required", {}, {} });
+    return leaf::new_error(
+      base::Failure{ base::ErrorCode::SettingInvalid,
+                     "--" + aSetting.m_flag + " (or " + variable + ") is required",
+                     {},
+                     {} });
   }
   if (!Fits(aSetting.m_kind, value)) {
-    return leaf::new_error(base::Failure{ base::ErrorCode::SettingInvalid,
-                                          from + ": '" + value + "' is not " + Expected(aSetting.m_kind),
-                                          {},
-                                          {} });
+    return leaf::new_error(
+      base::Failure{ base::ErrorCode::SettingInvalid,
+                     from + ": '" + value + "' is not " + Expected(aSetting.m_kind),
+                     {},
+                     {} });
   }
   return value;
 }
 
-leaf::result<Settings> ReadAll(const std::vector<Setting>& aTable, const cxxopts::ParseResult& aParsed)
+leaf::result<Settings> ReadAll(const std::vector<Setting>& aTable,
+                               const cxxopts::ParseResult& aParsed)
 {
   std::map<std::string, std::string> values;
   for (const Setting& setting : aTable) {
@@ -144,9 +149,13 @@
   cxxopts::Options options(m_program, m_summary);
   options.add_options()("help", "print this")("version", "print the version");
   for (const Setting& setting : m_table) {
-    const std::string help = setting.m_help + " [" + VariableOf(setting.m_flag) + ", default '" + setting.m_default + "']";
+    const std::string help =
+      setting.m_help + " [" + VariableOf(setting.m_flag) + ", default '" + setting.m_default + "']";
     const auto value = cxxopts::value<std::string>();
-    options.add_options()(setting.m_flag, help, setting.m_kind == SettingKind::Flag ? value->implicit_value("true") : value);
+    options.add_options()(setting.m_flag,
+                          help,
+                          setting.m_kind == SettingKind::Flag ? value->implicit_value("true")
+                                                              : value);
   }
   if (!m_argumentsUsage.empty()) {
     options.add_options("hidden")("arguments", "", cxxopts::value<std::vector<std::string>>());
@@ -184,7 +193,8 @@
     return nullptr;
   }
   if (const auto* failure = std::get_if<base::Failure>(&aParsed)) {
-    std::cerr << "error " << static_cast<int>(failure->m_code) << ": " << failure->m_message << "\n";
+    std::cerr << "error " << static_cast<int>(failure->m_code) << ": " << failure->m_message
+              << "\n";
     aExitCode = kExitBadSettings;
     return nullptr;
   }
--- a/src/ferrytray/settings/settings_test.cpp
+++ b/src/ferrytray/settings/settings_test.cpp
@@ -25,16 +25,18 @@
 
 } // namespace
 
-TEST_GROUP(Settings)
-{
-  void teardown() override { unsetenv("FERRYTRAY_TICK"); }
-};
+TEST_GROUP(Settings){ void teardown() override{ unsetenv("FERRYTRAY_TICK");
+}
+}
+;
 
 TEST(Settings, AFlagWinsOverItsVariableAndThatOverTheDefault)
 {
-  CHECK(std::get<settings::Settings>(Read({ "--zone", "z1" })).Millis("tick") == std::chrono::milliseconds(250));
+  CHECK(std::get<settings::Settings>(Read({ "--zone", "z1" })).Millis("tick") ==
+        std::chrono::milliseconds(250));
   setenv("FERRYTRAY_TICK", "100", 1);
-  CHECK(std::get<settings::Settings>(Read({ "--zone", "z1" })).Millis("tick") == std::chrono::milliseconds(100));
+  CHECK(std::get<settings::Settings>(Read({ "--zone", "z1" })).Millis("tick") ==
+        std::chrono::milliseconds(100));
   CHECK(std::get<settings::Settings>(Read({ "--zone", "z1", "--tick", "7" })).Millis("tick") ==
         std::chrono::milliseconds(7));
 }
--- a/src/ferrytray/telemetry/metrics.cpp
+++ b/src/ferrytray/telemetry/metrics.cpp
@@ -4,11 +4,11 @@
 #include <cstdio>  // for snprintf
 #include <utility> // for pair
 
-#include <boost/accumulators/accumulators.hpp>                       // for accumulator_set
-#include <boost/accumulators/statistics/count.hpp>                   // for tag::count
-#include <boost/accumulators/statistics/extended_p_square.hpp>       // for tag::extended_p_square
-#include <boost/accumulators/statistics/stats.hpp>                   // for stats
-#include <boost/accumulators/statistics/sum.hpp>                     // for tag::sum
+#include <boost/accumulators/accumulators.hpp>                 // for accumulator_set
+#include <boost/accumulators/statistics/count.hpp>             // for tag::count
+#include <boost/accumulators/statistics/extended_p_square.hpp> // for tag::extended_p_square
+#include <boost/accumulators/statistics/stats.hpp>             // for stats
+#include <boost/accumulators/statistics/sum.hpp>               // for tag::sum
 
 namespace ferrytray::telemetry {
 
@@ -40,7 +40,9 @@
 
 struct Distribution::Accumulators
 {
-  using Set = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
+  using Set =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
   Set m_set{ acc::extended_p_square_probabilities = kQuantiles };
 };
 
--- a/src/ferrytray/telemetry/telemetry_test.cpp
+++ b/src/ferrytray/telemetry/telemetry_test.cpp
@@ -25,6 +25,7 @@
   const std::string text = metrics.Render();
   CHECK(text.find("ferrytray_requests_total{result=\"ok\"} 1\n") != std::string::npos);
   CHECK(text.find("ferrytray_open_streams 2\n") != std::string::npos);
-  CHECK(text.find("ferrytray_first_token_seconds{fleet=\"lab\",quantile=\"0.95\"} 9") != std::string::npos);
+  CHECK(text.find("ferrytray_first_token_seconds{fleet=\"lab\",quantile=\"0.95\"} 9") !=
+        std::string::npos);
   CHECK(text.find("ferrytray_first_token_seconds_count 1000\n") != std::string::npos);
 }
--- a/src/ferrytray/wire/bounded_archive.hpp
+++ b/src/ferrytray/wire/bounded_archive.hpp
@@ -12,7 +12,8 @@
 
 /// Reads what cereal's BinaryOutputArchive wrote, and believes no size that the bytes left could
 /// not hold: a damaged datagram must not make a host allocate gigabytes.
-class BoundedInputArchive : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+class BoundedInputArchive
+  : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
 {
 public:
   explicit BoundedInputArchive(std::string_view aBytes)
@@ -45,7 +46,7 @@
 };
 
 template<typename T>
-  requires std::is_arithmetic_v<T>
+requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& aArchive, T& aValue)
 {
   aArchive.Load(&aValue, sizeof(aValue));
--- a/src/ferrytray/wire/endpoint.cpp
+++ b/src/ferrytray/wire/endpoint.cpp
@@ -13,9 +13,10 @@
 
 Role RoleFrom(const std::string& aText)
 {
-  static const std::map<std::string, Role> kRoles{
-    { "entry", Role::Entry }, { "engine", Role::Engine }, { "service", Role::Service }, { "store", Role::Store }
-  };
+  static const std::map<std::string, Role> kRoles{ { "entry", Role::Entry },
+                                                   { "engine", Role::Engine },
+                                                   { "service", Role::Service },
+                                                   { "store", Role::Store } };
   const auto found = kRoles.find(aText);
   if (found == kRoles.end()) {
     throw std::invalid_argument("role '" + aText + "'");
@@ -48,7 +49,8 @@
     }
     return hosts;
   } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("host list: ") + error.what());
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      std::string("host list: ") + error.what());
   }
 }
 
@@ -66,7 +68,8 @@
     report.m_tokensPerSecond = object.value("tokens_per_second", 0.0);
     return report;
   } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("load report: ") + error.what());
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      std::string("load report: ") + error.what());
   }
 }
 
--- a/src/ferrytray/wire/frames.cpp
+++ b/src/ferrytray/wire/frames.cpp
@@ -3,11 +3,11 @@
 #include <sstream> // for ostringstream
 
 #include <cereal/archives/binary.hpp> // for BinaryOutputArchive
-#include <cereal/types/chrono.hpp>             // for duration
-#include <cereal/types/string.hpp>             // for string
-#include <cereal/types/utility.hpp>            // for pair
-#include <cereal/types/variant.hpp>            // for variant
-#include <cereal/types/vector.hpp>             // for vector
+#include <cereal/types/chrono.hpp>    // for duration
+#include <cereal/types/string.hpp>    // for string
+#include <cereal/types/utility.hpp>   // for pair
+#include <cereal/types/variant.hpp>   // for variant
+#include <cereal/types/vector.hpp>    // for vector
 
 #include "ferrytray/wire/bounded_archive.hpp" // for BoundedInputArchive
 
@@ -26,14 +26,27 @@
 template<typename Archive>
 void serialize(Archive& aArchive, Member& aMember)
 {
-  aArchive(aMember.m_host, aMember.m_zone, aMember.m_gossip, aMember.m_control, aMember.m_gate, aMember.m_gateControl);
-  aArchive(aMember.m_incarnation, aMember.m_heartbeat, aMember.m_position, aMember.m_state, aMember.m_tickets);
+  aArchive(aMember.m_host,
+           aMember.m_zone,
+           aMember.m_gossip,
+           aMember.m_control,
+           aMember.m_gate,
+           aMember.m_gateControl);
+  aArchive(aMember.m_incarnation,
+           aMember.m_heartbeat,
+           aMember.m_position,
+           aMember.m_state,
+           aMember.m_tickets);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, LoadDigest& aLoad)
 {
-  aArchive(aLoad.m_worker, aLoad.m_queuedMillis, aLoad.m_ageMillis, aLoad.m_version, aLoad.m_tokensPerSecond);
+  aArchive(aLoad.m_worker,
+           aLoad.m_queuedMillis,
+           aLoad.m_ageMillis,
+           aLoad.m_version,
+           aLoad.m_tokensPerSecond);
 }
 
 template<typename Archive>
@@ -45,7 +58,8 @@
 template<typename Archive>
 void serialize(Archive& aArchive, GossipMessage& aMessage)
 {
-  aArchive(aMessage.m_from, aMessage.m_members, aMessage.m_loads, aMessage.m_demands, aMessage.m_leaving);
+  aArchive(
+    aMessage.m_from, aMessage.m_members, aMessage.m_loads, aMessage.m_demands, aMessage.m_leaving);
 }
 
 } // namespace ferrytray::membership
@@ -82,7 +96,8 @@
 template<typename Archive>
 void serialize(Archive& aArchive, ListedHost& aHost)
 {
-  aArchive(aHost.m_name, aHost.m_role, aHost.m_pool, aHost.m_zone, aHost.m_address, aHost.m_incarnation);
+  aArchive(
+    aHost.m_name, aHost.m_role, aHost.m_pool, aHost.m_zone, aHost.m_address, aHost.m_incarnation);
   aArchive(aHost.m_leaving);
 }
 
--- a/src/ferrytray/wire/frames_test.cpp
+++ b/src/ferrytray/wire/frames_test.cpp
@@ -54,8 +54,9 @@
     R"({"hosts":[{"name":"w1","role":"engine","pool":"lab","address":"127.0.0.1:1","state":"leaving"}]})");
   CHECK_TRUE_TEXT(hosts.has_value(), hosts ? "" : hosts.error().m_message.c_str());
   CHECK(hosts->front().m_leaving);
-  CHECK(wire::ParseHostList(R"({"hosts":[{"name":"w1","role":"boat","address":"x"}]})").error().m_code ==
-        base::ErrorCode::PlatformMalformed);
+  CHECK(wire::ParseHostList(R"({"hosts":[{"name":"w1","role":"boat","address":"x"}]})")
+          .error()
+          .m_code == base::ErrorCode::PlatformMalformed);
   CHECK(wire::ParseLoadReport("[]").error().m_code == base::ErrorCode::PlatformMalformed);
   LONGS_EQUAL(5, wire::ParseLoadReport(R"({"incarnation":"1","queued_ms":5})")->m_queuedMillis);
 }
--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -26,9 +26,10 @@
     page.m_next = object.at("next").get<std::uint64_t>();
     page.m_now = std::chrono::milliseconds(object.at("now_ms").get<std::int64_t>());
     for (const json& record : object.at("records")) {
-      page.m_records.push_back({ record.at("offset").get<std::uint64_t>(),
-                                 std::chrono::milliseconds(record.at("time_ms").get<std::int64_t>()),
-                                 record.at("body").get<std::string>() });
+      page.m_records.push_back(
+        { record.at("offset").get<std::uint64_t>(),
+          std::chrono::milliseconds(record.at("time_ms").get<std::int64_t>()),
+          record.at("body").get<std::string>() });
     }
     return page;
   } catch (const std::exception& error) {
@@ -41,7 +42,8 @@
   try {
     return json::parse(aJson).at("offset").get<std::uint64_t>();
   } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PlatformMalformed, std::string("log append: ") + error.what());
+    return base::Fail(base::ErrorCode::PlatformMalformed,
+                      std::string("log append: ") + error.what());
   }
 }
 
@@ -74,36 +76,41 @@
   request.m_body = std::move(aBody);
   request.m_timeout = kAppendTimeout;
   request.m_ownConnection = true;
-  m_http.Fetch(std::move(request),
-               [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome, std::string aReply) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (!Succeeded(aOutcome)) {
-                   done(base::Fail(base::ErrorCode::PlatformUnavailable, "log append: " + aOutcome.m_detail));
-                   return;
-                 }
-                 done(ParseOffset(aReply));
-               });
+  m_http.Fetch(
+    std::move(request),
+    [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
+                                               std::string aReply) {
+      if (!*alive) {
+        return;
+      }
+      if (!Succeeded(aOutcome)) {
+        done(base::Fail(base::ErrorCode::PlatformUnavailable, "log append: " + aOutcome.m_detail));
+        return;
+      }
+      done(ParseOffset(aReply));
+    });
 }
 
 void LogClient::Read(std::uint64_t aFrom, base::Duration aWait, ReadDone aDone)
 {
   const auto waitMillis = std::chrono::duration_cast<std::chrono::milliseconds>(aWait).count();
   net::ClientRequest request;
-  request.m_url = m_base + "?from=" + std::to_string(aFrom) + "&wait_ms=" + std::to_string(waitMillis);
+  request.m_url =
+    m_base + "?from=" + std::to_string(aFrom) + "&wait_ms=" + std::to_string(waitMillis);
   request.m_timeout = aWait + kReadSlack;
-  m_http.Fetch(std::move(request),
-               [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome, std::string aReply) {
-                 if (!*alive) {
-                   return;
-                 }
-                 if (!Succeeded(aOutcome)) {
-                   done(base::Fail(base::ErrorCode::PlatformUnavailable, "log read: " + aOutcome.m_detail));
-                   return;
-                 }
-                 done(ParsePage(aReply));
-               });
+  m_http.Fetch(
+    std::move(request),
+    [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
+                                               std::string aReply) {
+      if (!*alive) {
+        return;
+      }
+      if (!Succeeded(aOutcome)) {
+        done(base::Fail(base::ErrorCode::PlatformUnavailable, "log read: " + aOutcome.m_detail));
+        return;
+      }
+      done(ParsePage(aReply));
+    });
 }
 
 LogFollower::LogFollower(net::Loop& aLoop,
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -21,7 +21,10 @@
   return base::ToHex(base::HashWithSeed(base::HashWithSeed({}, aSeed), aText));
 }
 
-json Event(const std::string& aText, std::size_t aOffset, const std::string& aVersion, const std::string& aAttempt)
+json Event(const std::string& aText,
+           std::size_t aOffset,
+           const std::string& aVersion,
+           const std::string& aAttempt)
 {
   return { { "object", "text_completion" },
            { "choices", { { { "index", 0 }, { "text", aText }, { "finish_reason", nullptr } } } },
@@ -37,7 +40,10 @@
 
 json BlockRow(const std::string& aBlock, const std::string& aValue)
 {
-  return { { "block", aBlock }, { "value", aValue }, { "length", aValue.size() }, { "checksum", Hash("", aValue) } };
+  return { { "block", aBlock },
+           { "value", aValue },
+           { "length", aValue.size() },
+           { "checksum", Hash("", aValue) } };
 }
 
 } // namespace
@@ -50,7 +56,8 @@
 {
   m_decodeTimer = m_loop.Every(m_options.m_tokenTime, [this] { DecodeStep(); });
   m_loads.emplace_back(base::MonotonicNow(), LoadNow());
-  m_loadTimer = m_loop.Every(kLoadEvery, [this] { m_loads.emplace_back(base::MonotonicNow(), LoadNow()); });
+  m_loadTimer =
+    m_loop.Every(kLoadEvery, [this] { m_loads.emplace_back(base::MonotonicNow(), LoadNow()); });
 }
 
 void Engine::Handle(const Request& aRequest, const ReplyPtr& aReply)
@@ -65,7 +72,8 @@
   } else if (path == "/events") {
     OnEvents(aRequest, aReply);
   } else if (path == "/kv/list") {
-    SendJson(aReply, 200, { { "sequence", m_cache.LastSequence() }, { "blocks", m_cache.Names() } });
+    SendJson(
+      aReply, 200, { { "sequence", m_cache.LastSequence() }, { "blocks", m_cache.Names() } });
   } else if (path == "/kv/import") {
     OnImport(ParseBody(aRequest.m_body), aReply);
   } else if (path == "/kv/drop") {
@@ -107,10 +115,15 @@
 void Engine::OnCompletion(const Request& aRequest, const ReplyPtr& aReply)
 {
   const json body = ParseBody(aRequest.m_body);
-  if (!body.is_object() || !body.contains("prompt")) {
+  if (!body.is_object() || !body.contains("prompt") || !body["prompt"].is_string()) {
     SendError(aReply, 400, "prompt is missing", false);
     return;
   }
+  const std::size_t blocks = body.contains("x_blocks") ? body["x_blocks"].size() : 0;
+  if (blocks * m_options.m_blockBytes > body["prompt"].get_ref<const std::string&>().size()) {
+    SendError(aReply, 400, "more blocks than the prompt has", false);
+    return;
+  }
   const std::string refusal = RefusalFor(body);
   if (!refusal.empty()) {
     SendError(aReply, refusal == "leaving" ? 503 : 409, refusal, refusal == "attempt is known");
@@ -175,9 +188,11 @@
 
 void Engine::AddReader(const RunPtr& aRun, const ReplyPtr& aReply, std::size_t aOffset)
 {
-  aReply->StartStream(200, { { "Content-Type", "text/event-stream" }, { "X-Attempt", aRun->m_attempt } });
+  aReply->StartStream(
+    200, { { "Content-Type", "text/event-stream" }, { "X-Attempt", aRun->m_attempt } });
   if (aOffset < aRun->m_text.size()) {
-    aReply->Write(Sse(Event(aRun->m_text.substr(aOffset), aOffset, aRun->m_version, aRun->m_attempt)));
+    aReply->Write(
+      Sse(Event(aRun->m_text.substr(aOffset), aOffset, aRun->m_version, aRun->m_attempt)));
   }
   aRun->m_readers.push_back(aReply);
   if (aRun->m_finished) {
@@ -214,7 +229,8 @@
   std::vector<std::string> values;
   std::string previous = Hash(aRun.m_salt, m_options.m_model + "\n" + aRun.m_version);
   for (std::size_t i = 0; i < aRun.m_blocks.size(); ++i) {
-    previous = Hash(previous, aRun.m_prompt.substr(i * m_options.m_blockBytes, m_options.m_blockBytes));
+    previous =
+      Hash(previous, aRun.m_prompt.substr(i * m_options.m_blockBytes, m_options.m_blockBytes));
     values.push_back(previous);
   }
   return values;
@@ -264,7 +280,8 @@
 {
   const std::vector<RunPtr> batch = m_decoding;
   for (const RunPtr& run : batch) {
-    Emit(run, Hash(run->m_seed, std::to_string(run->m_tokensMade)).substr(0, kBytesPerToken - 1) + " ");
+    Emit(run,
+         Hash(run->m_seed, std::to_string(run->m_tokensMade)).substr(0, kBytesPerToken - 1) + " ");
   }
 }
 
@@ -296,26 +313,27 @@
   request.m_body = json{ { "blocks", aBody.at("blocks") } }.dump();
   request.m_timeout = kImportTimeout;
   const std::size_t skip = aBody.value("skip", std::size_t{ 0 });
-  m_http->Fetch(std::move(request), [this, import, skip, aReply](const auto& aOutcome, const std::string& aText) {
-    const json reply = ParseBody(aText);
-    if (aOutcome.m_status != 200 || !reply.contains("blocks")) {
-      SendError(aReply, 502, "store did not answer", false);
-      return;
-    }
-    // The blocks before `skip` are in the cache already; they keep their places.
-    std::vector<std::string> values(skip);
-    for (const json& row : reply["blocks"]) {
-      const std::string value = row.at("value").get<std::string>();
-      const bool whole = value.size() == row.at("length").get<std::size_t>() &&
-                         Hash("", value) == row.at("checksum").get<std::string>();
-      if (!whole) {
-        break;
-      }
-      values.push_back(value);
-    }
-    m_imports[import] = values;
-    SendJson(aReply, 200, { { "imported", values.size() - skip } });
-  });
+  m_http->Fetch(std::move(request),
+                [this, import, skip, aReply](const auto& aOutcome, const std::string& aText) {
+                  const json reply = ParseBody(aText);
+                  if (aOutcome.m_status != 200 || !reply.contains("blocks")) {
+                    SendError(aReply, 502, "store did not answer", false);
+                    return;
+                  }
+                  // The blocks before `skip` are in the cache already; they keep their places.
+                  std::vector<std::string> values(skip);
+                  for (const json& row : reply["blocks"]) {
+                    const std::string value = row.at("value").get<std::string>();
+                    const bool whole = value.size() == row.at("length").get<std::size_t>() &&
+                                       Hash("", value) == row.at("checksum").get<std::string>();
+                    if (!whole) {
+                      break;
+                    }
+                    values.push_back(value);
+                  }
+                  m_imports[import] = values;
+                  SendJson(aReply, 200, { { "imported", values.size() - skip } });
+                });
 }
 
 void Engine::OnExport(const json& aBody, const ReplyPtr& aReply)
@@ -409,7 +427,9 @@
       --m_hiddenEvents;
       continue;
     }
-    rows.push_back({ { "sequence", event.m_sequence }, { "block", event.m_block }, { "stored", event.m_stored } });
+    rows.push_back({ { "sequence", event.m_sequence },
+                     { "block", event.m_block },
+                     { "stored", event.m_stored } });
   }
   SendJson(aReply, 200, { { "events", rows } });
 }
--- a/standins/engine_main.cpp
+++ b/standins/engine_main.cpp
@@ -18,7 +18,8 @@
       .Add({ "max-batch", "64", "streams decoded together", SettingKind::Count })
       .Add({ "swap-time", "1000", "weight swap after the download", SettingKind::Millis })
       .Add({ "load-lag", "0", "lag of load reports", SettingKind::Millis })
-      .Add({ "checks-fencing", "false", "refuse orders with old fencing numbers", SettingKind::Flag })
+      .Add(
+        { "checks-fencing", "false", "refuse orders with old fencing numbers", SettingKind::Flag })
       .Build(argc, argv);
   int exitCode = 0;
   const auto* settings = settings::SettingsOrExit(parsed, exitCode);
@@ -40,7 +41,8 @@
   options.m_checksFencing = settings->Flag("checks-fencing");
   net::Loop loop;
   standins::Engine engine(loop, options);
-  return standins::Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-    engine.Handle(aRequest, aReply);
-  });
+  return standins::Serve(
+    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
+      engine.Handle(aRequest, aReply);
+    });
 }
--- a/standins/platform_log.cpp
+++ b/standins/platform_log.cpp
@@ -10,10 +10,14 @@
 
 std::int64_t NowMillis()
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(base::MonotonicNow().time_since_epoch()).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           base::MonotonicNow().time_since_epoch())
+    .count();
 }
 
-std::uint64_t QueryNumber(const net::HttpRequest& aRequest, const char* aName, std::uint64_t aDefault)
+std::uint64_t QueryNumber(const net::HttpRequest& aRequest,
+                          const char* aName,
+                          std::uint64_t aDefault)
 {
   const std::string text = aRequest.QueryValue(aName);
   return text.empty() ? aDefault : std::stoull(text);
@@ -62,11 +66,14 @@
   }
 }
 
-void Platform::OnAppend(const std::string& aStream, const std::string& aBody, const ReplyPtr& aReply)
+void Platform::OnAppend(const std::string& aStream,
+                        const std::string& aBody,
+                        const ReplyPtr& aReply)
 {
   // A few hundred appends a second: later ones queue behind earlier ones.
   const base::TimePoint now = base::MonotonicNow();
-  m_appendFree = std::max(m_appendFree, now) + base::FromSeconds(1.0 / m_options.m_appendsPerSecond);
+  m_appendFree =
+    std::max(m_appendFree, now) + base::FromSeconds(1.0 / m_options.m_appendsPerSecond);
   Later(m_appendFree - now + m_slow, [this, aStream, aBody, aReply] {
     Stream& stream = m_streams[aStream];
     const std::uint64_t offset = stream.m_next++;
@@ -89,22 +96,32 @@
 {
   constexpr std::size_t kPageRecords = 2000;
   json records = json::array();
-  const std::uint64_t first = aStream.m_records.empty() ? aStream.m_next : aStream.m_records.front().m_offset;
+  const std::uint64_t first =
+    aStream.m_records.empty() ? aStream.m_next : aStream.m_records.front().m_offset;
   const std::size_t skip = aFrom > first ? static_cast<std::size_t>(aFrom - first) : 0;
   for (std::size_t i = skip; i < aStream.m_records.size() && records.size() < kPageRecords; ++i) {
     const Record& record = aStream.m_records[i];
-    records.push_back({ { "offset", record.m_offset }, { "time_ms", record.m_timeMillis }, { "body", record.m_body } });
+    records.push_back({ { "offset", record.m_offset },
+                        { "time_ms", record.m_timeMillis },
+                        { "body", record.m_body } });
   }
-  return { { "first", first }, { "next", aStream.m_next }, { "now_ms", NowMillis() }, { "records", records } };
+  return { { "first", first },
+           { "next", aStream.m_next },
+           { "now_ms", NowMillis() },
+           { "records", records } };
 }
 
-void Platform::OnRead(const std::string& aStream, const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+void Platform::OnRead(const std::string& aStream,
+                      const net::HttpRequest& aRequest,
+                      const ReplyPtr& aReply)
 {
   const std::uint64_t from = QueryNumber(aRequest, "from", 1);
   const std::uint64_t wait = QueryNumber(aRequest, "wait_ms", 0);
   Stream& stream = m_streams[aStream];
   if (from < stream.m_next || wait == 0) {
-    Later(m_slow, [this, aStream, from, aReply] { SendJson(aReply, 200, PageOf(m_streams[aStream], from)); });
+    Later(m_slow, [this, aStream, from, aReply] {
+      SendJson(aReply, 200, PageOf(m_streams[aStream], from));
+    });
     return;
   }
   const std::uint64_t id = ++m_waiterIds;
@@ -152,7 +169,8 @@
 void Platform::OnWeights(const ReplyPtr& aReply)
 {
   ++m_downloads;
-  const std::size_t over = m_downloads > m_options.m_weightSlots ? m_downloads - m_options.m_weightSlots : 0;
+  const std::size_t over =
+    m_downloads > m_options.m_weightSlots ? m_downloads - m_options.m_weightSlots : 0;
   Later(m_options.m_weightTime * static_cast<int>(1 + over), [this, aReply] {
     --m_downloads;
     SendJson(aReply, 200, json::object());
--- a/standins/platform_log.hpp
+++ b/standins/platform_log.hpp
@@ -46,7 +46,9 @@
   };
 
   void OnAppend(const std::string& aStream, const std::string& aBody, const ReplyPtr& aReply);
-  void OnRead(const std::string& aStream, const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+  void OnRead(const std::string& aStream,
+              const ferrytray::net::HttpRequest& aRequest,
+              const ReplyPtr& aReply);
   void OnHosts(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
   void OnWeights(const ReplyPtr& aReply);
   void OnFaults(const json& aBody, const ReplyPtr& aReply);
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -6,7 +6,8 @@
 int main(int argc, char** argv)
 {
   const auto parsed =
-    settings::SettingsBuilder("standin-platform", "The platform's log, host list and weight store for tests.")
+    settings::SettingsBuilder("standin-platform",
+                              "The platform's log, host list and weight store for tests.")
       .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
       .Add({ "retained-records", "1000000", "records kept in a stream", SettingKind::Count })
       .Add({ "appends-per-second", "500", "appends that the log takes", SettingKind::Number })
@@ -28,7 +29,8 @@
   options.m_weightSlots = settings->Count("weight-slots");
   net::Loop loop;
   standins::Platform platform(loop, options);
-  return standins::Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-    platform.Handle(aRequest, aReply);
-  });
+  return standins::Serve(
+    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
+      platform.Handle(aRequest, aReply);
+    });
 }
