--- a/standins/proxy_main.cpp
+++ b/standins/proxy_main.cpp
@@ -20,9 +20,9 @@
 struct Faults
 {
   base::Duration m_delay{};
-  bool m_cut = false;       ///< close connections, drop datagrams
-  bool m_halfOpen = false;  ///< accept and take bytes, pass nothing on
-  int m_dropReplies = 0;    ///< so many connections end after the request, before any reply byte
+  bool m_cut = false;        ///< close connections, drop datagrams
+  bool m_halfOpen = false;   ///< accept and take bytes, pass nothing on
+  int m_dropReplies = 0;     ///< so many connections end after the request, before any reply byte
   long m_cutReplyAfter = -1; ///< bytes of a reply after which one connection is cut; -1: never
 };
 
@@ -65,18 +65,22 @@
 
   void Pass(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, bool aIsReply)
   {
-    aFrom.async_read_some(
-      asio::buffer(aBuffer),
-      [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply](const asio::error_code& aError, std::size_t aSize) {
-        if (aError) {
-          self->Close();
-          return;
-        }
-        self->OnBytes(aFrom, aTo, aBuffer, aSize, aIsReply);
-      });
+    aFrom.async_read_some(asio::buffer(aBuffer),
+                          [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply](
+                            const asio::error_code& aError, std::size_t aSize) {
+                            if (aError) {
+                              self->Close();
+                              return;
+                            }
+                            self->OnBytes(aFrom, aTo, aBuffer, aSize, aIsReply);
+                          });
   }
 
-  void OnBytes(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, std::size_t aSize, bool aIsReply)
+  void OnBytes(tcp::socket& aFrom,
+               tcp::socket& aTo,
+               Buffer& aBuffer,
+               std::size_t aSize,
+               bool aIsReply)
   {
     if (m_faults.m_halfOpen) {
       Pass(aFrom, aTo, aBuffer, aIsReply);
@@ -96,23 +100,28 @@
       m_faults.m_cutReplyAfter = -1;
     }
     auto timer = std::make_shared<asio::steady_timer>(m_caller.get_executor(), m_faults.m_delay);
-    timer->async_wait([self = shared_from_this(), timer, &aFrom, &aTo, &aBuffer, aSize, aIsReply, cutAfter](const auto&) {
-      self->Forward(aFrom, aTo, aBuffer, aSize, aIsReply, cutAfter);
-    });
+    timer->async_wait(
+      [self = shared_from_this(), timer, &aFrom, &aTo, &aBuffer, aSize, aIsReply, cutAfter](
+        const auto&) { self->Forward(aFrom, aTo, aBuffer, aSize, aIsReply, cutAfter); });
   }
 
-  void Forward(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, std::size_t aSize, bool aIsReply, bool aCutAfter)
+  void Forward(tcp::socket& aFrom,
+               tcp::socket& aTo,
+               Buffer& aBuffer,
+               std::size_t aSize,
+               bool aIsReply,
+               bool aCutAfter)
   {
-    asio::async_write(
-      aTo,
-      asio::buffer(aBuffer.data(), aSize),
-      [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply, aCutAfter](const asio::error_code& aError, auto) {
-        if (aError || aCutAfter) {
-          self->Close();
-          return;
-        }
-        self->Pass(aFrom, aTo, aBuffer, aIsReply);
-      });
+    asio::async_write(aTo,
+                      asio::buffer(aBuffer.data(), aSize),
+                      [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply, aCutAfter](
+                        const asio::error_code& aError, auto) {
+                        if (aError || aCutAfter) {
+                          self->Close();
+                          return;
+                        }
+                        self->Pass(aFrom, aTo, aBuffer, aIsReply);
+                      });
   }
 
   tcp::socket m_caller;
@@ -142,7 +151,8 @@
 
   void SetFaults(const json& aBody)
   {
-    m_faults.m_delay = std::chrono::milliseconds(aBody.value("delay_ms", m_faults.m_delay.count() / 1000));
+    m_faults.m_delay =
+      std::chrono::milliseconds(aBody.value("delay_ms", m_faults.m_delay.count() / 1000));
     m_faults.m_cut = aBody.value("cut", m_faults.m_cut);
     m_faults.m_halfOpen = aBody.value("half_open", m_faults.m_halfOpen);
     m_faults.m_dropReplies = aBody.value("drop_replies", m_faults.m_dropReplies);
@@ -173,18 +183,20 @@
 
   void Receive()
   {
-    m_udp.async_receive_from(asio::buffer(m_datagram), m_from, [this](const asio::error_code& aError, std::size_t aSize) {
-      const bool passes = !aError && !m_faults.m_cut && !m_faults.m_halfOpen;
-      if (passes) {
-        auto bytes = std::make_shared<std::string>(m_datagram.data(), aSize);
-        auto timer = std::make_shared<asio::steady_timer>(m_context, m_faults.m_delay);
-        timer->async_wait([this, bytes, timer](const auto&) {
-          asio::error_code ignored;
-          m_udpOut.send_to(asio::buffer(*bytes), udp::endpoint(m_to.address(), m_to.port()), 0, ignored);
-        });
-      }
-      Receive();
-    });
+    m_udp.async_receive_from(
+      asio::buffer(m_datagram), m_from, [this](const asio::error_code& aError, std::size_t aSize) {
+        const bool passes = !aError && !m_faults.m_cut && !m_faults.m_halfOpen;
+        if (passes) {
+          auto bytes = std::make_shared<std::string>(m_datagram.data(), aSize);
+          auto timer = std::make_shared<asio::steady_timer>(m_context, m_faults.m_delay);
+          timer->async_wait([this, bytes, timer](const auto&) {
+            asio::error_code ignored;
+            m_udpOut.send_to(
+              asio::buffer(*bytes), udp::endpoint(m_to.address(), m_to.port()), 0, ignored);
+          });
+        }
+        Receive();
+      });
   }
 
   asio::io_context& m_context;
@@ -202,10 +214,11 @@
 
 int main(int argc, char** argv)
 {
-  const auto parsed = settings::SettingsBuilder("standin-proxy", "Passes TCP and UDP on, with faults.")
-                        .Add({ "listen", "127.0.0.1:0", "IP:PORT of its control (POST /faults)" })
-                        .Add({ "to", "", "IP:PORT to pass on to", settings::SettingKind::Text, true })
-                        .Build(argc, argv);
+  const auto parsed =
+    settings::SettingsBuilder("standin-proxy", "Passes TCP and UDP on, with faults.")
+      .Add({ "listen", "127.0.0.1:0", "IP:PORT of its control (POST /faults)" })
+      .Add({ "to", "", "IP:PORT to pass on to", settings::SettingKind::Text, true })
+      .Build(argc, argv);
   int exitCode = 0;
   const auto* settings = settings::SettingsOrExit(parsed, exitCode);
   if (settings == nullptr) {
--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -35,7 +35,9 @@
     }
     const std::string request(aRequest.Header("X-Request-Id"));
     const int count = ++m_ledger[request];
-    const json answer{ { "echo", aRequest.m_body }, { "path", aRequest.m_path }, { "execution", count } };
+    const json answer{ { "echo", aRequest.m_body },
+                       { "path", aRequest.m_path },
+                       { "execution", count } };
     auto timer = std::make_shared<net::TimerHandle>();
     *timer = m_loop.After(m_work, [aReply, answer, timer] {
       SendJson(aReply, 200, answer);
@@ -54,10 +56,11 @@
 
 int main(int argc, char** argv)
 {
-  const auto parsed = settings::SettingsBuilder("standin-service", "A plain service for tests.")
-                        .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
-                        .Add({ "work-time", "1", "how long a call takes", settings::SettingKind::Millis })
-                        .Build(argc, argv);
+  const auto parsed =
+    settings::SettingsBuilder("standin-service", "A plain service for tests.")
+      .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
+      .Add({ "work-time", "1", "how long a call takes", settings::SettingKind::Millis })
+      .Build(argc, argv);
   int exitCode = 0;
   const auto* settings = settings::SettingsOrExit(parsed, exitCode);
   if (settings == nullptr) {
--- a/standins/standin.hpp
+++ b/standins/standin.hpp
@@ -7,10 +7,10 @@
 
 #include <nlohmann/json.hpp> // for json
 
-#include "ferrytray/net/http_client.hpp" // for HttpClient
-#include "ferrytray/net/http_server.hpp" // for HttpServer
-#include "ferrytray/net/loop.hpp"        // for Loop
-#include "ferrytray/settings/settings.hpp" // for SettingsOrExit
+#include "ferrytray/net/http_client.hpp"    // for HttpClient
+#include "ferrytray/net/http_server.hpp"    // for HttpServer
+#include "ferrytray/net/loop.hpp"           // for Loop
+#include "ferrytray/settings/settings.hpp"  // for SettingsOrExit
 #include "ferrytray/telemetry/log_line.hpp" // for StartLogging
 
 /// What every stand-in shares: JSON answers and a main that serves until it is ended.
@@ -24,9 +24,13 @@
   aReply->Send(aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
 }
 
-inline void SendError(const ReplyPtr& aReply, int aStatus, const std::string& aMessage, bool aStarted)
+inline void SendError(const ReplyPtr& aReply,
+                      int aStatus,
+                      const std::string& aMessage,
+                      bool aStarted)
 {
-  SendJson(aReply, aStatus, { { "error", { { "message", aMessage } } }, { "x_started", aStarted } });
+  SendJson(
+    aReply, aStatus, { { "error", { { "message", aMessage } } }, { "x_started", aStarted } });
 }
 
 /// Parses a body; null for anything but JSON.
@@ -48,7 +52,9 @@
 }
 
 /// Listens, prints "listening IP:PORT" and runs the loop.
-inline int Serve(ferrytray::net::Loop& aLoop, const std::string& aListen, ferrytray::net::HttpHandler aHandler)
+inline int Serve(ferrytray::net::Loop& aLoop,
+                 const std::string& aListen,
+                 ferrytray::net::HttpHandler aHandler)
 {
   ferrytray::net::HttpServerOptions options;
   const auto address = ferrytray::net::ParseAddress(aListen);
@@ -57,7 +63,8 @@
     return ferrytray::settings::kExitBadSettings;
   }
   options.m_listen = *address;
-  const auto server = ferrytray::net::HttpServer::Create(aLoop, options, Guarded(std::move(aHandler)));
+  const auto server =
+    ferrytray::net::HttpServer::Create(aLoop, options, Guarded(std::move(aHandler)));
   if (!server) {
     std::cerr << server.error().m_message << "\n";
     return ferrytray::settings::kExitFailed;
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -40,7 +40,11 @@
   } else if (path == "/kv/free") {
     OnFree(body, aReply);
   } else if (path == "/stat") {
-    SendJson(aReply, 200, { { "blocks", m_blocks.size() }, { "staged", m_staged.size() }, { "bytes_moved", m_bytesMoved } });
+    SendJson(aReply,
+             200,
+             { { "blocks", m_blocks.size() },
+               { "staged", m_staged.size() },
+               { "bytes_moved", m_bytesMoved } });
   } else if (path == "/admin/faults") {
     OnFaults(body, aReply);
   } else {
@@ -63,16 +67,19 @@
   double lowest = 0;
   const std::size_t capacity = m_options.m_memoryBlocks + m_options.m_diskBlocks;
   if (m_blocks.size() >= capacity) {
-    lowest = std::min_element(m_blocks.begin(), m_blocks.end(), [](const auto& aLeft, const auto& aRight) {
-               return aLeft.second.m_worth < aRight.second.m_worth;
-             })->second.m_worth;
+    lowest =
+      std::min_element(m_blocks.begin(), m_blocks.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.m_worth < aRight.second.m_worth;
+      })->second.m_worth;
   }
-  const double freeBlocks = m_full ? 0.0 : static_cast<double>(capacity - std::min(capacity, m_blocks.size()));
+  const double freeBlocks =
+    m_full ? 0.0 : static_cast<double>(capacity - std::min(capacity, m_blocks.size()));
   SendJson(aReply,
            200,
            { { "generations", generations },
              { "link_queue_ms", LinkQueue().count() / 1000 },
-             { "bytes_per_second", disk ? m_options.m_diskBytesPerSecond : m_options.m_linkBytesPerSecond },
+             { "bytes_per_second",
+               disk ? m_options.m_diskBytesPerSecond : m_options.m_linkBytesPerSecond },
              { "free_bytes", freeBlocks * m_options.m_bytesPerBlock },
              { "lowest_worth", lowest } });
 }
@@ -88,8 +95,12 @@
     }
     const Block& block = found->second;
     disk = disk || block.m_onDisk;
-    const std::string value = m_truncate ? block.m_value.substr(0, block.m_value.size() / 2) : block.m_value;
-    rows.push_back({ { "block", name }, { "value", value }, { "length", block.m_length }, { "checksum", block.m_checksum } });
+    const std::string value =
+      m_truncate ? block.m_value.substr(0, block.m_value.size() / 2) : block.m_value;
+    rows.push_back({ { "block", name },
+                     { "value", value },
+                     { "length", block.m_length },
+                     { "checksum", block.m_checksum } });
   }
   if (m_freeOnRead) {
     // Freed, and the room used again by something else, while the bytes are on their way.
@@ -110,7 +121,8 @@
   bool same = names.size() == generations.size();
   for (std::size_t i = 0; same && i < names.size(); ++i) {
     const auto found = m_blocks.find(names[i].get<std::string>());
-    same = found != m_blocks.end() && found->second.m_generation == generations[i].get<std::uint64_t>();
+    same =
+      found != m_blocks.end() && found->second.m_generation == generations[i].get<std::uint64_t>();
   }
   SendJson(aReply, 200, { { "same", same } });
 }
@@ -138,15 +150,17 @@
   std::size_t committed = 0;
   for (const json& row : staged->second) {
     const std::string value = row.at("value").get<std::string>();
-    const bool whole =
-      value.size() == row.at("length").get<std::size_t>() && Checksum(value) == row.at("checksum").get<std::string>();
+    const bool whole = value.size() == row.at("length").get<std::size_t>() &&
+                       Checksum(value) == row.at("checksum").get<std::string>();
     if (!whole) {
       break;
     }
     const auto [entry, added] = m_blocks.try_emplace(row.at("block").get<std::string>());
     entry->second.m_worth = std::max(entry->second.m_worth, aBody.value("worth", 0.0));
     if (added) {
-      entry->second = { value, value.size(), Checksum(value), ++m_generation, aBody.value("worth", 0.0), false };
+      entry->second = {
+        value, value.size(), Checksum(value), ++m_generation, aBody.value("worth", 0.0), false
+      };
       ++m_inMemory;
     }
     ++committed;
--- a/standins/store.hpp
+++ b/standins/store.hpp
@@ -31,7 +31,7 @@
     std::size_t m_length = 0;
     std::string m_checksum;
     std::uint64_t m_generation = 0;
-    double m_worth = 0;  ///< what the committer said it saves; the lowest goes first
+    double m_worth = 0; ///< what the committer said it saves; the lowest goes first
     bool m_onDisk = false;
   };
 
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -6,7 +6,8 @@
 int main(int argc, char** argv)
 {
   const auto parsed =
-    settings::SettingsBuilder("standin-store", "A store of kept KV cache for tests and demonstrations.")
+    settings::SettingsBuilder("standin-store",
+                              "A store of kept KV cache for tests and demonstrations.")
       .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
       .Add({ "memory-blocks", "10000", "blocks in memory", SettingKind::Count })
       .Add({ "disk-blocks", "100000", "blocks on disk", SettingKind::Count })
@@ -28,7 +29,8 @@
   options.m_bytesPerBlock = settings->Number("bytes-per-block");
   net::Loop loop;
   standins::Store store(loop, options);
-  return standins::Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-    store.Handle(aRequest, aReply);
-  });
+  return standins::Serve(
+    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
+      store.Handle(aRequest, aReply);
+    });
 }
--- a/tools/cli_apply.cpp
+++ b/tools/cli_apply.cpp
@@ -66,7 +66,8 @@
   return state;
 }
 
-base::Result<std::uint64_t> AppendFile(const settings::Settings& aSettings, const replay::FileRecord& aFile)
+base::Result<std::uint64_t> AppendFile(const settings::Settings& aSettings,
+                                       const replay::FileRecord& aFile)
 {
   net::Loop loop;
   const auto http = net::HttpClient::Create(loop);
@@ -85,7 +86,8 @@
   std::cerr << "error " << static_cast<int>(aFailure.m_code) << ": " << aFailure.m_message << "\n";
 }
 
-std::vector<config::Document> DocumentsIn(const replay::ConfigReplay& aReplay, const std::string& aBut)
+std::vector<config::Document> DocumentsIn(const replay::ConfigReplay& aReplay,
+                                          const std::string& aBut)
 {
   std::vector<config::Document> documents;
   for (const auto& [name, scope] : aReplay.Scopes()) {
@@ -98,7 +100,8 @@
 }
 
 /// Finds one's own record in the stream, whatever became of the reply to its append.
-std::optional<std::pair<std::uint64_t, replay::ReplayOutcome>> FindOwn(const StreamState& aState, const std::string& aId)
+std::optional<std::pair<std::uint64_t, replay::ReplayOutcome>> FindOwn(const StreamState& aState,
+                                                                       const std::string& aId)
 {
   for (std::size_t i = 0; i < aState.m_records.size(); ++i) {
     const auto* file = std::get_if<replay::FileRecord>(&aState.m_records[i].m_record);
@@ -168,30 +171,34 @@
     return settings::kExitFailed;
   }
   const std::string& scope = aFile.m_document.m_scope;
-  const auto problems = config::CheckAgainst(aFile.m_document, DocumentsIn(before->m_replay, scope), aFile.m_name);
+  const auto problems =
+    config::CheckAgainst(aFile.m_document, DocumentsIn(before->m_replay, scope), aFile.m_name);
   if (!problems.empty()) {
     PrintProblems(problems);
     return settings::kExitFailed;
   }
   const replay::ScopeState* current = before->m_replay.Find(scope);
-  const replay::FileRecord record{ base::RandomHex128(),
-                                   scope,
-                                   current == nullptr ? 0 : current->m_accepted,
-                                   base::Sha256Hex(aFile.m_text),
-                                   aFile.m_text,
-                                   config::kSchema };
+  const replay::FileRecord record{
+    base::RandomHex128(),          scope,        current == nullptr ? 0 : current->m_accepted,
+    base::Sha256Hex(aFile.m_text), aFile.m_text, config::kSchema
+  };
   const auto appended = AppendFile(aSettings, record);
   const auto after = ReadStream(aSettings);
   const auto own = after ? FindOwn(*after, record.m_id) : std::nullopt;
   if (!own) {
-    const base::Failure unknown{ base::ErrorCode::PlatformUnavailable,
-                                 "the log did not confirm the file; it may come into force later; look at status", {}, {} };
+    const base::Failure unknown{
+      base::ErrorCode::PlatformUnavailable,
+      "the log did not confirm the file; it may come into force later; look at status",
+      {},
+      {}
+    };
     PrintFailure(after && appended ? unknown : appended ? after.error() : unknown);
     return settings::kExitFailed;
   }
   if (const auto* rejected = std::get_if<replay::Rejected>(&own->second)) {
-    std::cout << aFile.m_name << ": rejected: " << rejected->m_reason << "; scope '" << scope << "' is at offset "
-              << rejected->m_expectedBase << " (error " << static_cast<int>(base::ErrorCode::ConfigConflict) << ")\n";
+    std::cout << aFile.m_name << ": rejected: " << rejected->m_reason << "; scope '" << scope
+              << "' is at offset " << rejected->m_expectedBase << " (error "
+              << static_cast<int>(base::ErrorCode::ConfigConflict) << ")\n";
     return settings::kExitFailed;
   }
   std::cout << aFile.m_name << ": accepted at offset " << own->first << "\n";
--- a/tools/cli_status.cpp
+++ b/tools/cli_status.cpp
@@ -16,12 +16,14 @@
 
 void PrintMembers(const json& aStatus)
 {
-  std::cout << std::left << std::setw(kWide) << "HOST" << std::setw(kNarrow) << "ZONE" << std::setw(kNarrow) << "STATE"
-            << std::setw(kNarrow) << "POSITION" << "GATE\n";
+  std::cout << std::left << std::setw(kWide) << "HOST" << std::setw(kNarrow) << "ZONE"
+            << std::setw(kNarrow) << "STATE" << std::setw(kNarrow) << "POSITION"
+            << "GATE\n";
   for (const json& member : aStatus.at("members")) {
     std::cout << std::setw(kWide) << member.at("host").get<std::string>() << std::setw(kNarrow)
-              << member.at("zone").get<std::string>() << std::setw(kNarrow) << member.at("state").get<std::string>()
-              << std::setw(kNarrow) << member.at("position").get<std::uint64_t>() << member.at("gate").get<std::string>()
+              << member.at("zone").get<std::string>() << std::setw(kNarrow)
+              << member.at("state").get<std::string>() << std::setw(kNarrow)
+              << member.at("position").get<std::uint64_t>() << member.at("gate").get<std::string>()
               << "\n";
   }
 }
@@ -29,13 +31,15 @@
 void PrintEndpoints(const json& aStatus)
 {
   std::cout << "\n"
-            << std::setw(kWide) << "ENDPOINT" << std::setw(kWide) << "POOL" << std::setw(kNarrow) << "ZONE"
-            << std::setw(kNarrow) << "VERSION" << std::setw(kNarrow) << "QUEUE" << "STATE\n";
+            << std::setw(kWide) << "ENDPOINT" << std::setw(kWide) << "POOL" << std::setw(kNarrow)
+            << "ZONE" << std::setw(kNarrow) << "VERSION" << std::setw(kNarrow) << "QUEUE"
+            << "STATE\n";
   for (const json& endpoint : aStatus.at("endpoints")) {
     const std::string queue = std::to_string(endpoint.at("queued_ms").get<std::uint64_t>()) + " ms";
     std::cout << std::setw(kWide) << endpoint.at("name").get<std::string>() << std::setw(kWide)
-              << endpoint.at("pool").get<std::string>() << std::setw(kNarrow) << endpoint.at("zone").get<std::string>()
-              << std::setw(kNarrow) << endpoint.at("version").get<std::string>() << std::setw(kNarrow) << queue
+              << endpoint.at("pool").get<std::string>() << std::setw(kNarrow)
+              << endpoint.at("zone").get<std::string>() << std::setw(kNarrow)
+              << endpoint.at("version").get<std::string>() << std::setw(kNarrow) << queue
               << (endpoint.at("leaving").get<bool>() ? "leaving" : "live") << "\n";
   }
 }
@@ -89,10 +93,12 @@
   }
   for (const json& decision : decisions) {
     std::cout << "request " << decision.at("request").get<std::string>() << " of "
-              << decision.at("account").get<std::string>() << " to fleet " << decision.at("fleet").get<std::string>()
-              << ": " << decision.at("worker").get<std::string>() << "\n";
+              << decision.at("account").get<std::string>() << " to fleet "
+              << decision.at("fleet").get<std::string>() << ": "
+              << decision.at("worker").get<std::string>() << "\n";
     for (const json& candidate : decision.at("candidates")) {
-      std::cout << "  " << std::left << std::setw(kWide) << candidate.at("worker").get<std::string>();
+      std::cout << "  " << std::left << std::setw(kWide)
+                << candidate.at("worker").get<std::string>();
       if (!candidate.at("considered").get<bool>()) {
         std::cout << "not considered\n";
         continue;
@@ -109,7 +115,8 @@
 ExitCode Drain(const settings::Settings& aSettings, const std::string& aEndpoint)
 {
   std::string body;
-  const bool ok = Fetch("POST", aSettings.Text("keeper-http") + "/drain?endpoint=" + aEndpoint, body);
+  const bool ok =
+    Fetch("POST", aSettings.Text("keeper-http") + "/drain?endpoint=" + aEndpoint, body);
   std::cout << body;
   return ok ? settings::kExitOk : settings::kExitFailed;
 }
--- a/tools/gate_main.cpp
+++ b/tools/gate_main.cpp
@@ -20,11 +20,18 @@
     .Add({ "listen", "127.0.0.1:8080", "IP:PORT for callers (HTTP)" })
     .Add({ "gate-control", "127.0.0.1:0", "IP:PORT for ticket tables from peers (TCP)" })
     .Add({ "max-body-bytes", "8388608", "longer bodies are refused", SettingKind::Count })
-    .Add({ "hold-above", "300", "engine queue at which requests are held here", SettingKind::Millis })
-    .Add({ "default-deadline", "300000", "deadline of a request that names none", SettingKind::Millis })
+    .Add(
+      { "hold-above", "300", "engine queue at which requests are held here", SettingKind::Millis })
+    .Add({ "default-deadline",
+           "300000",
+           "deadline of a request that names none",
+           SettingKind::Millis })
     .Add({ "drain-wait", "2000", "for the balancer to notice a stop", SettingKind::Millis })
     .Add({ "claim-timeout", "2000", "for the log to settle a caller's key", SettingKind::Millis })
-    .Add({ "claim-window", "3600000", "how long a caller's key is held; the log must keep longer", SettingKind::Millis })
+    .Add({ "claim-window",
+           "3600000",
+           "how long a caller's key is held; the log must keep longer",
+           SettingKind::Millis })
     .Build(aArgc, aArgv);
 }
 
@@ -42,18 +49,21 @@
   options.m_claimWindow = aSettings.Millis("claim-window");
   const auto start = std::chrono::system_clock::now().time_since_epoch();
   options.m_incarnation =
-    options.m_host + "-" + std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(start).count());
+    options.m_host + "-" +
+    std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(start).count());
   for (const auto& [flag, target] : { std::pair{ "listen", &options.m_listen },
                                       std::pair{ "gate-control", &options.m_control },
                                       std::pair{ "keeper", &options.m_keeper } }) {
     const auto address = net::ParseAddress(aSettings.Text(flag));
     if (!address) {
-      return base::Fail(base::ErrorCode::SettingInvalid, std::string("--") + flag + ": " + address.error().m_message);
+      return base::Fail(base::ErrorCode::SettingInvalid,
+                        std::string("--") + flag + ": " + address.error().m_message);
     }
     *target = *address;
   }
   if (options.m_host.find_first_of(". #") != std::string::npos) {
-    return base::Fail(base::ErrorCode::SettingInvalid, "--host: expects a name without '.', '#' or spaces");
+    return base::Fail(base::ErrorCode::SettingInvalid,
+                      "--host: expects a name without '.', '#' or spaces");
   }
   return options;
 }
@@ -70,14 +80,16 @@
   }
   const auto options = ToOptions(*settings);
   if (!options) {
-    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": " << options.error().m_message << "\n";
+    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": "
+              << options.error().m_message << "\n";
     return settings::kExitBadSettings;
   }
   telemetry::StartLogging(argv[0]);
   net::Loop loop;
   const auto gate = gate::Gate::Create(loop, *options);
   if (!gate) {
-    std::cerr << "error " << static_cast<int>(gate.error().m_code) << ": " << gate.error().m_message << "\n";
+    std::cerr << "error " << static_cast<int>(gate.error().m_code) << ": " << gate.error().m_message
+              << "\n";
     return settings::kExitFailed;
   }
   std::cout << "listening " << net::ToString((*gate)->ListenAddress()) << std::endl;
--- a/tools/keeper_main.cpp
+++ b/tools/keeper_main.cpp
@@ -22,7 +22,10 @@
     .Add({ "round", "500", "period of membership rounds", SettingKind::Millis })
     .Add({ "load-poll", "200", "period of load reports", SettingKind::Millis })
     .Add({ "host-list-poll", "500", "period of the host list", SettingKind::Millis })
-    .Add({ "renew-age", "43200000", "age at which a file is appended again, under the log's retention", SettingKind::Millis })
+    .Add({ "renew-age",
+           "43200000",
+           "age at which a file is appended again, under the log's retention",
+           SettingKind::Millis })
     .Add({ "lease", "9000", "duration of a lease", SettingKind::Millis })
     .Build(aArgc, aArgv);
 }
@@ -39,19 +42,21 @@
   options.m_renewAge = aSettings.Millis("renew-age");
   options.m_lease = aSettings.Millis("lease");
   const auto start = std::chrono::system_clock::now().time_since_epoch();
-  options.m_incarnation =
-    static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(start).count());
+  options.m_incarnation = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(start).count());
   for (const auto& [flag, target] : { std::pair{ "listen", &options.m_http },
                                       std::pair{ "keeper-control", &options.m_control },
                                       std::pair{ "gossip", &options.m_gossip } }) {
     const auto address = net::ParseAddress(aSettings.Text(flag));
     if (!address) {
-      return base::Fail(base::ErrorCode::SettingInvalid, std::string("--") + flag + ": " + address.error().m_message);
+      return base::Fail(base::ErrorCode::SettingInvalid,
+                        std::string("--") + flag + ": " + address.error().m_message);
     }
     *target = *address;
   }
   if (options.m_host.find_first_of(". #") != std::string::npos) {
-    return base::Fail(base::ErrorCode::SettingInvalid, "--host: expects a name without '.', '#' or spaces");
+    return base::Fail(base::ErrorCode::SettingInvalid,
+                      "--host: expects a name without '.', '#' or spaces");
   }
   return options;
 }
@@ -68,14 +73,16 @@
   }
   const auto options = ToOptions(*settings);
   if (!options) {
-    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": " << options.error().m_message << "\n";
+    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": "
+              << options.error().m_message << "\n";
     return settings::kExitBadSettings;
   }
   telemetry::StartLogging(argv[0]);
   net::Loop loop;
   const auto keeper = keeper::Keeper::Create(loop, *options);
   if (!keeper) {
-    std::cerr << "error " << static_cast<int>(keeper.error().m_code) << ": " << keeper.error().m_message << "\n";
+    std::cerr << "error " << static_cast<int>(keeper.error().m_code) << ": "
+              << keeper.error().m_message << "\n";
     return settings::kExitFailed;
   }
   std::cout << "listening " << net::ToString((*keeper)->HttpAddress()) << "\n"
