--- a/include/ferrytray/gate/fleet_view.hpp
+++ b/include/ferrytray/gate/fleet_view.hpp
@@ -27,7 +27,7 @@
   /// @brief Work was sent to a worker; it is not in the reports yet.
   void OnSent(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow);
   /// @brief Work that was sent has been done, whatever the reports say yet.
-  void OnAnswered(const std::string& aWorker, base::Duration aEngineTime);
+  void OnAnswered(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow);
   /// @brief The endpoint refused or broke; it is passed over for a moment.
   void OnFailure(const std::string& aEndpoint, base::TimePoint aNow);
   /// @brief The endpoint said itself that it leaves.
@@ -70,6 +70,13 @@
     base::Duration m_engineTime;
   };
 
+  struct Answered
+  {
+    base::TimePoint m_sentAt;
+    base::TimePoint m_at;
+    base::Duration m_engineTime;
+  };
+
   [[nodiscard]] routing::WorkerView ViewOf(const wire::EndpointStatus& aEndpoint,
                                            base::TimePoint aNow) const;
   [[nodiscard]] bool Usable(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const;
@@ -78,6 +85,7 @@
   std::vector<wire::EndpointStatus> m_endpoints;
   base::TimePoint m_updated{};
   std::map<std::string, std::deque<Sent>> m_sent;
+  std::map<std::string, std::deque<Answered>> m_answered;
   std::map<std::string, base::TimePoint> m_failedUntil;
   std::map<std::string, int> m_openCalls;
   std::map<std::string, std::string> m_runVersions;
--- a/include/ferrytray/routing/candidate.hpp
+++ b/include/ferrytray/routing/candidate.hpp
@@ -21,6 +21,7 @@
   base::Duration m_reportedWait{};  ///< its queue by its last load report
   base::Duration m_reportAge{};     ///< how old that report is; a lost one ages on
   base::Duration m_sentSince{};     ///< work that this gate sent after that report
+  base::Duration m_answeredSince{}; ///< work in that report that is known to be done
   base::Duration m_path{};          ///< round trip to it
   std::uint32_t m_cachedBlocks = 0; ///< of this prompt, by hints
   double m_tokensPerSecond = 1;     ///< measured prefill speed
--- a/include/ferrytray/wire/log_client.hpp
+++ b/include/ferrytray/wire/log_client.hpp
@@ -69,8 +69,11 @@
   /// @brief Whether the stream's end was reached once.
   [[nodiscard]] bool CaughtUp() const { return m_caughtUp; }
   [[nodiscard]] bool Reachable() const { return m_reachable; }
-  /// @brief The platform's clock at the last answer.
-  [[nodiscard]] base::Duration PlatformTime() const { return m_platformTime; }
+  /// @brief The platform's clock now: as of the last answer, carried on by the monotonic clock.
+  [[nodiscard]] base::Duration PlatformTime(base::TimePoint aNow) const
+  {
+    return m_platformTime + (aNow - m_platformRead);
+  }
 
 private:
   void ReadNext(base::Duration aWait);
@@ -86,6 +89,7 @@
   bool m_caughtUp = false;
   bool m_reachable = false;
   base::Duration m_platformTime{};
+  base::TimePoint m_platformRead{};
 };
 
 } // namespace ferrytray::wire
--- a/src/ferrytray/gate/fleet_view.cpp
+++ b/src/ferrytray/gate/fleet_view.cpp
@@ -46,7 +46,14 @@
   m_leaving.Prune(current);
   m_endpoints = std::move(aEndpoints);
   m_updated = aNow;
-  m_known = true;
+  // Before any load is known every estimate would be a guess.
+  const bool anyReport = std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
+    return aEndpoint.m_host.m_role == wire::Role::Engine && !aEndpoint.m_load.m_incarnation.empty();
+  });
+  const bool anyEngine = std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
+    return aEndpoint.m_host.m_role == wire::Role::Engine;
+  });
+  m_known = m_known || anyReport || (!anyEngine && !m_endpoints.empty());
 }
 
 void FleetView::OnSent(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow)
@@ -58,12 +65,17 @@
   }
 }
 
-void FleetView::OnAnswered(const std::string& aWorker, base::Duration aEngineTime)
+void FleetView::OnAnswered(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow)
 {
   std::deque<Sent>& sent = m_sent[aWorker];
   const auto done = std::find_if(
     sent.begin(), sent.end(), [&](const Sent& aSent) { return aSent.m_engineTime == aEngineTime; });
   if (done != sent.end()) {
+    std::deque<Answered>& answered = m_answered[aWorker];
+    answered.push_back({ done->m_at, aNow, aEngineTime });
+    while (aNow - answered.front().m_at > kSentMemory) {
+      answered.pop_front();
+    }
     sent.erase(done);
   }
 }
@@ -118,6 +130,14 @@
       }
     }
   }
+  const auto answered = m_answered.find(aEndpoint.m_host.m_name);
+  if (answered != m_answered.end()) {
+    for (const Answered& work : answered->second) {
+      if (work.m_sentAt <= reportedAt && work.m_at > reportedAt) {
+        view.m_answeredSince += work.m_engineTime;
+      }
+    }
+  }
   return view;
 }
 
--- a/src/ferrytray/gate/model_exchange.cpp
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -272,7 +272,7 @@
 {
   if (!m_answer.HasText()) {
     const double seconds = base::Seconds(base::MonotonicNow() - m_call.m_arrival);
-    m_core.m_view.OnAnswered(m_worker, m_choice.m_plan.m_engineTime);
+    m_core.m_view.OnAnswered(m_worker, m_choice.m_plan.m_engineTime, base::MonotonicNow());
     m_core.m_metrics.Observe("first_token_seconds{fleet=\"" + m_call.m_fleet.m_name + "\"}",
                              seconds);
     if (m_call.m_model.m_stream) {
--- a/src/ferrytray/keeper/config_sync.cpp
+++ b/src/ferrytray/keeper/config_sync.cpp
@@ -101,7 +101,7 @@
   if (!aMine || m_renewing || !m_booted || !m_follower.Reachable()) {
     return;
   }
-  const auto due = m_replay.DueRenewals(m_follower.PlatformTime(), aAge);
+  const auto due = m_replay.DueRenewals(m_follower.PlatformTime(base::MonotonicNow()), aAge);
   if (due.empty()) {
     return;
   }
--- a/src/ferrytray/keeper/endpoint_watch.cpp
+++ b/src/ferrytray/keeper/endpoint_watch.cpp
@@ -142,6 +142,7 @@
     return;
   }
   wire::LoadReport& load = found->second.m_load;
+  load.m_incarnation = found->second.m_host.m_incarnation;
   load.m_queuedMillis = aDigest.m_queuedMillis;
   load.m_version = aDigest.m_version;
   load.m_swapping = aDigest.m_version.empty();
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -95,6 +95,7 @@
     const std::uint64_t seed = base::Hash64(self.m_host, std::to_string(self.m_incarnation));
     m_members =
       std::make_unique<membership::MemberTable>(self, membership::MembershipOptions{}, seed);
+    SeedMembers();
     m_config.Start([this] { OnConfigChange(); });
     m_endpoints.Start([this](const auto& aEntries) { OnEntryHosts(aEntries); });
     m_swaps.Start();
@@ -113,6 +114,19 @@
   }
 
 private:
+  /// Peers from the settings stand in for the host list until it can be read.
+  void SeedMembers()
+  {
+    std::vector<membership::Member> seeds;
+    for (const net::Address& address : m_options.m_seeds) {
+      membership::Member seed;
+      seed.m_host = "seed:" + net::ToString(address);
+      seed.m_gossip = net::ToString(address);
+      seeds.push_back(std::move(seed));
+    }
+    m_members->OnHostList(seeds, base::MonotonicNow());
+  }
+
   // --- configuration -----------------------------------------------------------------------
 
   void OnConfigChange()
--- a/src/ferrytray/keeper/swap_controller.cpp
+++ b/src/ferrytray/keeper/swap_controller.cpp
@@ -22,9 +22,13 @@
 control::HolderOptions HolderOptionsOf(const KeeperOptions& aOptions)
 {
   constexpr int kRenewalsPerLease = 3;
+  constexpr int kSendsPerLease = 5;
+  constexpr int kMarginsPerLease = 18;
   control::HolderOptions options;
   options.m_duration = aOptions.m_lease;
   options.m_renewEvery = aOptions.m_lease / kRenewalsPerLease;
+  options.m_longestSend = aOptions.m_lease / kSendsPerLease;
+  options.m_clockMargin = aOptions.m_lease / kMarginsPerLease;
   return options;
 }
 
@@ -110,7 +114,7 @@
     const bool mine = held && held->m_holder == m_holderName;
     const bool first = IsFirst(self, LeaseOf(fleet->m_name), aHosts);
     if ((mine || first) &&
-        fleetControl.m_holder.ShouldAppend(held, m_follower.PlatformTime(), aNow)) {
+        fleetControl.m_holder.ShouldAppend(held, m_follower.PlatformTime(aNow), aNow)) {
       wanted.push_back(LeaseOf(fleet->m_name));
       fleetControl.m_holder.OnAppendSent(aNow);
     }
--- a/src/ferrytray/routing/estimate.cpp
+++ b/src/ferrytray/routing/estimate.cpp
@@ -58,7 +58,9 @@
 {
   const bool trusted = aWorker.m_reportAge <= aTrust;
   const base::Duration reported = trusted ? aWorker.m_reportedWait : base::Duration::zero();
-  const base::Duration worked = std::min(aWorker.m_reportAge, reported + aWorker.m_sentSince);
+  // Time passes for all work alike; an answer seen says of some that it is done for certain.
+  const base::Duration passed = std::max(aWorker.m_reportAge, aWorker.m_answeredSince);
+  const base::Duration worked = std::min(passed, reported + aWorker.m_sentSince);
   return reported + aWorker.m_sentSince - worked + aWorker.m_swapWait;
 }
 
--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -151,6 +151,7 @@
     return;
   }
   m_platformTime = aPage->m_now;
+  m_platformRead = base::MonotonicNow();
   const bool first = !m_caughtUp;
   if (!aPage->m_records.empty() || first) {
     m_onPage(*aPage);
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -84,7 +84,7 @@
   } else if (path == "/orders") {
     OnOrder(ParseBody(aRequest.m_body), aReply);
   } else if (path == "/ledger") {
-    SendJson(aReply, 200, { { "executions", m_ledger }, { "orders", m_orders } });
+    SendJson(aReply, 200, { { "executions", m_ledger }, { "orders", m_orders }, { "event_polls", m_eventPolls } });
   } else if (path == "/admin/faults") {
     OnFaults(ParseBody(aRequest.m_body), aReply);
   } else {
@@ -420,6 +420,7 @@
 
 void Engine::OnEvents(const Request& aRequest, const ReplyPtr& aReply)
 {
+  ++m_eventPolls;
   const std::string after = aRequest.QueryValue("after");
   json rows = json::array();
   for (const CacheEvent& event : m_cache.EventsAfter(after.empty() ? 0 : std::stoull(after))) {
--- a/standins/engine.hpp
+++ b/standins/engine.hpp
@@ -109,6 +109,7 @@
   bool m_leaving = false;
   double m_slowness = 1;
   int m_hiddenEvents = 0;
+  std::uint64_t m_eventPolls = 0;
 };
 
 } // namespace standins
--- /dev/null
+++ b/tests/integration/control_test.cpp
@@ -0,0 +1,219 @@
+#include <csignal> // for SIGSTOP, SIGCONT, SIGTERM
+#include <thread>  // for thread
+
+#include "tests/integration/deployment.hpp" // for Deployment
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace integration;
+
+namespace {
+
+std::string AccountFile(const std::string& aScope, double aRate)
+{
+  return "schema: 1\nscope: " + aScope + "\naccounts:\n  - name: " + aScope +
+         "\n    key_digests: [" + std::string(62, 'a') +
+         std::to_string(10 + static_cast<int>(aScope.size())) +
+         "]\n    requests_per_second: " + std::to_string(aRate) + "\n";
+}
+
+json StatusOf(const EntryHost& aHost)
+{
+  return Get(aHost.Keeper() + "/status").Json();
+}
+
+} // namespace
+
+TEST_GROUP(Control)
+{
+  Deployment m_deployment;
+
+  EntryHost& Host(const std::string& aName)
+  {
+    return m_deployment.Hosts().at(aName);
+  }
+
+  void AddHosts(int aCount, const std::vector<std::string>& aKeeperArguments = {})
+  {
+    for (int i = 1; i <= aCount; ++i) {
+      m_deployment.AddHost("h" + std::to_string(i), "z" + std::to_string(i % 2), aKeeperArguments);
+    }
+  }
+
+  std::uint64_t OffsetOn(const std::string& aHost, const std::string& aScope)
+  {
+    const json status = StatusOf(Host(aHost));
+    const json scopes =
+      status.is_object() ? status.value("scopes", json::object()) : json::object();
+    return scopes.contains(aScope) ? scopes[aScope]["offset"].get<std::uint64_t>() : 0;
+  }
+};
+
+TEST(Control, OfRacingOperatorsOneWinsAndEveryHostAgrees)
+{
+  AddHosts(3);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  int accepted = 0;
+  int rejected = 0;
+  std::vector<std::thread> operators;
+  std::vector<Finished> results(12);
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    operators.emplace_back([&, i] {
+      results[i] = m_deployment.Apply(AccountFile("race", 1.0 + static_cast<double>(i)),
+                                      "race" + std::to_string(i) + ".yaml");
+    });
+  }
+  for (std::thread& each : operators) {
+    each.join();
+  }
+  for (const Finished& result : results) {
+    accepted += result.m_output.find("accepted at offset") != std::string::npos ? 1 : 0;
+    rejected += result.m_output.find("error 7008") != std::string::npos ? 1 : 0;
+  }
+  CHECK(accepted >= 1);
+  LONGS_EQUAL(12, accepted + rejected);
+  const std::uint64_t offset = OffsetOn("h1", "race");
+  CHECK(
+    WaitFor([&] { return OffsetOn("h2", "race") == offset && OffsetOn("h3", "race") == offset; }));
+}
+
+TEST(Control, ApplySurvivesALostReply)
+{
+  AddHosts(2);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  m_deployment.PlatformFaults({ { "lose_replies", 1 } });
+  const Finished applied = m_deployment.Apply(AccountFile("lost", 3));
+  CHECK(applied.m_output.find("accepted at offset") != std::string::npos);
+  CHECK(applied.m_output.find("in force on 2 of 2 hosts") != std::string::npos);
+}
+
+TEST(Control, AHostStartsFromAPeerWhileTheLogIsAway)
+{
+  AddHosts(2);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  const std::uint64_t offset = OffsetOn("h1", "standard");
+  m_deployment.PlatformFaults({ { "down", true } });
+  m_deployment.AddHost("h3", "z1", { "--seeds", Host("h1").m_keeper.At("gossip") });
+  CHECK(WaitFor([&] { return OffsetOn("h3", "standard") == offset; }));
+  CHECK(Get(Host("h3").Keeper() + "/readyz").m_status == 200);
+  LONGS_EQUAL(200, Send(Ask(Host("h1"), "still served")).m_status);
+  const Finished refused = m_deployment.Apply(AccountFile("late", 3));
+  CHECK(refused.m_exitCode != 0);
+}
+
+TEST(Control, AFileIsAppendedAgainBeforeItLeavesTheLog)
+{
+  AddHosts(1, { "--renew-age", "300" });
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  const std::uint64_t offset = OffsetOn("h1", "standard");
+  m_deployment.PlatformFaults({ { "retained_records", 2 } });
+  CHECK(WaitFor([&] {
+    const json page = Get(m_deployment.PlatformDirect() + "/log/config?from=1&wait_ms=0").Json();
+    return page["first"].get<std::uint64_t>() > offset;
+  }));
+  m_deployment.AddHost("h2", "z1");
+  CHECK(WaitFor([&] { return OffsetOn("h2", "standard") == offset; }));
+  LONGS_EQUAL(offset, OffsetOn("h1", "standard"));
+}
+
+TEST(Control, WeightsAreSwappedAFewAtATimeAndOldOrdersAreRefused)
+{
+  AddHosts(3, { "--lease", "1500" });
+  for (int i = 1; i <= 4; ++i) {
+    m_deployment.AddEngine("w" + std::to_string(i), { "--checks-fencing", "--swap-time", "300" });
+  }
+  const std::string extra = "    max_concurrent_swaps: 2\n    checks_fencing: true\n";
+  m_deployment.Begin(extra);
+  LONGS_EQUAL(0, m_deployment.Apply(StandardFile("2", extra)).m_exitCode);
+  int mostSwapping = 0;
+  CHECK(WaitFor([&] {
+    int swapping = 0;
+    int done = 0;
+    for (int i = 1; i <= 4; ++i) {
+      const json load = Get(m_deployment.At("w" + std::to_string(i)).Direct() + "/load").Json();
+      swapping += load["swapping"].get<bool>() ? 1 : 0;
+      done += load["version"] == "2" ? 1 : 0;
+    }
+    mostSwapping = std::max(mostSwapping, swapping);
+    return done == 4;
+  }));
+  CHECK(mostSwapping <= 2);
+  const Answer old =
+    Post(m_deployment.At("w1").Direct() + "/orders", { { "version", "1" }, { "fence", 0 } });
+  LONGS_EQUAL(409, old.m_status);
+}
+
+TEST(Control, APausedLeaseHolderIsReplacedAndOrdersNothingWhenItWakes)
+{
+  AddHosts(2, { "--lease", "1500" });
+  m_deployment.AddEngine("w1", { "--swap-time", "50" });
+  m_deployment.Begin();
+  const auto holder = [&] {
+    const json records =
+      Get(m_deployment.PlatformDirect() + "/log/leases?from=1&wait_ms=0").Json()["records"];
+    const std::string last = records.empty() ? "" : records.back()["body"].get<std::string>();
+    const json lease = json::parse(last, nullptr, false);
+    return lease.is_object() ? lease["holder"].get<std::string>().substr(0, 2) : std::string();
+  };
+  CHECK(WaitFor([&] { return !holder().empty(); }));
+  const std::string first = holder();
+  const std::string second = first == "h1" ? "h2" : "h1";
+  Host(first).m_keeper.Signal(SIGSTOP);
+  CHECK(WaitFor([&] { return holder() == second; }));
+  // The standard fleet does not check fencing numbers: the waking holder must hold back by itself.
+  Host(first).m_keeper.Signal(SIGCONT);
+  m_deployment.Apply(StandardFile("2"));
+  CHECK(WaitFor(
+    [&] { return Get(m_deployment.At("w1").Direct() + "/load").Json()["version"] == "2"; }));
+  std::uint64_t highest = 0;
+  for (const json& order : Get(m_deployment.At("w1").Direct() + "/ledger").Json()["orders"]) {
+    CHECK(order["fence"].get<std::uint64_t>() >= highest);
+    highest = order["fence"].get<std::uint64_t>();
+  }
+}
+
+TEST(Control, EveryHostIsReplacedUnderLoadAndNothingIsLost)
+{
+  AddHosts(3);
+  m_deployment.AddEngine("w1");
+  m_deployment.AddEngine("w2");
+  m_deployment.Begin();
+  const std::uint64_t offset = OffsetOn("h1", "standard");
+  for (const char* name : { "h1", "h2", "h3" }) {
+    const std::string other = std::string(name) == "h1" ? "h2" : "h1";
+    std::vector<Call> calls;
+    for (int i = 0; i < 20; ++i) {
+      calls.push_back(Ask(Host(other), "replace" + std::to_string(i)));
+    }
+    const auto answers = SendAll(calls, [&] {
+      Host(name).m_gate.Signal(SIGTERM);
+      LONGS_EQUAL(0, Host(name).m_gate.Wait());
+      Host(name).m_keeper.Signal(SIGTERM);
+      LONGS_EQUAL(0, Host(name).m_keeper.Wait());
+    });
+    for (const Answer& answer : answers) {
+      LONGS_EQUAL(200, answer.m_status);
+    }
+    m_deployment.AddHost(name, Host(name).m_zone);
+    m_deployment.List();
+    CHECK(WaitFor([&] { return OffsetOn(name, "standard") == offset; }));
+    m_deployment.WaitReady();
+  }
+}
+
+TEST(Control, BadFilesAreRefusedWithTheirPlace)
+{
+  AddHosts(1);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  const Finished bad =
+    m_deployment.Apply("schema: 1\nscope: x\naccounts:\n  - name: y\n", "bad.yaml");
+  CHECK(bad.m_exitCode != 0);
+  CHECK(bad.m_output.find("bad.yaml:4:5") != std::string::npos);
+  CHECK(m_deployment.Apply(std::string("\0\1\2", 3), "binary.yaml").m_exitCode != 0);
+  LONGS_EQUAL(200, Send(Ask(Host("h1"), "still served")).m_status);
+}
--- /dev/null
+++ b/tests/integration/deployment.cpp
@@ -0,0 +1,260 @@
+#include "tests/integration/deployment.hpp"
+
+#include <cstdio>    // for remove
+#include <fstream>   // for ofstream
+#include <stdexcept> // for runtime_error
+#include <unistd.h>  // for getpid
+
+#include "ferrytray/base/digest.hpp" // for Sha256Hex
+
+namespace integration {
+
+using namespace ferrytray;
+
+namespace {
+
+std::vector<std::string> Join(std::vector<std::string> aFirst,
+                              const std::vector<std::string>& aSecond)
+{
+  aFirst.insert(aFirst.end(), aSecond.begin(), aSecond.end());
+  return aFirst;
+}
+
+} // namespace
+
+Deployment::Deployment(const std::vector<std::string>& aPlatformArguments)
+  : m_platform("standins/standin-platform", aPlatformArguments, { "listening" })
+{
+}
+
+std::string Deployment::PlatformUrl() const
+{
+  return PlatformDirect();
+}
+
+EntryHost& Deployment::AddHost(const std::string& aName,
+                               const std::string& aZone,
+                               const std::vector<std::string>& aKeeperArguments,
+                               const std::vector<std::string>& aGateArguments)
+{
+  const std::vector<std::string> keeper{
+    "--host",   aName,         "--zone",           aZone,         "--platform",       PlatformUrl(),
+    "--listen", "127.0.0.1:0", "--keeper-control", "127.0.0.1:0", "--gossip",         "127.0.0.1:0",
+    "--round",  "100",         "--load-poll",      "50",          "--host-list-poll", "100"
+  };
+  EntryHost host{ aName,
+                  aZone,
+                  Process("tools/ferrytray-keeper",
+                          Join(keeper, aKeeperArguments),
+                          { "listening", "control", "gossip" }),
+                  {} };
+  EntryHost& placed = m_hosts.insert_or_assign(aName, std::move(host)).first->second;
+  RestartGate(placed, aGateArguments);
+  return placed;
+}
+
+void Deployment::RestartGate(EntryHost& aHost, const std::vector<std::string>& aArguments)
+{
+  const std::vector<std::string> gate{
+    "--host",     aHost.m_name,  "--zone",       aHost.m_zone,
+    "--platform", PlatformUrl(), "--keeper",     aHost.m_keeper.At("control"),
+    "--listen",   "127.0.0.1:0", "--drain-wait", "200"
+  };
+  aHost.m_gate = Process("tools/ferrytray-gate", Join(gate, aArguments), { "listening" });
+}
+
+Endpoint& Deployment::Add(const std::string& aProgram,
+                          const std::string& aName,
+                          const std::string& aRole,
+                          const std::string& aPool,
+                          const std::vector<std::string>& aArguments,
+                          bool aProxied)
+{
+  Endpoint endpoint;
+  endpoint.m_name = aName;
+  endpoint.m_role = aRole;
+  endpoint.m_pool = aPool;
+  endpoint.m_zone = "z1";
+  endpoint.m_process = Process(aProgram, aArguments, { "listening" });
+  if (aProxied) {
+    endpoint.m_proxy = Process("standins/standin-proxy",
+                               { "--to", endpoint.m_process.At("listening") },
+                               { "passing", "listening" });
+  }
+  m_states[aName] = "live";
+  return m_endpoints.insert_or_assign(aName, std::move(endpoint)).first->second;
+}
+
+Endpoint& Deployment::AddEngine(const std::string& aName,
+                                const std::vector<std::string>& aArguments,
+                                bool aProxied)
+{
+  return Add("standins/standin-engine",
+             aName,
+             "engine",
+             "f",
+             Join({ "--model", "m" }, aArguments),
+             aProxied);
+}
+
+Endpoint& Deployment::AddService(const std::string& aName,
+                                 const std::vector<std::string>& aArguments,
+                                 bool aProxied)
+{
+  return Add("standins/standin-service", aName, "service", "catalogue", aArguments, aProxied);
+}
+
+Endpoint& Deployment::AddStore(const std::string& aName,
+                               const std::vector<std::string>& aArguments,
+                               bool aProxied)
+{
+  return Add("standins/standin-store", aName, "store", "", aArguments, aProxied);
+}
+
+void Deployment::List()
+{
+  json hosts = json::array();
+  for (const auto& [name, endpoint] : m_endpoints) {
+    hosts.push_back({ { "name", name },
+                      { "role", endpoint.m_role },
+                      { "pool", endpoint.m_pool },
+                      { "zone", endpoint.m_zone },
+                      { "address", endpoint.Address() },
+                      { "incarnation", endpoint.m_incarnation },
+                      { "state", m_states.at(name) } });
+  }
+  for (const auto& [name, host] : m_hosts) {
+    hosts.push_back({ { "name", name },
+                      { "role", "entry" },
+                      { "zone", host.m_zone },
+                      { "address", host.m_keeper.At("gossip") } });
+  }
+  Post(PlatformDirect() + "/hosts", { { "hosts", hosts } });
+}
+
+void Deployment::SetState(const std::string& aName, const std::string& aState)
+{
+  m_states[aName] = aState;
+  List();
+}
+
+Finished Deployment::Operate(const std::vector<std::string>& aArguments) const
+{
+  const std::vector<std::string> common{ "--platform",    PlatformUrl(),
+                                         "--keeper-http", m_hosts.begin()->second.Keeper(),
+                                         "--gate-http",   m_hosts.begin()->second.Gate(),
+                                         "--wait",        "30000" };
+  return RunToEnd("tools/ferrytray", Join(common, aArguments));
+}
+
+Finished Deployment::Apply(const std::string& aYaml, const std::string& aName)
+{
+  const std::string path = "/tmp/ferrytray-" + std::to_string(getpid()) + "-" + aName;
+  std::ofstream(path) << aYaml;
+  const Finished finished = Operate({ "apply", path });
+  std::remove(path.c_str());
+  return finished;
+}
+
+void Deployment::WaitReady()
+{
+  const bool ready = WaitFor([&] {
+    for (const auto& [name, host] : m_hosts) {
+      if (Get(host.Gate() + "/readyz").m_status != 200) {
+        return false;
+      }
+      const json status = Get(host.Keeper() + "/status").Json();
+      std::size_t known = 0;
+      for (const json& endpoint : status.value("endpoints", json::array())) {
+        const bool reported = endpoint.value("version", "") != "" ||
+                              m_endpoints.at(endpoint["name"]).m_role != "engine";
+        known += reported ? 1 : 0;
+      }
+      std::size_t alive = 0;
+      for (const json& member : status.value("members", json::array())) {
+        alive += member.value("state", "") == "alive" && member.value("gate", "") != "" ? 1 : 0;
+      }
+      if (known < m_endpoints.size() || alive < m_hosts.size()) {
+        return false;
+      }
+    }
+    return true;
+  });
+  if (!ready) {
+    throw std::runtime_error("the deployment did not become ready");
+  }
+}
+
+void Deployment::Begin(const std::string& aExtra)
+{
+  List();
+  const Finished applied = Apply(StandardFile("1", aExtra));
+  if (applied.m_exitCode != 0) {
+    throw std::runtime_error("apply: " + applied.m_output);
+  }
+  WaitReady();
+}
+
+int Deployment::Executions(const std::string& aRequest) const
+{
+  int executions = 0;
+  for (const auto& [name, endpoint] : m_endpoints) {
+    if (endpoint.m_role != "store" && endpoint.m_process.Running()) {
+      const json ledger = Get(endpoint.Direct() + "/ledger").Json();
+      executions += ledger.at("executions").value(aRequest, 0);
+    }
+  }
+  return executions;
+}
+
+std::string StandardFile(const std::string& aVersion, const std::string& aFleetExtra)
+{
+  const auto account = [](const std::string& aName) {
+    return "  - name: " + aName + "\n    key_digests: [" + base::Sha256Hex(aName + "-key") +
+           "]\n    requests_per_second: 10000\n    burst: 10000\n    max_concurrent: 10000\n";
+  };
+  return "schema: 1\nscope: standard\nmodels:\n  - name: m\n    versions: [\"1\", "
+         "\"2\"]\nfleets:\n  - name: f\n    model: m\n"
+         "    version: \"" +
+         aVersion + "\"\n    kv_bytes_per_token: 4000\n" + aFleetExtra +
+         "services:\n  - name: catalogue\n    path_prefix: /catalogue\naccounts:\n" +
+         account("lab") + account("bench");
+}
+
+Call Ask(const EntryHost& aHost,
+         const std::string& aPrompt,
+         const json& aFields,
+         net::Headers aHeaders)
+{
+  json body{ { "model", "m" }, { "prompt", aPrompt }, { "max_tokens", 8 } };
+  body.update(aFields.is_null() ? json::object() : aFields);
+  aHeaders.emplace_back("Authorization", "Bearer lab-key");
+  return { "POST", aHost.Gate() + "/v1/completions", body.dump(), std::move(aHeaders) };
+}
+
+Call CallService(const EntryHost& aHost, const std::string& aBody, net::Headers aHeaders)
+{
+  aHeaders.emplace_back("Authorization", "Bearer lab-key");
+  return { "POST", aHost.Gate() + "/catalogue/order", aBody, std::move(aHeaders) };
+}
+
+std::string AnswerAlone(const std::string& aPrompt,
+                        const std::string& aAccount,
+                        const std::string& aVersion,
+                        int aTokens)
+{
+  constexpr std::size_t kBlockBytes = 1024;
+  const Process engine(
+    "standins/standin-engine", { "--model", "m", "--weight-version", aVersion }, { "listening" });
+  std::vector<std::string> blocks;
+  for (std::size_t i = 0; i < aPrompt.size() / kBlockBytes; ++i) {
+    blocks.push_back("alone" + std::to_string(i));
+  }
+  const json body{ { "prompt", aPrompt },
+                   { "max_tokens", aTokens },
+                   { "cache_salt", aAccount },
+                   { "x_blocks", blocks } };
+  return Post("http://" + engine.At("listening") + "/v1/completions", body).Text();
+}
+
+} // namespace integration
--- /dev/null
+++ b/tests/integration/process.cpp
@@ -0,0 +1,167 @@
+#include "tests/integration/process.hpp"
+
+#include <array>      // for array
+#include <chrono>     // for steady_clock
+#include <csignal>    // for kill, SIGKILL
+#include <cstdio>     // for fdopen, getline
+#include <cstdlib>    // for getenv
+#include <fcntl.h>    // for open
+#include <spawn.h>    // for posix_spawn
+#include <stdexcept>  // for runtime_error
+#include <sys/wait.h> // for waitpid
+#include <thread>     // for sleep_until
+#include <unistd.h>   // for pipe2, read
+#include <utility>    // for exchange
+
+extern char** environ;
+
+namespace integration {
+
+namespace {
+
+constexpr auto kLongLimit = std::chrono::seconds(60);
+constexpr auto kPollEvery = std::chrono::milliseconds(10);
+
+struct Spawned
+{
+  pid_t m_pid = -1;
+  int m_output = -1;
+};
+
+Spawned Spawn(const std::string& aProgram,
+              const std::vector<std::string>& aArguments,
+              bool aErrorsToo)
+{
+  std::array<int, 2> pipe{};
+  if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
+    throw std::runtime_error("pipe2");
+  }
+  const std::string path = std::string(FERRYTRAY_BINARY_DIR) + "/" + aProgram;
+  std::vector<char*> words{ const_cast<char*>(path.c_str()) };
+  for (const std::string& argument : aArguments) {
+    words.push_back(const_cast<char*>(argument.c_str()));
+  }
+  words.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+  if (aErrorsToo) {
+    posix_spawn_file_actions_adddup2(&actions, pipe[1], STDERR_FILENO);
+  } else {
+    const char* kept = std::getenv("FERRYTRAY_TEST_LOG");
+    const std::string log = kept == nullptr ? "/dev/null" : kept;
+    posix_spawn_file_actions_addopen(
+      &actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  }
+  Spawned spawned;
+  const int error =
+    posix_spawn(&spawned.m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(pipe[1]);
+  if (error != 0) {
+    throw std::runtime_error("cannot start " + path);
+  }
+  spawned.m_output = pipe[0];
+  return spawned;
+}
+
+int WaitForExit(pid_t aPid)
+{
+  int status = 0;
+  waitpid(aPid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+} // namespace
+
+Process::Process(const std::string& aProgram,
+                 std::vector<std::string> aArguments,
+                 std::vector<std::string> aWords)
+{
+  const Spawned spawned = Spawn(aProgram, aArguments, false);
+  m_pid = spawned.m_pid;
+  std::FILE* output = fdopen(spawned.m_output, "r");
+  char* line = nullptr;
+  std::size_t capacity = 0;
+  while (m_words.size() < aWords.size()) {
+    const ssize_t length = getline(&line, &capacity, output);
+    if (length <= 0) {
+      break;
+    }
+    const std::string text(line, static_cast<std::size_t>(length) - 1);
+    const std::size_t space = text.find(' ');
+    if (space != std::string::npos) {
+      m_words[text.substr(0, space)] = text.substr(space + 1);
+    }
+  }
+  std::free(line);
+  std::fclose(output);
+  if (m_words.size() < aWords.size()) {
+    throw std::runtime_error(aProgram + " did not start");
+  }
+}
+
+Process::~Process()
+{
+  Kill();
+}
+
+Process::Process(Process&& aOther) noexcept
+  : m_pid(std::exchange(aOther.m_pid, -1))
+  , m_words(std::move(aOther.m_words))
+{
+}
+
+Process& Process::operator=(Process&& aOther) noexcept
+{
+  Kill();
+  m_pid = std::exchange(aOther.m_pid, -1);
+  m_words = std::move(aOther.m_words);
+  return *this;
+}
+
+void Process::Signal(int aSignal) const
+{
+  if (m_pid > 0) {
+    kill(m_pid, aSignal);
+  }
+}
+
+int Process::Wait()
+{
+  return m_pid > 0 ? WaitForExit(std::exchange(m_pid, -1)) : 0;
+}
+
+void Process::Kill()
+{
+  Signal(SIGKILL);
+  Wait();
+}
+
+bool WaitFor(const std::function<bool()>& aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kLongLimit;
+  while (std::chrono::steady_clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_until(std::chrono::steady_clock::now() + kPollEvery);
+  }
+  return false;
+}
+
+Finished RunToEnd(const std::string& aProgram, const std::vector<std::string>& aArguments)
+{
+  const Spawned spawned = Spawn(aProgram, aArguments, true);
+  Finished finished;
+  std::array<char, 4096> buffer{};
+  for (ssize_t got = read(spawned.m_output, buffer.data(), buffer.size()); got > 0;
+       got = read(spawned.m_output, buffer.data(), buffer.size())) {
+    finished.m_output.append(buffer.data(), static_cast<std::size_t>(got));
+  }
+  close(spawned.m_output);
+  finished.m_exitCode = WaitForExit(spawned.m_pid);
+  return finished;
+}
+
+} // namespace integration
--- /dev/null
+++ b/tests/integration/process.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>  // for function
+#include <map>         // for map
+#include <string>      // for string
+#include <sys/types.h> // for pid_t
+#include <vector>      // for vector
+
+/// What the integration tests start and stop. Test code only: no program of the project starts
+/// another.
+namespace integration {
+
+/// A program that was started; killed when it goes out of scope.
+class Process
+{
+public:
+  Process() = default;
+  /// @param aProgram path below the build folder
+  /// @param aWords words of its first lines to wait for; the rest of such a line is kept
+  Process(const std::string& aProgram,
+          std::vector<std::string> aArguments,
+          std::vector<std::string> aWords);
+  ~Process();
+  Process(Process&& aOther) noexcept;
+  Process& operator=(Process&& aOther) noexcept;
+
+  /// What followed a word, such as the address after "listening".
+  const std::string& At(const std::string& aWord) const { return m_words.at(aWord); }
+  void Signal(int aSignal) const;
+  /// Waits for it to end. @return its exit code, or minus the signal that ended it
+  int Wait();
+  void Kill();
+  bool Running() const { return m_pid > 0; }
+  pid_t Pid() const { return m_pid; }
+
+private:
+  pid_t m_pid = -1;
+  std::map<std::string, std::string> m_words;
+};
+
+/// Waits until a condition holds, for a long limit. @return whether it came to hold
+bool WaitFor(const std::function<bool()>& aCondition);
+
+/// Runs a program to its end and gives what it printed.
+struct Finished
+{
+  int m_exitCode = 0;
+  std::string m_output;
+};
+Finished RunToEnd(const std::string& aProgram, const std::vector<std::string>& aArguments);
+
+} // namespace integration
--- a/tools/keeper_main.cpp
+++ b/tools/keeper_main.cpp
@@ -1,5 +1,6 @@
 #include <chrono>   // for system_clock
 #include <iostream> // for cout, cerr
+#include <sstream>  // for istringstream
 
 #include "ferrytray/keeper/keeper.hpp"      // for Keeper
 #include "ferrytray/settings/settings.hpp"  // for SettingsBuilder
@@ -19,6 +20,7 @@
     .Add({ "listen", "127.0.0.1:8081", "IP:PORT for status and metrics (HTTP)" })
     .Add({ "keeper-control", "127.0.0.1:8082", "IP:PORT for the gate and for peers (TCP)" })
     .Add({ "gossip", "127.0.0.1:8083", "IP:PORT for other keepers (UDP)" })
+    .Add({ "seeds", "", "IP:PORT,... of peers' gossip, for a start while the platform is away" })
     .Add({ "round", "500", "period of membership rounds", SettingKind::Millis })
     .Add({ "load-poll", "200", "period of load reports", SettingKind::Millis })
     .Add({ "host-list-poll", "500", "period of the host list", SettingKind::Millis })
@@ -54,6 +56,14 @@
     }
     *target = *address;
   }
+  std::istringstream seeds(aSettings.Text("seeds"));
+  for (std::string seed; std::getline(seeds, seed, ',');) {
+    const auto address = net::ParseAddress(seed);
+    if (!address) {
+      return base::Fail(base::ErrorCode::SettingInvalid, "--seeds: " + address.error().m_message);
+    }
+    options.m_seeds.push_back(*address);
+  }
   if (options.m_host.find_first_of(". #") != std::string::npos) {
     return base::Fail(base::ErrorCode::SettingInvalid,
                       "--host: expects a name without '.', '#' or spaces");
