--- a/cmake/FerrytrayInstall.cmake
+++ b/cmake/FerrytrayInstall.cmake
@@ -20,5 +20,5 @@
 install(FILES "${CMAKE_BINARY_DIR}/ferrytrayConfig.cmake"
               "${CMAKE_BINARY_DIR}/ferrytrayConfigVersion.cmake"
         DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/ferrytray)
-install(TARGETS ferrytray-gate ferrytray-keeper ferrytray-cli
+install(TARGETS ferrytray-gate ferrytray-keeper ferrytray-cli ferrytray-load
         RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
--- /dev/null
+++ b/include/ferrytray/experiment/trace.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint> // for uint32_t, uint64_t
+#include <string>  // for string
+#include <vector>  // for vector
+
+namespace ferrytray::experiment {
+
+/// @brief One arrival of a trace.
+struct Arrival
+{
+  double m_at = 0; ///< seconds
+  std::uint32_t m_account = 0;
+  std::uint32_t m_context = 0; ///< prompts with the same context share their first blocks
+  std::uint32_t m_blocks = 0;  ///< whole KV blocks of the context
+  std::uint32_t m_tail = 0;    ///< tokens after the context
+};
+
+/// @brief Which deployment's traffic.
+enum class Mix : std::uint8_t
+{
+  Directorate, ///< drafts of a sitting, excerpts, budget-week bursts
+  Kauri,       ///< long datasheet bundles that repeat, short lookups
+};
+
+struct TraceOptions
+{
+  Mix m_mix = Mix::Directorate;
+  std::uint64_t m_seed = 1;
+  double m_seconds = 1800; ///< scaled time
+  double m_load = 0.8;     ///< of the engines' prefill capacity if everything were computed
+  std::uint32_t m_workers = 14;
+  double m_tokensPerSecond = 8000;
+  std::uint32_t m_tokensPerBlock = 256;
+  double m_reuse = 1.0; ///< scales the arrival rate for what is expected to be reused
+};
+
+/// @brief Makes arrivals: Poisson in time, Zipf over accounts, returns after log-normal gaps.
+std::vector<Arrival> MakeTrace(const TraceOptions& aOptions);
+
+} // namespace ferrytray::experiment
--- a/include/ferrytray/keeper/options.hpp
+++ b/include/ferrytray/keeper/options.hpp
@@ -18,7 +18,8 @@
   net::Address m_http{ "127.0.0.1", 0 };    ///< status, health and metrics
   net::Address m_control{ "127.0.0.1", 0 }; ///< frames from its gate and from peers (TCP)
   net::Address m_gossip{ "127.0.0.1", 0 };  ///< datagrams between keepers (UDP)
-  std::vector<net::Address> m_seeds; ///< peers' datagram addresses, for a start without the platform
+  std::vector<net::Address>
+    m_seeds; ///< peers' datagram addresses, for a start without the platform
   std::uint64_t m_incarnation = 0;
   base::Duration m_round = std::chrono::milliseconds(500); ///< membership and shares
   base::Duration m_loadPoll = std::chrono::milliseconds(200);
--- /dev/null
+++ b/src/ferrytray/experiment/queues.cpp
@@ -0,0 +1,147 @@
+#include "ferrytray/experiment/queues.hpp"
+
+#include <algorithm> // for max
+
+namespace ferrytray::experiment {
+
+void ContextCache::Put(std::uint32_t aContext, std::uint32_t aBlocks)
+{
+  const auto found = m_entries.find(aContext);
+  if (found != m_entries.end()) {
+    m_used -= found->second.m_blocks;
+    m_recent.erase(found->second.m_place);
+    m_entries.erase(found);
+  }
+  if (aBlocks == 0 || aBlocks > m_capacity) {
+    return;
+  }
+  m_recent.push_front(aContext);
+  m_entries.emplace(aContext, Entry{ aBlocks, m_recent.begin() });
+  m_used += aBlocks;
+  while (m_used > m_capacity) {
+    const auto oldest = m_entries.find(m_recent.back());
+    m_used -= oldest->second.m_blocks;
+    m_entries.erase(oldest);
+    m_recent.pop_back();
+  }
+}
+
+std::uint32_t ContextCache::Blocks(std::uint32_t aContext) const
+{
+  const auto found = m_entries.find(aContext);
+  return found == m_entries.end() ? 0 : found->second.m_blocks;
+}
+
+void ContextCache::Clear()
+{
+  m_entries.clear();
+  m_recent.clear();
+  m_used = 0;
+}
+
+std::uint32_t StoreModel::Blocks(std::uint32_t aContext) const
+{
+  const auto found = m_kept.find(aContext);
+  return m_dead || found == m_kept.end() ? 0 : found->second.m_blocks;
+}
+
+double StoreModel::Speed(std::uint32_t aContext) const
+{
+  const auto found = m_kept.find(aContext);
+  const bool onDisk = found != m_kept.end() && found->second.m_onDisk;
+  return onDisk ? std::min(m_options.m_diskBytesPerSecond, m_linkSpeed) : m_linkSpeed;
+}
+
+double StoreModel::Transfer(double aBytes, double aSpeed, double aNow)
+{
+  const double seconds = aBytes / aSpeed;
+  m_linkFree = std::max(m_linkFree, aNow) + seconds;
+  m_bytesMoved += aBytes;
+  m_busySeconds += seconds;
+  return m_linkFree;
+}
+
+void StoreModel::Touch(std::uint32_t aContext, double aNow)
+{
+  const auto found = m_kept.find(aContext);
+  if (found != m_kept.end()) {
+    found->second.m_usedAt = aNow;
+  }
+}
+
+double StoreModel::Value(const Kept& aKept, double aNow) const
+{
+  if (m_options.m_keep == KeepRule::LeastRecent) {
+    return aKept.m_usedAt;
+  }
+  const double seconds = aKept.m_blocks * m_options.m_tokensPerBlock / m_options.m_tokensPerSecond;
+  const routing::KeepCandidate candidate{ aKept.m_blocks * m_options.m_bytesPerBlock,
+                                          seconds,
+                                          base::FromSeconds(aNow - aKept.m_usedAt) };
+  return routing::KeepValue(candidate, m_gaps[aKept.m_account]);
+}
+
+std::unordered_map<std::uint32_t, StoreModel::Kept>::iterator StoreModel::Lowest(bool aOnDisk,
+                                                                                 double aNow)
+{
+  auto lowest = m_kept.end();
+  double lowestValue = 0;
+  for (auto it = m_kept.begin(); it != m_kept.end(); ++it) {
+    if (it->second.m_onDisk != aOnDisk) {
+      continue;
+    }
+    const double value = Value(it->second, aNow);
+    if (lowest == m_kept.end() || value < lowestValue) {
+      lowest = it;
+      lowestValue = value;
+    }
+  }
+  return lowest;
+}
+
+bool StoreModel::Wants(std::uint32_t aAccount, std::uint32_t aBlocks, double aNow) const
+{
+  if (m_dead || aBlocks == 0) {
+    return false;
+  }
+  if (m_options.m_keep == KeepRule::LeastRecent) {
+    return true;
+  }
+  const double seconds = aBlocks * m_options.m_tokensPerBlock / m_options.m_tokensPerSecond;
+  const routing::KeepCandidate candidate{ aBlocks * m_options.m_bytesPerBlock, seconds, {} };
+  const routing::StorePressure pressure{ 1e18,
+                                         0,
+                                         base::FromSeconds(std::max(0.0, m_linkFree - aNow)) };
+  return routing::ShouldExport(candidate, m_gaps[aAccount], pressure, {});
+}
+
+void StoreModel::Keep(std::uint32_t aContext,
+                      std::uint32_t aAccount,
+                      std::uint32_t aBlocks,
+                      double aNow)
+{
+  if (m_dead || m_kept.contains(aContext)) {
+    return;
+  }
+  m_kept.emplace(aContext, Kept{ aAccount, aBlocks, aNow, false });
+  m_memoryBlocks += aBlocks;
+  while (m_memoryBlocks > m_options.m_storeMemoryBlocks) {
+    const auto moved = Lowest(false, aNow);
+    moved->second.m_onDisk = true;
+    m_memoryBlocks -= moved->second.m_blocks;
+    m_diskBlocks += moved->second.m_blocks;
+  }
+  while (m_diskBlocks > m_options.m_storeDiskBlocks) {
+    const auto freed = Lowest(true, aNow);
+    m_diskBlocks -= freed->second.m_blocks;
+    m_kept.erase(freed);
+  }
+}
+
+void StoreModel::Kill()
+{
+  m_dead = true;
+  m_kept.clear();
+}
+
+} // namespace ferrytray::experiment
--- /dev/null
+++ b/src/ferrytray/experiment/queues.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstdint>       // for uint32_t
+#include <functional>    // for function
+#include <list>          // for list
+#include <map>           // for map
+#include <set>           // for set
+#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
+
+#include "ferrytray/experiment/model.hpp" // for ModelOptions
+#include "ferrytray/routing/keep.hpp"     // for ReturnGaps
+
+namespace ferrytray::experiment {
+
+/// A worker's memory: contexts, least recently used out first.
+class ContextCache
+{
+public:
+  explicit ContextCache(std::uint32_t aCapacity)
+    : m_capacity(aCapacity)
+  {
+  }
+  void Put(std::uint32_t aContext, std::uint32_t aBlocks);
+  [[nodiscard]] std::uint32_t Blocks(std::uint32_t aContext) const;
+  void Clear();
+
+private:
+  struct Entry
+  {
+    std::uint32_t m_blocks;
+    std::list<std::uint32_t>::iterator m_place;
+  };
+  std::uint32_t m_capacity;
+  std::uint32_t m_used = 0;
+  std::list<std::uint32_t> m_recent;
+  std::unordered_map<std::uint32_t, Entry> m_entries;
+};
+
+/// A store of kept contexts with two tiers and one link.
+class StoreModel
+{
+public:
+  StoreModel(const ModelOptions& aOptions, const std::vector<routing::ReturnGaps>& aGaps)
+    : m_options(aOptions)
+    , m_gaps(aGaps)
+    , m_linkSpeed(aOptions.m_linkBytesPerSecond)
+  {
+  }
+
+  /// The blocks kept of a context.
+  [[nodiscard]] std::uint32_t Blocks(std::uint32_t aContext) const;
+  /// Bytes a second at which a context would come.
+  [[nodiscard]] double Speed(std::uint32_t aContext) const;
+  [[nodiscard]] double LinkFree() const { return m_linkFree; }
+  /// Books a transfer. @return when it ends
+  double Transfer(double aBytes, double aSpeed, double aNow);
+  void Touch(std::uint32_t aContext, double aNow);
+  /// Keeps a context, displacing what is worth least.
+  void Keep(std::uint32_t aContext, std::uint32_t aAccount, std::uint32_t aBlocks, double aNow);
+  /// Whether keeping it is worth the transfer.
+  [[nodiscard]] bool Wants(std::uint32_t aAccount, std::uint32_t aBlocks, double aNow) const;
+  void Kill();
+  void SetLinkSpeed(double aBytesPerSecond) { m_linkSpeed = aBytesPerSecond; }
+  [[nodiscard]] double BytesMoved() const { return m_bytesMoved; }
+  [[nodiscard]] double BusySeconds() const { return m_busySeconds; }
+
+private:
+  struct Kept
+  {
+    std::uint32_t m_account;
+    std::uint32_t m_blocks;
+    double m_usedAt;
+    bool m_onDisk;
+  };
+
+  [[nodiscard]] double Value(const Kept& aKept, double aNow) const;
+  std::unordered_map<std::uint32_t, Kept>::iterator Lowest(bool aOnDisk, double aNow);
+
+  ModelOptions m_options;
+  const std::vector<routing::ReturnGaps>& m_gaps;
+  std::unordered_map<std::uint32_t, Kept> m_kept;
+  std::uint32_t m_memoryBlocks = 0;
+  std::uint32_t m_diskBlocks = 0;
+  double m_linkSpeed;
+  double m_linkFree = 0;
+  double m_bytesMoved = 0;
+  double m_busySeconds = 0;
+  bool m_dead = false;
+};
+
+/// A request on its way through a worker.
+struct Job
+{
+  std::size_t m_index = 0;
+  double m_arrival = 0;
+  double m_ready = 0;                 ///< its import is there
+  std::uint32_t m_importedBlocks = 0; ///< prefix known after the import
+  double m_expected = 0;              ///< engine seconds, as estimated
+};
+
+/// A worker: one prefill at a time, the earliest arrival whose import is there first.
+struct WorkerModel
+{
+  explicit WorkerModel(std::uint32_t aCacheBlocks)
+    : m_cache(aCacheBlocks)
+  {
+  }
+  ContextCache m_cache;
+  std::vector<Job> m_waiting;
+  double m_busyUntil = 0;
+  double m_blockedUntil = 0; ///< swapping or gone
+  double m_slowness = 1;
+  bool m_busy = false;
+};
+
+} // namespace ferrytray::experiment
--- a/src/ferrytray/gate/fleet_view.cpp
+++ b/src/ferrytray/gate/fleet_view.cpp
@@ -47,12 +47,15 @@
   m_endpoints = std::move(aEndpoints);
   m_updated = aNow;
   // Before any load is known every estimate would be a guess.
-  const bool anyReport = std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
-    return aEndpoint.m_host.m_role == wire::Role::Engine && !aEndpoint.m_load.m_incarnation.empty();
-  });
-  const bool anyEngine = std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
-    return aEndpoint.m_host.m_role == wire::Role::Engine;
-  });
+  const bool anyReport =
+    std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
+      return aEndpoint.m_host.m_role == wire::Role::Engine &&
+             !aEndpoint.m_load.m_incarnation.empty();
+    });
+  const bool anyEngine =
+    std::any_of(m_endpoints.begin(), m_endpoints.end(), [](const auto& aEndpoint) {
+      return aEndpoint.m_host.m_role == wire::Role::Engine;
+    });
   m_known = m_known || anyReport || (!anyEngine && !m_endpoints.empty());
 }
 
@@ -65,7 +68,9 @@
   }
 }
 
-void FleetView::OnAnswered(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow)
+void FleetView::OnAnswered(const std::string& aWorker,
+                           base::Duration aEngineTime,
+                           base::TimePoint aNow)
 {
   std::deque<Sent>& sent = m_sent[aWorker];
   const auto done = std::find_if(
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -84,7 +84,10 @@
   } else if (path == "/orders") {
     OnOrder(ParseBody(aRequest.m_body), aReply);
   } else if (path == "/ledger") {
-    SendJson(aReply, 200, { { "executions", m_ledger }, { "orders", m_orders }, { "event_polls", m_eventPolls } });
+    SendJson(
+      aReply,
+      200,
+      { { "executions", m_ledger }, { "orders", m_orders }, { "event_polls", m_eventPolls } });
   } else if (path == "/admin/faults") {
     OnFaults(ParseBody(aRequest.m_body), aReply);
   } else {
--- /dev/null
+++ b/tools/load.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <fstream>    // for ofstream
+#include <functional> // for function
+#include <string>     // for string
+#include <vector>     // for vector
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/settings/settings.hpp" // for Settings
+
+namespace ferrytray::load {
+
+struct Command
+{
+  std::string m_name;
+  std::function<int(const settings::Settings&)> m_run;
+};
+
+/// Every experiment by name.
+const std::vector<Command>& Commands();
+
+int Sweep(const settings::Settings& aSettings);
+int Faults(const settings::Settings& aSettings);
+int Small(const settings::Settings& aSettings);
+int Redundancy(const settings::Settings& aSettings);
+int Cost(const settings::Settings& aSettings);
+int Drive(const settings::Settings& aSettings);
+
+/// Writes results where --json says, if it says so.
+inline void WriteJson(const settings::Settings& aSettings, const nlohmann::json& aRows)
+{
+  if (!aSettings.Text("json").empty()) {
+    std::ofstream(aSettings.Text("json")) << aRows.dump(1) << "\n";
+  }
+}
+
+} // namespace ferrytray::load
