--- a/include/ferrytray/keeper/endpoint_watch.hpp
+++ b/include/ferrytray/keeper/endpoint_watch.hpp
@@ -26,6 +26,9 @@
   void MarkLeaving(const std::string& aEndpoint, const std::string& aIncarnation);
   /// @brief Another zone's keeper told of a load.
   void OnRemoteLoad(const membership::LoadDigest& aDigest, base::TimePoint aNow);
+  /// @brief The live hosts of this zone: each engine is polled by one of them and told of to the
+  /// others, so that the bytes a node spends do not grow with the hosts.
+  void SetZoneHosts(std::vector<std::string> aHosts) { m_zoneHosts = std::move(aHosts); }
   /// @brief Polls every zone's engines while this host plans weight swaps.
   void PollAllZones(bool aAll) { m_allZones = aAll; }
 
@@ -55,6 +58,10 @@
   OnHosts m_onHosts;
   control::LeavingSet m_leaving;
   std::map<std::string, Known> m_endpoints;
+  [[nodiscard]] bool MustPoll(const wire::ListedHost& aEngine) const;
+
+  std::vector<std::string> m_zoneHosts;
+  std::string m_listTag;
   std::string m_digestCursor;
   bool m_allZones = false;
   bool m_listing = false;
--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -41,6 +41,7 @@
   int m_status = 0;
   bool m_timedOut = false;
   std::string m_detail;
+  std::string m_etag; ///< of the reply, if it had one
 };
 
 /// @brief What the sender of a request is told. All calls come on the loop.
@@ -62,6 +63,8 @@
   virtual CallId Start(ClientRequest aRequest, ClientEvents aEvents) = 0;
   /// @brief Drops a request; none of its events come any more.
   virtual void Cancel(CallId aCall) = 0;
+  /// @brief Bytes of requests and replies so far, headers included.
+  [[nodiscard]] virtual std::uint64_t BytesMoved() const = 0;
   /// @brief Sends a request and hands over the whole reply.
   CallId Fetch(ClientRequest aRequest,
                std::function<void(const ClientOutcome&, std::string aBody)> aDone);
--- a/src/ferrytray/keeper/endpoint_watch.cpp
+++ b/src/ferrytray/keeper/endpoint_watch.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/keeper/endpoint_watch.hpp"
 
-#include <algorithm> // for min
+#include <algorithm> // for max_element, min
 
+#include "ferrytray/base/digest.hpp"        // for Hash64
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::keeper {
@@ -43,11 +44,15 @@
   m_listing = true;
   net::ClientRequest request;
   request.m_url = m_options.m_platform + "/hosts";
+  if (!m_listTag.empty()) {
+    request.m_headers = { { "If-None-Match", m_listTag } };
+  }
   request.m_timeout = kPollTimeout;
   m_http.Fetch(std::move(request),
                [this](const net::ClientOutcome& aOutcome, const std::string& aBody) {
                  m_listing = false;
                  if (aOutcome.m_status == kOk) {
+                   m_listTag = aOutcome.m_etag;
                    OnHostList(aBody);
                  }
                });
@@ -87,8 +92,7 @@
 void EndpointWatch::PollLoads()
 {
   for (auto& [name, known] : m_endpoints) {
-    const bool wanted = m_allZones || known.m_host.m_zone == m_options.m_zone;
-    if (known.m_host.m_role != wire::Role::Engine || known.m_polling || !wanted) {
+    if (known.m_polling || !MustPoll(known.m_host)) {
       continue;
     }
     known.m_polling = true;
@@ -110,6 +114,22 @@
   }
 }
 
+bool EndpointWatch::MustPoll(const wire::ListedHost& aEngine) const
+{
+  if (aEngine.m_role != wire::Role::Engine) {
+    return false;
+  }
+  if (m_allZones || m_zoneHosts.empty()) {
+    return m_allZones || aEngine.m_zone == m_options.m_zone;
+  }
+  const auto score = [&](const std::string& aHost) { return base::Hash64(aEngine.m_name, aHost); };
+  const auto owner = std::max_element(
+    m_zoneHosts.begin(), m_zoneHosts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return score(aLeft) < score(aRight);
+    });
+  return aEngine.m_zone == m_options.m_zone && *owner == m_options.m_host;
+}
+
 void EndpointWatch::OnLoad(const std::string& aName, const std::string& aJson)
 {
   const auto report = wire::ParseLoadReport(aJson);
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -321,6 +321,7 @@
     CatchUpFromPeers();
     const std::vector<std::string> hosts = AliveNames(live);
     m_swaps.OnRound(m_registry.Fleets(), m_endpoints.Endpoints(now), hosts, now);
+    m_endpoints.SetZoneHosts(AliveInZone(live));
     m_endpoints.PollAllZones(m_swaps.HoldsAny(now));
     // The lowest name renews: a second one now and then would do no harm.
     m_config.RenewDue(m_options.m_renewAge, !hosts.empty() && hosts.front() == m_options.m_host);
@@ -355,6 +356,18 @@
     return names;
   }
 
+  [[nodiscard]] std::vector<std::string> AliveInZone(
+    const std::vector<membership::Member>& aLive) const
+  {
+    std::vector<std::string> names;
+    for (const membership::Member& member : aLive) {
+      if (member.m_state == membership::MemberState::Alive && member.m_zone == m_options.m_zone) {
+        names.push_back(member.m_host);
+      }
+    }
+    return names;
+  }
+
   /// What is in force on this host: its gate's position when it has a gate.
   [[nodiscard]] std::uint64_t PositionInForce() const
   {
@@ -380,6 +393,7 @@
     } else if (aRequest.m_path == "/metrics") {
       m_metrics.Set("members_live", static_cast<double>(m_members->Live().size()));
       m_metrics.Set("config_position", static_cast<double>(m_config.Replay().Position()));
+      m_metrics.Set("http_bytes_total", static_cast<double>(m_http->BytesMoved()));
       m_metrics.Set("log_reachable", m_config.LogReachable() ? 1 : 0);
       sendText(200, m_metrics.Render());
     } else if (aRequest.m_path == "/status") {
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/net/http_client.hpp"
 
 #include <map>           // for map
+#include <strings.h>     // for strncasecmp
 #include <unordered_map> // for unordered_map
 #include <utility>       // for move
 
@@ -28,6 +29,7 @@
   ClientEvents m_events;
   bool m_statusTold = false;
   bool m_gotBytes = false;
+  std::string m_etag;
 };
 
 struct WatchedSocket
@@ -108,7 +110,20 @@
     Release(*call);
   }
 
+  [[nodiscard]] std::uint64_t BytesMoved() const override { return m_bytes; }
+
 private:
+  void CountBytes(const Call& aCall)
+  {
+    curl_off_t down = 0;
+    long headers = 0;
+    long request = 0;
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_HEADER_SIZE, &headers);
+    curl_easy_getinfo(aCall.m_easy, CURLINFO_REQUEST_SIZE, &request);
+    m_bytes += static_cast<std::uint64_t>(down + headers + request);
+  }
+
   void Add(CallId aId)
   {
     const auto found = m_calls.find(aId);
@@ -171,9 +186,16 @@
     }
   }
 
-  static std::size_t OnHeader(char*, std::size_t aSize, std::size_t aCount, void* aCall)
+  static std::size_t OnHeader(char* aLine, std::size_t aSize, std::size_t aCount, void* aCall)
   {
-    static_cast<Call*>(aCall)->m_gotBytes = true;
+    auto& call = *static_cast<Call*>(aCall);
+    call.m_gotBytes = true;
+    const std::string_view line(aLine, aSize * aCount);
+    constexpr std::string_view kEtag = "etag: ";
+    if (line.size() > kEtag.size() && strncasecmp(line.data(), kEtag.data(), kEtag.size()) == 0) {
+      call.m_etag = std::string(line.substr(kEtag.size()));
+      call.m_etag.erase(call.m_etag.find_last_not_of("\r\n") + 1);
+    }
     return aSize * aCount;
   }
 
@@ -307,6 +329,7 @@
     const std::unique_ptr<Call> call = std::move(found->second);
     m_calls.erase(found);
     const ClientOutcome outcome = OutcomeOf(*call, aResult);
+    CountBytes(*call);
     if (outcome.m_status != 0) {
       TellStatus(*call);
     }
@@ -326,6 +349,7 @@
     outcome.m_status = static_cast<int>(status);
     outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
     outcome.m_detail = curl_easy_strerror(aResult);
+    outcome.m_etag = aCall.m_etag;
     if (aResult == CURLE_OK) {
       outcome.m_end = WireEnd::Complete;
     } else if (aCall.m_gotBytes) {
@@ -345,6 +369,7 @@
   asio::steady_timer m_timer;
   CURLM* m_multi;
   CallId m_lastId = 0;
+  std::uint64_t m_bytes = 0;
   bool m_inCallback = false;
   std::map<CallId, std::unique_ptr<Call>> m_calls;
   std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
--- a/standins/platform_log.cpp
+++ b/standins/platform_log.cpp
@@ -58,7 +58,7 @@
       OnRead(stream, aRequest, aReply);
     }
   } else if (aRequest.m_path == "/hosts") {
-    SendJson(aReply, 200, { { "hosts", m_shownHosts } });
+    SendHosts(aRequest, aReply);
   } else if (aRequest.m_path.rfind("/weights/", 0) == 0) {
     OnWeights(aReply);
   } else {
@@ -162,10 +162,24 @@
   for (const auto& [name, row] : m_hosts) {
     shown.push_back(row);
   }
-  Later(m_options.m_hostListLag, [this, shown] { m_shownHosts = shown; });
+  Later(m_options.m_hostListLag, [this, shown] {
+    m_shownHosts = shown;
+    ++m_hostsVersion;
+  });
   SendJson(aReply, 200, json::object());
 }
 
+void Platform::SendHosts(const net::HttpRequest& aRequest, const ReplyPtr& aReply)
+{
+  const std::string tag = "\"" + std::to_string(m_hostsVersion) + "\"";
+  if (aRequest.Header("If-None-Match") == tag) {
+    aReply->Send(304, { { "ETag", tag } }, "");
+    return;
+  }
+  const net::Headers headers{ { "Content-Type", "application/json" }, { "ETag", tag } };
+  aReply->Send(200, headers, json{ { "hosts", m_shownHosts } }.dump());
+}
+
 void Platform::OnWeights(const ReplyPtr& aReply)
 {
   ++m_downloads;
--- a/standins/platform_log.hpp
+++ b/standins/platform_log.hpp
@@ -50,6 +50,7 @@
               const ferrytray::net::HttpRequest& aRequest,
               const ReplyPtr& aReply);
   void OnHosts(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
+  void SendHosts(const ferrytray::net::HttpRequest& aRequest, const ReplyPtr& aReply);
   void OnWeights(const ReplyPtr& aReply);
   void OnFaults(const json& aBody, const ReplyPtr& aReply);
   [[nodiscard]] json PageOf(const Stream& aStream, std::uint64_t aFrom) const;
@@ -61,6 +62,7 @@
   std::map<std::string, Stream> m_streams;
   std::map<std::string, json> m_hosts;
   json m_shownHosts = json::array();
+  std::uint64_t m_hostsVersion = 1;
   ferrytray::base::TimePoint m_appendFree{};
   std::uint64_t m_appends = 0;
   std::uint64_t m_waiterIds = 0;
--- a/tools/load.hpp
+++ b/tools/load.hpp
@@ -25,6 +25,7 @@
 int Small(const settings::Settings& aSettings);
 int Redundancy(const settings::Settings& aSettings);
 int Cost(const settings::Settings& aSettings);
+int Parts(const settings::Settings& aSettings);
 int Drive(const settings::Settings& aSettings);
 
 /// Writes results where --json says, if it says so.
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -10,7 +10,7 @@
 {
   const auto parsed =
     settings::SettingsBuilder("ferrytray-load", "Load and experiments.")
-      .AllowArguments("sweep | faults | small | redundancy | cost | drive")
+      .AllowArguments("sweep | faults | small | redundancy | cost | parts | drive")
       .Add({ "seeds", "5", "sweep: runs with different seeds", SettingKind::Count })
       .Add({ "seconds", "1800", "length of a trace or of a drive", SettingKind::Number })
       .Add({ "rate", "50", "drive: requests a second", SettingKind::Number })
--- a/tools/load_sweep.cpp
+++ b/tools/load_sweep.cpp
@@ -246,7 +246,8 @@
 {
   static const std::vector<Command> kCommands{ { "sweep", Sweep }, { "faults", Faults },
                                                { "small", Small }, { "redundancy", Redundancy },
-                                               { "cost", Cost },   { "drive", Drive } };
+                                               { "cost", Cost },   { "parts", Parts },
+                                               { "drive", Drive } };
   return kCommands;
 }
 
