Configuration changes cost their own size; redundancy model counts what was sent

Cause: the keeper and the gate walked over every scope and account at each change, and the redundancy model put unstarted jobs on worker 0, so its estimate with lost reports was far too bad. Change: an index by accepted offset; per-document updates; the chosen worker is noted when a job is sent.

--- a/include/ferrytray/gate/keeper_link.hpp
+++ b/include/ferrytray/gate/keeper_link.hpp
@@ -19,7 +19,7 @@
 public:
   struct Handlers
   {
-    std::function<void()> m_onConfig;
+    std::function<void(const config::Document&)> m_onDocument; ///< came into force
     std::function<void(const wire::EndpointUpdate&)> m_onEndpoints;
     std::function<void(const wire::ShareUpdate&)> m_onShares;
     std::function<wire::GateReport()> m_makeReport;
--- a/include/ferrytray/replay/config_replay.hpp
+++ b/include/ferrytray/replay/config_replay.hpp
@@ -95,6 +95,7 @@
 private:
   ReplayOutcome ApplyRecord(const PlacedRecord& aPlaced, const FileRecord& aFile);
   ReplayOutcome ApplyRecord(const PlacedRecord& aPlaced, const RenewRecord& aRenew);
+  void Place(ScopeState& aScope, LogOffset aAccepted);
   void Install(ScopeState& aScope,
                LogOffset aAccepted,
                const std::string& aDigest,
@@ -104,6 +105,7 @@
   int m_newestSchema;
   LogOffset m_position = 0;
   std::map<std::string, ScopeState> m_scopes;
+  std::map<LogOffset, std::string> m_byAccepted; ///< so that Since costs what it gives
 };
 
 } // namespace ferrytray::replay
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -87,7 +87,7 @@
   void Start()
   {
     KeeperLink::Handlers handlers;
-    handlers.m_onConfig = [this] { OnConfig(); };
+    handlers.m_onDocument = [this](const config::Document& aDocument) { OnDocument(aDocument); };
     handlers.m_onEndpoints = [this](const wire::EndpointUpdate& aUpdate) {
       m_core.m_view.OnEndpoints(aUpdate.m_endpoints, base::MonotonicNow());
     };
@@ -133,13 +133,14 @@
 
   // --- news from the keeper ----------------------------------------------------------------
 
-  void OnConfig()
+  /// Only what changed: a change costs its own size.
+  void OnDocument(const config::Document& aDocument)
   {
     const base::TimePoint now = base::MonotonicNow();
-    for (const config::ClientAccount* account : m_core.m_keeper->Registry().Accounts()) {
+    for (const config::ClientAccount& account : aDocument.m_accounts) {
       m_core.m_limiter.SetLimit(
-        account->m_name,
-        { account->m_requestsPerSecond, account->m_burst, account->m_maxConcurrent },
+        account.m_name,
+        { account.m_requestsPerSecond, account.m_burst, account.m_maxConcurrent },
         now);
     }
   }
--- a/src/ferrytray/gate/keeper_link.cpp
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -78,12 +78,13 @@
       continue;
     }
     accepted = scope.m_accepted;
-    m_registry.Put(std::make_shared<config::Document>(std::move(*parsed)));
+    auto document = std::make_shared<const config::Document>(std::move(*parsed));
+    m_registry.Put(document);
+    m_handlers.m_onDocument(*document);
     telemetry::LogLine("config_in_force").Add("scope", scope.m_scope).Add("offset", accepted);
   }
   m_position = std::max(m_position, aUpdate.m_position);
   m_hasConfig = true;
-  m_handlers.m_onConfig();
   ReportNow();
 }
 
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kDemandsPerMessage = 12;
 constexpr std::size_t kLeavingPerMessage = 8;
 constexpr std::size_t kRoundsOfLeaving = 4;
+constexpr std::uint64_t kRoundsPerRenewal = 5;
 
 const char* ToText(membership::MemberState aState)
 {
@@ -131,16 +132,13 @@
 
   void OnConfigChange()
   {
-    for (const auto& [name, scope] : m_config.Replay().Scopes()) {
-      if (scope.m_accepted == 0 || m_parsedAt[name] == scope.m_accepted) {
-        continue;
-      }
-      m_parsedAt[name] = scope.m_accepted;
-      auto parsed = config::Parse(scope.m_body, name);
+    for (const replay::ScopeState& scope : m_config.Replay().Since(m_parsedUpTo)) {
+      auto parsed = config::Parse(scope.m_body, scope.m_scope);
       if (parsed) {
         m_registry.Put(std::make_shared<config::Document>(std::move(*parsed)));
       }
     }
+    m_parsedUpTo = m_config.Replay().Position();
     PublishState();
   }
 
@@ -323,7 +321,11 @@
     m_swaps.OnRound(m_registry.Fleets(), m_endpoints.Endpoints(now), hosts, now);
     m_endpoints.SetZoneHosts(AliveInZone(live));
     m_endpoints.PollAllZones(m_swaps.HoldsAny(now));
-    // The lowest name renews: a second one now and then would do no harm.
+    // The lowest name renews: a second one now and then would do no harm. Not every round, since
+    // it looks at every scope.
+    if (++m_rounds % kRoundsPerRenewal != 0) {
+      return;
+    }
     m_config.RenewDue(m_options.m_renewAge, !hosts.empty() && hosts.front() == m_options.m_host);
   }
 
@@ -457,7 +459,7 @@
   SwapController m_swaps;
   ShareBoard m_shares;
   replay::Registry m_registry;
-  std::map<std::string, std::uint64_t> m_parsedAt;
+  std::uint64_t m_parsedUpTo = 0;
   std::unique_ptr<membership::MemberTable> m_members;
   std::unique_ptr<net::DatagramSocket> m_gossip;
   std::unique_ptr<net::FrameServer> m_control;
@@ -469,6 +471,7 @@
   net::TimerHandle m_push;
   net::TimerHandle m_leaving;
   net::TimerHandle m_askTimeout;
+  std::uint64_t m_rounds = 0;
   bool m_asking = false;
 };
 
--- a/src/ferrytray/replay/config_replay.cpp
+++ b/src/ferrytray/replay/config_replay.cpp
@@ -34,7 +34,7 @@
       ScopeState& scope = m_scopes[ScopeOf(placed.m_record)];
       scope.m_scope = ScopeOf(placed.m_record);
       if (proven < first) {
-        scope.m_accepted = std::max(scope.m_accepted, proven);
+        Place(scope, std::max(scope.m_accepted, proven));
       }
     }
   }
@@ -91,13 +91,22 @@
   return Accepted{ "", aRenew.m_scope };
 }
 
+void ConfigReplay::Place(ScopeState& aScope, LogOffset aAccepted)
+{
+  m_byAccepted.erase(aScope.m_accepted);
+  aScope.m_accepted = aAccepted;
+  if (aAccepted > 0) {
+    m_byAccepted[aAccepted] = aScope.m_scope;
+  }
+}
+
 void ConfigReplay::Install(ScopeState& aScope,
                            LogOffset aAccepted,
                            const std::string& aDigest,
                            const std::string& aBody,
                            int aSchema)
 {
-  aScope.m_accepted = aAccepted;
+  Place(aScope, aAccepted);
   aScope.m_digest = aDigest;
   aScope.m_schemaKnown = aSchema <= m_newestSchema;
   if (aScope.m_schemaKnown) {
@@ -119,6 +128,7 @@
     if (theirs.m_accepted <= mine.m_accepted) {
       continue;
     }
+    Place(mine, theirs.m_accepted);
     mine = theirs;
     changed.push_back(theirs.m_scope);
   }
@@ -134,10 +144,8 @@
 std::vector<ScopeState> ConfigReplay::Since(LogOffset aOffset) const
 {
   std::vector<ScopeState> newer;
-  for (const auto& [name, scope] : m_scopes) {
-    if (scope.m_accepted > aOffset) {
-      newer.push_back(scope);
-    }
+  for (auto it = m_byAccepted.upper_bound(aOffset); it != m_byAccepted.end(); ++it) {
+    newer.push_back(m_scopes.at(it->second));
   }
   return newer;
 }
--- a/src/ferrytray/replay/registry.cpp
+++ b/src/ferrytray/replay/registry.cpp
@@ -131,17 +131,6 @@
   return fleets;
 }
 
-std::vector<const config::ClientAccount*> Registry::Accounts() const
-{
-  std::vector<const config::ClientAccount*> accounts;
-  for (const auto& [name, document] : m_scopes) {
-    for (const config::ClientAccount& account : document->m_accounts) {
-      accounts.push_back(&account);
-    }
-  }
-  return accounts;
-}
-
 const config::Document* Registry::Scope(const std::string& aScope) const
 {
   const auto found = m_scopes.find(aScope);
--- a/tools/load_redundancy.cpp
+++ b/tools/load_redundancy.cpp
@@ -15,7 +15,8 @@
 
 enum class Subsets : std::uint8_t
 {
-  Design,
+  Design,       ///< a block of the design at random
+  DesignInTurn, ///< the design's blocks in turn
   Random,
   RoundRobin,
   Estimate, ///< no copies: the shortest estimated queue
@@ -124,6 +125,9 @@
     if (m_setup.m_subsets == Subsets::Design) {
       return m_setup.m_design[m_random() % m_setup.m_design.size()];
     }
+    if (m_setup.m_subsets == Subsets::DesignInTurn) {
+      return m_setup.m_design[aJob % m_setup.m_design.size()];
+    }
     if (m_setup.m_subsets == Subsets::RoundRobin) {
       std::vector<std::size_t> targets;
       for (std::size_t i = 0; i < copies; ++i) {
@@ -135,7 +139,9 @@
     if (m_setup.m_subsets == Subsets::Random) {
       return { m_order.begin(), m_order.begin() + static_cast<std::ptrdiff_t>(copies) };
     }
-    return { ShortestQueue(aNow) };
+    const std::size_t chosen = ShortestQueue(aNow);
+    m_sentTo[aJob] = chosen;
+    return { chosen };
   }
 
   /// By the report as it is, plus what was sent since: the gate knows its own sends.
@@ -221,8 +227,6 @@
       } else {
         m_started[job] = aAt;
         m_answered[job] = aAt + busy;
-        m_sentTo.resize(std::max(m_sentTo.size(), job + 1), 0);
-        m_sentTo[job] = aIndex;
       }
       aServer.m_freeAt = aAt + busy;
       m_events.push({ aServer.m_freeAt, aIndex });
@@ -258,7 +262,8 @@
 int Redundancy(const settings::Settings& aSettings)
 {
   constexpr std::size_t kJobs = 20000;
-  const std::array<Line, 6> lines{ { { "design", Subsets::Design, Reports::Lost },
+  const std::array<Line, 7> lines{ { { "design at random", Subsets::Design, Reports::Lost },
+                                     { "design in turn", Subsets::DesignInTurn, Reports::Lost },
                                      { "random subsets", Subsets::Random, Reports::Lost },
                                      { "round-robin subsets", Subsets::RoundRobin, Reports::Lost },
                                      { "estimate, fresh", Subsets::Estimate, Reports::Fresh },
