--- a/include/ferrytray/membership/member.hpp
+++ b/include/ferrytray/membership/member.hpp
@@ -32,6 +32,16 @@
   std::vector<std::string> m_tickets; ///< gate incarnations whose tickets live there
 };
 
+/// @brief What changes all the time of a member; the rest is told seldom.
+struct MemberPulse
+{
+  std::string m_host;
+  std::uint64_t m_incarnation = 0;
+  std::uint64_t m_heartbeat = 0;
+  std::uint64_t m_position = 0;
+  MemberState m_state = MemberState::Alive;
+};
+
 /// @brief A worker's load as its zone's keeper last saw it.
 struct LoadDigest
 {
@@ -53,7 +63,8 @@
 struct GossipMessage
 {
   std::string m_from;
-  std::vector<Member> m_members;
+  std::vector<Member> m_members; ///< the sender first, then some whose addresses are news
+  std::vector<MemberPulse> m_pulses;
   std::vector<LoadDigest> m_loads;
   std::vector<DemandDigest> m_demands;
   std::vector<std::pair<std::string, std::string>> m_leaving; ///< endpoint, incarnation
--- a/include/ferrytray/membership/member_table.hpp
+++ b/include/ferrytray/membership/member_table.hpp
@@ -18,8 +18,10 @@
   base::Duration m_suspectAfter = std::chrono::seconds(3);
   base::Duration m_deadAfter = std::chrono::seconds(10);
   base::Duration m_forgetAfter = std::chrono::minutes(10);
-  std::size_t m_zonePeers = 2;           ///< peers of one's zone told in each round
-  std::size_t m_rowsPerMessage = 12;     ///< bounds a datagram, and so the bytes a second
+  std::size_t m_zonePeers = 1;           ///< peers of one's zone told in each round
+  std::size_t m_rowsPerMessage = 2;      ///< whole rows besides one's own
+  std::size_t m_pulsesPerMessage = 10;   ///< with the rows this bounds a datagram
+  std::uint64_t m_newsRounds = 20;       ///< how long a row's addresses are told on
   std::uint32_t m_remoteEveryRounds = 4; ///< every so many rounds one peer of another zone
 };
 
@@ -72,11 +74,15 @@
   {
     Member m_member;
     base::TimePoint m_heard;
-    std::uint64_t m_changed = 0; ///< round in which it last changed, for choosing rows
+    std::uint64_t m_changed = 0; ///< round of its last heartbeat, for choosing pulses
+    std::uint64_t m_news = 0;    ///< round in which its addresses last changed
   };
 
   Member& Self() { return m_rows.at(m_self).m_member; }
   void Merge(const Member& aTheirs, base::TimePoint aNow);
+  void Merge(const MemberPulse& aTheirs, base::TimePoint aNow);
+  void AddNews(GossipMessage& aMessage);
+  void AddPulses(GossipMessage& aMessage);
   void Judge(base::TimePoint aNow);
   std::vector<std::string> PickPeers();
   GossipMessage Compose();
@@ -89,6 +95,7 @@
   std::uint64_t m_round = 0;
   std::uint64_t m_dropped = 0;
   std::string m_cursor;
+  std::string m_newsCursor;
 };
 
 } // namespace ferrytray::membership
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -358,6 +358,7 @@
     metrics.Set("open_connections", static_cast<double>(counters.m_accepted - counters.m_closed));
     metrics.Set("connections_without_request_total",
                 static_cast<double>(counters.m_closedBeforeRequest));
+    metrics.Set("endpoints_known", static_cast<double>(m_core.m_view.Endpoints().size()));
     metrics.Set("tickets", static_cast<double>(m_core.m_tickets.Size()));
     metrics.Set("held_keys", static_cast<double>(m_core.m_claims.HeldKeys()));
     metrics.Set("config_position", static_cast<double>(m_core.m_keeper->Position()));
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -15,11 +15,13 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kLoadsPerMessage = 12;
-constexpr std::size_t kDemandsPerMessage = 12;
+constexpr std::size_t kLoadsPerMessage = 8;
+constexpr std::size_t kDemandsPerMessage = 6;
 constexpr std::size_t kLeavingPerMessage = 8;
 constexpr std::size_t kRoundsOfLeaving = 4;
 constexpr std::uint64_t kRoundsPerRenewal = 5;
+constexpr int kRoundsToSuspect = 12;
+constexpr int kRoundsToDead = 30;
 
 const char* ToText(membership::MemberState aState)
 {
@@ -94,8 +96,10 @@
     self.m_control = net::ToString(m_control->ListenAddress());
     self.m_incarnation = m_options.m_incarnation;
     const std::uint64_t seed = base::Hash64(self.m_host, std::to_string(self.m_incarnation));
-    m_members =
-      std::make_unique<membership::MemberTable>(self, membership::MembershipOptions{}, seed);
+    membership::MembershipOptions options;
+    options.m_suspectAfter = m_options.m_round * kRoundsToSuspect;
+    options.m_deadAfter = m_options.m_round * kRoundsToDead;
+    m_members = std::make_unique<membership::MemberTable>(self, options, seed);
     SeedMembers();
     m_config.Start([this] { OnConfigChange(); });
     m_endpoints.Start([this](const auto& aEntries) { OnEntryHosts(aEntries); });
--- a/src/ferrytray/membership/member_table.cpp
+++ b/src/ferrytray/membership/member_table.cpp
@@ -20,6 +20,24 @@
   return aTheirs.m_heartbeat > aMine.m_heartbeat;
 }
 
+bool DiffersInAddresses(const Member& aLeft, const Member& aRight)
+{
+  return aLeft.m_incarnation != aRight.m_incarnation || aLeft.m_gossip != aRight.m_gossip ||
+         aLeft.m_control != aRight.m_control || aLeft.m_gate != aRight.m_gate ||
+         aLeft.m_gateControl != aRight.m_gateControl || aLeft.m_tickets != aRight.m_tickets;
+}
+
+bool StaysLeaving(const Member& aMember, std::uint64_t aIncarnation)
+{
+  return aMember.m_state == MemberState::Leaving && aMember.m_incarnation == aIncarnation;
+}
+
+/// A heartbeat proves life, whatever the teller thought.
+MemberState Heard(bool aStaysLeaving, MemberState aTold)
+{
+  return aStaysLeaving || aTold == MemberState::Leaving ? MemberState::Leaving : MemberState::Alive;
+}
+
 bool MayUse(const Member& aMember)
 {
   return aMember.m_state != MemberState::Dead;
@@ -41,7 +59,7 @@
   for (const Member& host : aHosts) {
     m_allowedIps.insert(IpOf(host.m_gossip));
     // The list lags, so it only seeds; heartbeats say who lives.
-    const auto [entry, added] = m_rows.try_emplace(host.m_host, Row{ host, aNow, m_round });
+    const auto [entry, added] = m_rows.try_emplace(host.m_host, Row{ host, aNow, m_round, 0 });
     if (added) {
       entry->second.m_member.m_state = MemberState::Suspect;
     }
@@ -59,6 +77,9 @@
   for (const Member& theirs : aMessage.m_members) {
     Merge(theirs, aNow);
   }
+  for (const MemberPulse& theirs : aMessage.m_pulses) {
+    Merge(theirs, aNow);
+  }
   return true;
 }
 
@@ -67,16 +88,37 @@
   if (aTheirs.m_host == m_self) {
     return;
   }
-  const auto [entry, added] = m_rows.try_emplace(aTheirs.m_host, Row{ aTheirs, aNow, m_round });
+  const auto [entry, added] =
+    m_rows.try_emplace(aTheirs.m_host, Row{ aTheirs, aNow, m_round, m_round });
   Row& row = entry->second;
   if (added || !IsNewer(aTheirs, row.m_member)) {
     return;
   }
-  const bool leaving = row.m_member.m_state == MemberState::Leaving &&
-                       row.m_member.m_incarnation == aTheirs.m_incarnation;
+  if (DiffersInAddresses(aTheirs, row.m_member)) {
+    row.m_news = m_round;
+  }
+  const bool leaving = StaysLeaving(row.m_member, aTheirs.m_incarnation);
   row.m_member = aTheirs;
-  row.m_member.m_state =
-    leaving || aTheirs.m_state == MemberState::Leaving ? MemberState::Leaving : MemberState::Alive;
+  row.m_member.m_state = Heard(leaving, aTheirs.m_state);
+  row.m_heard = aNow;
+  row.m_changed = m_round;
+}
+
+void MemberTable::Merge(const MemberPulse& aTheirs, base::TimePoint aNow)
+{
+  const auto found = m_rows.find(aTheirs.m_host);
+  const bool known =
+    found != m_rows.end() && found->second.m_member.m_incarnation == aTheirs.m_incarnation;
+  // A pulse of a process not met yet says nothing without its addresses.
+  if (aTheirs.m_host == m_self || !known ||
+      aTheirs.m_heartbeat <= found->second.m_member.m_heartbeat) {
+    return;
+  }
+  Row& row = found->second;
+  const bool leaving = StaysLeaving(row.m_member, aTheirs.m_incarnation);
+  row.m_member.m_heartbeat = aTheirs.m_heartbeat;
+  row.m_member.m_position = aTheirs.m_position;
+  row.m_member.m_state = Heard(leaving, aTheirs.m_state);
   row.m_heard = aNow;
   row.m_changed = m_round;
 }
@@ -140,31 +182,62 @@
 {
   GossipMessage message;
   message.m_from = m_self;
+  message.m_members.push_back(Self());
+  AddNews(message);
+  AddPulses(message);
+  return message;
+}
+
+void MemberTable::AddNews(GossipMessage& aMessage)
+{
+  // Addresses that changed lately, in turn.
+  for (std::size_t step = 0; step < m_rows.size(); ++step) {
+    if (aMessage.m_members.size() > m_options.m_rowsPerMessage) {
+      return;
+    }
+    auto next = m_rows.upper_bound(m_newsCursor);
+    next = next == m_rows.end() ? m_rows.begin() : next;
+    m_newsCursor = next->first;
+    const Row& row = next->second;
+    const bool isNews = row.m_news + m_options.m_newsRounds >= m_round;
+    if (next->first != m_self && isNews && MayUse(row.m_member)) {
+      aMessage.m_members.push_back(row.m_member);
+    }
+  }
+}
+
+void MemberTable::AddPulses(GossipMessage& aMessage)
+{
   std::vector<const Row*> rows;
   for (const auto& [host, row] : m_rows) {
     if (host != m_self && MayUse(row.m_member)) {
       rows.push_back(&row);
     }
   }
-  // The freshest news first; a cursor through the rest so that each host is told of in turn.
+  // The freshest first; a cursor through the rest so that each host is told of in turn.
   std::sort(rows.begin(), rows.end(), [](const Row* aLeft, const Row* aRight) {
     return aLeft->m_changed > aRight->m_changed;
   });
-  const std::size_t room = m_options.m_rowsPerMessage - 1;
-  message.m_members.push_back(Self());
-  const std::size_t fresh = std::min(rows.size(), (room + 1) / 2);
+  const auto add = [&](const Member& aMember) {
+    aMessage.m_pulses.push_back({ aMember.m_host,
+                                  aMember.m_incarnation,
+                                  aMember.m_heartbeat,
+                                  aMember.m_position,
+                                  aMember.m_state });
+  };
+  const std::size_t room = std::min(rows.size(), m_options.m_pulsesPerMessage);
+  const std::size_t fresh = (room + 1) / 2;
   for (std::size_t i = 0; i < fresh; ++i) {
-    message.m_members.push_back(rows[i]->m_member);
+    add(rows[i]->m_member);
   }
-  for (std::size_t i = fresh; i < std::min(rows.size(), room); ++i) {
+  for (std::size_t i = fresh; i < room; ++i) {
     auto next = m_rows.upper_bound(m_cursor);
     next = next == m_rows.end() ? m_rows.begin() : next;
     m_cursor = next->first;
     if (MayUse(next->second.m_member) && next->first != m_self) {
-      message.m_members.push_back(next->second.m_member);
+      add(next->second.m_member);
     }
   }
-  return message;
 }
 
 void MemberTable::Leave()
--- a/src/ferrytray/membership/member_table_test.cpp
+++ b/src/ferrytray/membership/member_table_test.cpp
@@ -57,7 +57,7 @@
       return;
     }
     for (const auto& send : m_tables[aFrom]->OnRound(m_now)) {
-      m_rowsSent += send.m_message.m_members.size();
+      m_rowsSent += send.m_message.m_members.size() + send.m_message.m_pulses.size();
       for (std::size_t to = 0; to < m_tables.size(); ++to) {
         const bool cut = m_cutZone == m_list[to].m_zone || m_cutZone == m_list[aFrom].m_zone;
         const bool crosses = m_list[to].m_zone != m_list[aFrom].m_zone;
@@ -136,7 +136,7 @@
   CHECK(network.m_tables[0]->Find("h3")->m_state == MemberState::Leaving);
   auto alive = HostNumber(3);
   alive.m_heartbeat = 100000;
-  network.m_tables[0]->OnMessage({ "h3", { alive }, {}, {}, {} }, "10.0.0.3", network.m_now);
+  network.m_tables[0]->OnMessage({ "h3", { alive }, {}, {}, {}, {} }, "10.0.0.3", network.m_now);
   CHECK(network.m_tables[0]->Find("h3")->m_state == MemberState::Leaving);
 }
 
@@ -145,7 +145,7 @@
   FakeNetwork network(3);
   auto stranger = HostNumber(77);
   CHECK_FALSE(
-    network.m_tables[0]->OnMessage({ "h77", { stranger }, {}, {}, {} }, "10.0.0.77", kStart));
+    network.m_tables[0]->OnMessage({ "h77", { stranger }, {}, {}, {}, {} }, "10.0.0.77", kStart));
   LONGS_EQUAL(1, network.m_tables[0]->DroppedMessages());
   CHECK(network.m_tables[0]->Find("h77") == nullptr);
 }
@@ -156,7 +156,8 @@
   FakeNetwork network(60);
   network.Rounds(10);
   const std::size_t perHostRound = network.m_rowsSent / (10 * 60);
-  CHECK(perHostRound <= (options.m_zonePeers + 1) * options.m_rowsPerMessage);
+  CHECK(perHostRound <=
+        (options.m_zonePeers + 1) * (1 + options.m_rowsPerMessage + options.m_pulsesPerMessage));
 }
 
 TEST(MemberTable, TicketsAreFoundWhereTheyWentTo)
--- a/src/ferrytray/wire/frames.cpp
+++ b/src/ferrytray/wire/frames.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/wire/frames.hpp"
 
-#include <sstream> // for ostringstream
+#include <algorithm> // for min
+#include <sstream>   // for ostringstream
 
 #include <cereal/archives/binary.hpp> // for BinaryOutputArchive
 #include <cereal/types/chrono.hpp>    // for duration
@@ -23,36 +24,72 @@
 
 namespace ferrytray::membership {
 
+namespace {
+
+/// Texts with a length of two bytes instead of eight: datagrams are many and names are short.
+struct ShortText
+{
+  std::string& m_text;
+};
+
+template<typename Archive>
+void save(Archive& aArchive, const ShortText& aShort)
+{
+  const auto size = static_cast<std::uint16_t>(std::min<std::size_t>(aShort.m_text.size(), 0xFFFF));
+  aArchive(size);
+  aArchive(cereal::binary_data(aShort.m_text.data(), size));
+}
+
+template<typename Archive>
+void load(Archive& aArchive, ShortText& aShort)
+{
+  std::uint16_t size = 0;
+  aArchive(size);
+  aShort.m_text.resize(size);
+  aArchive(cereal::binary_data(aShort.m_text.data(), size));
+}
+
+template<typename Archive, typename... Texts>
+void Shorts(Archive& aArchive, Texts&... aTexts)
+{
+  (
+    [&] {
+      ShortText text{ aTexts };
+      aArchive(text);
+    }(),
+    ...);
+}
+
+} // namespace
+
+template<typename Archive>
+void serialize(Archive& aArchive, MemberPulse& aPulse)
+{
+  Shorts(aArchive, aPulse.m_host);
+  aArchive(aPulse.m_incarnation, aPulse.m_heartbeat, aPulse.m_position, aPulse.m_state);
+}
+
 template<typename Archive>
 void serialize(Archive& aArchive, Member& aMember)
 {
-  aArchive(aMember.m_host,
-           aMember.m_zone,
-           aMember.m_gossip,
-           aMember.m_control,
-           aMember.m_gate,
-           aMember.m_gateControl);
-  aArchive(aMember.m_incarnation,
-           aMember.m_heartbeat,
-           aMember.m_position,
-           aMember.m_state,
-           aMember.m_tickets);
+  Shorts(aArchive, aMember.m_host, aMember.m_zone, aMember.m_gossip, aMember.m_control);
+  Shorts(aArchive, aMember.m_gate, aMember.m_gateControl);
+  aArchive(aMember.m_incarnation, aMember.m_heartbeat, aMember.m_position, aMember.m_state);
+  aArchive(aMember.m_tickets);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, LoadDigest& aLoad)
 {
-  aArchive(aLoad.m_worker,
-           aLoad.m_queuedMillis,
-           aLoad.m_ageMillis,
-           aLoad.m_version,
-           aLoad.m_tokensPerSecond);
+  Shorts(aArchive, aLoad.m_worker, aLoad.m_version);
+  aArchive(aLoad.m_queuedMillis, aLoad.m_ageMillis, aLoad.m_tokensPerSecond);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, DemandDigest& aDemand)
 {
-  aArchive(aDemand.m_account, aDemand.m_perSecond);
+  Shorts(aArchive, aDemand.m_account);
+  aArchive(aDemand.m_perSecond);
 }
 
 template<typename Archive>
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -174,7 +174,11 @@
       for (const json& member : status.value("members", json::array())) {
         alive += member.value("state", "") == "alive" && member.value("gate", "") != "" ? 1 : 0;
       }
-      if (known < m_endpoints.size() || alive < m_hosts.size()) {
+      const std::string knownByGate =
+        "ferrytray_endpoints_known " + std::to_string(m_endpoints.size()) + "\n";
+      const bool gateKnows =
+        Get(host.Gate() + "/metrics").m_body.find(knownByGate) != std::string::npos;
+      if (!gateKnows || known < m_endpoints.size() || alive < m_hosts.size()) {
         return false;
       }
     }
--- a/tools/load.hpp
+++ b/tools/load.hpp
@@ -26,6 +26,7 @@
 int Redundancy(const settings::Settings& aSettings);
 int Cost(const settings::Settings& aSettings);
 int Parts(const settings::Settings& aSettings);
+int Probe(const settings::Settings& aSettings);
 int Drive(const settings::Settings& aSettings);
 
 /// Writes results where --json says, if it says so.
--- /dev/null
+++ b/tools/load_probe.cpp
@@ -0,0 +1,134 @@
+#include <algorithm> // for sort
+#include <cstdio>    // for printf
+
+#include "ferrytray/net/http_client.hpp" // for HttpClient
+#include "load.hpp"
+
+// What the gate adds to the time to first token, beside the engine asked directly in the same run;
+// then many open streams at once.
+namespace ferrytray::load {
+
+namespace {
+
+using nlohmann::json;
+
+net::ClientRequest StreamRequest(const settings::Settings& aSettings,
+                                 const std::string& aAddress,
+                                 std::uint32_t aTokens)
+{
+  const json body{ { "model", aSettings.Text("model") },
+                   { "prompt", "probe" },
+                   { "max_tokens", aTokens },
+                   { "stream", true } };
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + aAddress + "/v1/completions";
+  request.m_headers = { { "Authorization", "Bearer " + aSettings.Text("key") } };
+  request.m_body = body.dump();
+  request.m_timeout = std::chrono::minutes(5);
+  return request;
+}
+
+/// Asks one after the other, the two addresses in turn.
+class Alternator
+{
+public:
+  Alternator(const settings::Settings& aSettings, std::size_t aEach)
+    : m_settings(aSettings)
+    , m_http(net::HttpClient::Create(m_loop))
+    , m_left(aEach * 2)
+  {
+  }
+
+  void Run()
+  {
+    Next();
+    m_loop.Run();
+  }
+
+  std::vector<double> m_viaGate;
+  std::vector<double> m_direct;
+
+private:
+  void Next()
+  {
+    if (m_left-- == 0) {
+      m_loop.Stop();
+      return;
+    }
+    const bool viaGate = m_left % 2 == 0;
+    const base::TimePoint start = base::MonotonicNow();
+    auto first = std::make_shared<bool>(true);
+    net::ClientEvents events;
+    events.m_onData = [this, viaGate, start, first](std::string_view) {
+      if (*first) {
+        *first = false;
+        (viaGate ? m_viaGate : m_direct).push_back(base::Seconds(base::MonotonicNow() - start));
+      }
+    };
+    events.m_onEnd = [this](const net::ClientOutcome&) { Next(); };
+    m_http->Start(StreamRequest(m_settings, m_settings.Text(viaGate ? "gate" : "direct"), 1),
+                  std::move(events));
+  }
+
+  const settings::Settings& m_settings;
+  net::Loop m_loop;
+  std::unique_ptr<net::HttpClient> m_http;
+  std::size_t m_left;
+};
+
+double Median(std::vector<double> aValues)
+{
+  std::sort(aValues.begin(), aValues.end());
+  return aValues.empty() ? 0 : aValues[aValues.size() / 2];
+}
+
+/// Opens streams and waits until each has begun; they end with the program.
+std::size_t HoldStreams(const settings::Settings& aSettings, std::size_t aStreams)
+{
+  constexpr std::uint32_t kEndless = 100000;
+  net::Loop loop;
+  const auto http = net::HttpClient::Create(loop);
+  std::size_t begun = 0;
+  std::vector<bool> seen(aStreams, false);
+  for (std::size_t i = 0; i < aStreams; ++i) {
+    net::ClientEvents events;
+    events.m_onData = [&, i](std::string_view) {
+      if (!seen[i]) {
+        seen[i] = true;
+        ++begun;
+      }
+    };
+    http->Start(StreamRequest(aSettings, aSettings.Text("gate"), kEndless), std::move(events));
+  }
+  const auto end = loop.After(base::FromSeconds(aSettings.Number("seconds")), [&] {
+    std::printf("open streams %zu of %zu\n", begun, aStreams);
+    std::fflush(stdout);
+    loop.Stop();
+  });
+  loop.Run();
+  return begun;
+}
+
+} // namespace
+
+int Probe(const settings::Settings& aSettings)
+{
+  const std::size_t each = aSettings.Count("requests");
+  Alternator alternator(aSettings, each);
+  alternator.Run();
+  const double viaGate = Median(alternator.m_viaGate);
+  const double direct = Median(alternator.m_direct);
+  std::printf("median time to first token: through the gate %.3f ms, directly %.3f ms, added %.3f "
+              "ms (%zu each)\n",
+              viaGate * 1000,
+              direct * 1000,
+              (viaGate - direct) * 1000,
+              alternator.m_viaGate.size());
+  std::fflush(stdout);
+  const std::size_t streams = aSettings.Count("streams");
+  const bool held = streams == 0 || HoldStreams(aSettings, streams) == streams;
+  return held ? settings::kExitOk : settings::kExitFailed;
+}
+
+} // namespace ferrytray::load
--- a/tools/load_sweep.cpp
+++ b/tools/load_sweep.cpp
@@ -247,7 +247,7 @@
   static const std::vector<Command> kCommands{ { "sweep", Sweep }, { "faults", Faults },
                                                { "small", Small }, { "redundancy", Redundancy },
                                                { "cost", Cost },   { "parts", Parts },
-                                               { "drive", Drive } };
+                                               { "probe", Probe }, { "drive", Drive } };
   return kCommands;
 }
 
