--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -152,7 +152,7 @@
   run->m_request = aBody.value("x_request", run->m_attempt);
   run->m_salt = aBody.value("cache_salt", "");
   run->m_prompt = aBody.at("prompt").get<std::string>();
-  run->m_version = m_options.m_version;
+  run->m_version = m_answerVersion.empty() ? m_options.m_version : m_answerVersion;
   run->m_priority = aBody.value("priority", std::uint64_t{ 0 });
   run->m_tokensLeft = std::max(1U, aBody.value("max_tokens", kDefaultTokens));
   run->m_promptTokens = static_cast<std::uint32_t>(run->m_prompt.size() / kBytesPerToken);
@@ -474,6 +474,7 @@
   m_slowness = aBody.value("slowness", m_slowness);
   m_leaving = aBody.value("leaving", m_leaving);
   m_hiddenEvents = aBody.value("hide_events", m_hiddenEvents);
+  m_answerVersion = aBody.value("answer_version", m_answerVersion);
   if (aBody.value("evict", false)) {
     m_cache.Clear();
   }
--- a/standins/engine.hpp
+++ b/standins/engine.hpp
@@ -109,6 +109,7 @@
   bool m_leaving = false;
   double m_slowness = 1;
   int m_hiddenEvents = 0;
+  std::string m_answerVersion; ///< a fault: what it says it runs; empty: the truth
   std::uint64_t m_eventPolls = 0;
 };
 
--- a/tests/integration/restore_test.cpp
+++ b/tests/integration/restore_test.cpp
@@ -190,3 +190,15 @@
   const Answer answer = Send(Ask(*m_host, context + "more"));
   STRCMP_EQUAL(AnswerAlone(context + "more").c_str(), answer.Text().c_str());
 }
+
+TEST(Restore, AnAnswerOfAnotherVersionIsDroppedBeforeItsFirstToken)
+{
+  Begin();
+  m_deployment.At("w1").Faults({ { "answer_version", "9" } });
+  const json stream{ { "stream", true } };
+  const Answer answer =
+    Send(Ask(*m_host, "swapped between", stream, { { "Ferrytray-Idempotent", "false" } }));
+  LONGS_EQUAL(4006, answer.Code());
+  STRCMP_EQUAL("unknown", answer.Run().c_str());
+  CHECK(answer.Text().empty());
+}
