--- a/src/ferrytray/gate/pass_through.cpp
+++ b/src/ferrytray/gate/pass_through.cpp
@@ -15,9 +15,9 @@
   bool m_streaming = false;
 };
 
-net::Headers HeadersToPass(const net::HttpRequest& aRequest)
+net::Headers HeadersToPass(const net::HttpRequest& aRequest, const std::string& aRequestId)
 {
-  net::Headers headers{ { "Ferrytray-Forwarded", "true" } };
+  net::Headers headers{ { "Ferrytray-Forwarded", "true" }, { "X-Request-Id", aRequestId } };
   for (const char* name : { "Authorization",
                             "Content-Type",
                             "Idempotency-Key",
@@ -75,7 +75,7 @@
   request.m_method = aRequest.m_method;
   request.m_url = "http://" + aAddress + aRequest.m_path +
                   (aRequest.m_query.empty() ? "" : "?" + aRequest.m_query);
-  request.m_headers = HeadersToPass(aRequest);
+  request.m_headers = HeadersToPass(aRequest, aRequestId);
   request.m_body = aRequest.m_body;
   request.m_timeout = aCore.m_options.m_longestDeadline;
   // The home gate sees to it that nothing runs twice, but a resend would be refused as in use.
--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -140,6 +140,7 @@
       Host(aHost), "order", { { "Ferrytray-Ticket", ticket }, { "X-Request-Id", aRequest } }));
   };
   LONGS_EQUAL(200, redeem("h2", "r1").m_status);
+  LONGS_EQUAL(1, m_deployment.Executions("r1"));
   LONGS_EQUAL(200, redeem("h1", "r2").m_status);
   LONGS_EQUAL(200, redeem("h2", "r3").m_status);
   const json ledger = Get(m_deployment.At("c1").Direct() + "/ledger").Json();
