Hand-over between halves by alternating epochs; exports in chunks; smaller files

Cause: rules for the two halves only refused by what the file said. Change: epochs alternate, a record says who ended an epoch, and a half owns e only when the other half ended e-1. One keeper records the end once every listed host has drained and fetches the other half's record; gates refuse (6003, not_run) until then.

--- a/include/ferrytray/gate/exporter.hpp
+++ b/include/ferrytray/gate/exporter.hpp
@@ -21,7 +21,8 @@
   double m_recomputeSeconds = 0; ///< that keeping it can save
 };
 
-/// @brief Decides which contexts are kept, and moves them to their stores one at a time.
+/// @brief Decides which contexts are kept, and moves them to their stores one at a time, a few
+/// blocks at a time, while no import waits for the store's link.
 class Exporter
 {
 public:
@@ -38,15 +39,22 @@
   {
     ExportJob m_job;
     double m_worth = 0;
+    std::size_t m_moved = 0; ///< blocks that are kept already
   };
 
+  void Push(Job aJob);
   void StartNext(const std::string& aStore);
+  void AskStore(const Job& aJob);
+  void OnStore(Job aJob, const StoreFound& aFound);
+  void MoveChunk(const Job& aJob);
   void Commit(const Job& aJob, const std::string& aUpload, const std::string& aManifestReply);
-  void Finish(const Job& aJob, bool aKept);
+  void Finish(Job aJob, bool aKept);
+  void WaitForLink(const Job& aJob);
 
   GateCore& m_core;
   std::map<std::string, std::deque<Job>> m_waiting;
   std::map<std::string, bool> m_busy;
+  std::map<std::string, net::TimerHandle> m_pauses;
 };
 
 } // namespace ferrytray::gate
--- a/include/ferrytray/gate/gate_core.hpp
+++ b/include/ferrytray/gate/gate_core.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional> // for function
+#include <map>        // for map
 #include <memory>     // for unique_ptr
 #include <string>     // for string
+#include <vector>     // for vector
 
 #include "ferrytray/gate/claims_link.hpp"       // for ClaimsLink
 #include "ferrytray/gate/context_log.hpp"       // for ContextLog
@@ -34,8 +36,13 @@
   telemetry::Metrics m_metrics;
   std::unique_ptr<KeeperLink> m_keeper;
   std::uint64_t m_openWork = 0;
+  std::map<std::string, std::uint64_t> m_openOf; ///< open work by fleet and by client account
   std::uint64_t m_attempts = 0;
 
+  /// @brief Work of these owners begins or has ended; hand-overs wait for it.
+  void Begin(const std::vector<std::string>& aOwners);
+  void End(const std::vector<std::string>& aOwners);
+
   /// @brief A name for one attempt, unique over all gates and starts.
   std::string NextAttempt() { return m_options.m_incarnation + "-" + std::to_string(++m_attempts); }
 };
--- a/include/ferrytray/gate/keeper_link.hpp
+++ b/include/ferrytray/gate/keeper_link.hpp
@@ -3,6 +3,7 @@
 #include <functional> // for function
 #include <map>        // for map
 #include <memory>     // for shared_ptr
+#include <optional>   // for optional
 #include <string>     // for string
 #include <vector>     // for vector
 
@@ -36,6 +37,8 @@
   [[nodiscard]] const std::vector<membership::Member>& Members() const { return m_members; }
   /// @brief The live member at which a gate incarnation's tickets are, or null.
   [[nodiscard]] const membership::Member* TicketHome(const std::string& aIncarnation) const;
+  /// @brief What the log says of a rule's hand-overs; empty until the keeper has told.
+  [[nodiscard]] std::optional<wire::HalfEpochs> Epochs(const std::string& aRule) const;
   [[nodiscard]] bool Connected() const { return m_channel != nullptr; }
 
 private:
@@ -45,6 +48,7 @@
   void Handle(const wire::EndpointUpdate& aUpdate);
   void Handle(const wire::PeerUpdate& aUpdate);
   void Handle(const wire::ShareUpdate& aUpdate);
+  void Handle(const wire::HalfUpdate& aUpdate);
   template<typename Other>
   void Handle(const Other&)
   {
@@ -58,6 +62,8 @@
   std::map<std::string, std::uint64_t> m_accepted;
   std::uint64_t m_position = 0;
   bool m_hasConfig = false;
+  bool m_halvesKnown = false;
+  std::map<std::string, wire::HalfEpochs> m_epochs;
   std::vector<membership::Member> m_members;
   net::TimerHandle m_retry;
   net::TimerHandle m_reports;
--- a/include/ferrytray/keeper/keeper.hpp
+++ b/include/ferrytray/keeper/keeper.hpp
@@ -6,6 +6,7 @@
 
 #include "ferrytray/keeper/config_sync.hpp"      // for ConfigSync
 #include "ferrytray/keeper/endpoint_watch.hpp"   // for EndpointWatch
+#include "ferrytray/keeper/half_controller.hpp"  // for HalfController
 #include "ferrytray/keeper/options.hpp"          // for KeeperOptions
 #include "ferrytray/keeper/share_board.hpp"      // for ShareBoard
 #include "ferrytray/keeper/swap_controller.hpp"  // for SwapController
--- a/include/ferrytray/keeper/swap_controller.hpp
+++ b/include/ferrytray/keeper/swap_controller.hpp
@@ -27,8 +27,9 @@
                const std::vector<wire::EndpointStatus>& aEndpoints,
                const std::vector<std::string>& aHosts,
                base::TimePoint aNow);
-  /// @brief Whether this host holds any lease.
-  [[nodiscard]] bool HoldsAny(base::TimePoint aNow) const;
+  /// @brief Whether this host holds the lease of a fleet that has workers to swap, so that it
+  /// needs every zone's loads at first hand.
+  [[nodiscard]] bool NeedsEveryZone() const { return m_needsEveryZone; }
   [[nodiscard]] const control::LeaseTable& Leases() const { return m_leases; }
 
 private:
@@ -62,6 +63,7 @@
   control::LeaseTable m_leases;
   std::map<std::string, FleetControl> m_fleets;
   bool m_appending = false;
+  bool m_needsEveryZone = false;
 };
 
 } // namespace ferrytray::keeper
--- a/include/ferrytray/membership/member.hpp
+++ b/include/ferrytray/membership/member.hpp
@@ -30,6 +30,7 @@
   std::uint64_t m_position = 0;  ///< configuration offset in force there
   MemberState m_state = MemberState::Alive;
   std::vector<std::string> m_tickets; ///< gate incarnations whose tickets live there
+  std::vector<std::string> m_drained; ///< "rule@epoch" that its gate has drained
 };
 
 /// @brief What changes all the time of a member; the rest is told seldom.
--- a/include/ferrytray/membership/member_table.hpp
+++ b/include/ferrytray/membership/member_table.hpp
@@ -56,6 +56,7 @@
   {
     Self().m_tickets = std::move(aIncarnations);
   }
+  void SetDrained(std::vector<std::string> aMarks) { Self().m_drained = std::move(aMarks); }
   void SetGate(const std::string& aAddress, const std::string& aControl)
   {
     Self().m_gate = aAddress;
--- a/include/ferrytray/replay/registry.hpp
+++ b/include/ferrytray/replay/registry.hpp
@@ -33,6 +33,7 @@
   [[nodiscard]] const config::HalfRule* RuleForAccount(const std::string& aAccount) const;
   [[nodiscard]] std::vector<config::Document> Others(const std::string& aScope) const;
   [[nodiscard]] std::vector<const config::Fleet*> Fleets() const;
+  [[nodiscard]] std::vector<const config::HalfRule*> Rules() const;
   [[nodiscard]] const config::Document* Scope(const std::string& aScope) const;
   [[nodiscard]] std::size_t AccountCount() const { return m_byKey.size(); }
 
--- a/include/ferrytray/wire/frames.hpp
+++ b/include/ferrytray/wire/frames.hpp
@@ -57,6 +57,20 @@
   double m_default = 1; ///< for accounts not named
 };
 
+/// @brief What this half's log says of one hand-over rule.
+struct HalfEpochs
+{
+  std::string m_rule;
+  std::uint64_t m_given = 0;    ///< the highest epoch that this half ended
+  std::uint64_t m_received = 0; ///< the highest epoch that the other half ended
+};
+
+/// @brief Every hand-over in this half's log.
+struct HalfUpdate
+{
+  std::vector<HalfEpochs> m_rules;
+};
+
 /// @brief A gate's own news, every round.
 struct GateReport
 {
@@ -67,6 +81,7 @@
   std::vector<std::string> m_tickets;                   ///< incarnations whose tickets live there
   std::vector<std::pair<std::string, double>> m_demand; ///< requests a second by account
   std::vector<std::pair<std::string, std::string>> m_leaving; ///< endpoint, incarnation
+  std::vector<std::string> m_drained;                         ///< "rule@epoch" with nothing open
 };
 
 /// @brief A stopping gate's tickets, for one named peer.
@@ -89,7 +104,8 @@
                            ShareUpdate,
                            GateReport,
                            TicketHandover,
-                           TicketAck>;
+                           TicketAck,
+                           HalfUpdate>;
 
 /// @brief A frame's bytes (cereal's binary archive).
 std::string EncodeFrame(const Frame& aFrame);
--- a/src/ferrytray/control/control_test.cpp
+++ b/src/ferrytray/control/control_test.cpp
@@ -1,4 +1,4 @@
-#include "ferrytray/control/half_handover.hpp"
+#include "ferrytray/control/half_rule.hpp"
 #include "ferrytray/control/lease.hpp"
 #include "ferrytray/control/leaving_set.hpp"
 #include "ferrytray/control/swap_planner.hpp"
@@ -177,58 +177,82 @@
   LONGS_EQUAL(0, leaving.All().size());
 }
 
-TEST_GROUP(HalfHandover){};
+TEST_GROUP(HalfRule){};
 
-TEST(HalfHandover, RecordsOnlyWhenEveryGateHasDrained)
+TEST(HalfRule, AnEndedEpochIsNeverServedAgain)
 {
-  control::HalfHandover giver(true);
-  giver.SetGates({ "g1", "g2" });
-  CHECK(giver.Give());
-  CHECK_FALSE(giver.MayServe());
-  giver.OnGateReport("g1", 1, 0);
-  giver.OnGateReport("g2", 1, 3);
-  CHECK_FALSE(giver.MayRecord());
-  giver.OnGateReport("g2", 1, 0);
-  CHECK(giver.MayRecord());
+  using control::HalfWish;
+  CHECK(control::MayServe({ HalfWish::Here, 1, 0, 0 }));
+  CHECK_FALSE(control::MayServe({ HalfWish::Here, 1, 1, 0 }));
+  CHECK_FALSE(control::MayServe({ HalfWish::HandingOver, 1, 0, 0 }));
+  // Who ended epoch 1 cannot own epoch 2, but epoch 3 once the other has ended 2.
+  CHECK_FALSE(control::MayServe({ HalfWish::Here, 2, 1, 0 }));
+  CHECK(control::MayServe({ HalfWish::Here, 3, 1, 2 }));
+  CHECK(control::MustAskOther({ HalfWish::Here, 2, 0, 0 }));
 }
 
-// Every ordering of the steps of a hand-over there and back, with each message delivered late,
-// twice or never: the two halves never both serve.
-TEST(HalfHandover, TheTwoHalvesNeverBothServe)
+// Both halves, operators that write any file, gates that take it up late, records that travel late
+// or never: no epoch is served by both, and never both at once.
+TEST(HalfRule, TheTwoHalvesNeverBothServe)
 {
   const bool holds = rc::check("one half serves", [] {
-    control::HalfHandover halves[2] = { control::HalfHandover(true), control::HalfHandover(false) };
-    halves[0].SetGates({ "g" });
-    halves[1].SetGates({ "g" });
-    std::vector<std::uint64_t> records[2];
+    struct Half
+    {
+      control::HalfView m_log;      // the rule in force by the log
+      control::HalfView m_gates[2]; // what each gate has taken up
+    };
+    Half halves[2];
+    halves[1].m_log.m_wish = control::HalfWish::There;
+    for (auto& gate : halves[1].m_gates) {
+      gate.m_wish = control::HalfWish::There;
+    }
     const auto steps =
-      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100)));
+      *rc::gen::resize(100, rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 1000)));
     for (const int step : steps) {
       const int who = step % 2;
-      control::HalfHandover& half = halves[who];
-      const auto& others = records[1 - who];
-      switch (step / 20) {
-        case 0:
-          half.Give();
+      Half& half = halves[who];
+      Half& other = halves[1 - who];
+      control::HalfView& gate = half.m_gates[(step / 2) % 2];
+      switch ((step / 4) % 5) {
+        case 0: {
+          // Operators follow the epochs: a taker asks for the next one only.
+          const bool take = half.m_log.m_wish == control::HalfWish::There;
+          const std::uint64_t epoch = std::max(half.m_log.m_given, other.m_log.m_given);
+          half.m_log.m_epoch =
+            take ? std::max(epoch + 1, half.m_log.m_epoch + 1) : half.m_log.m_epoch;
+          half.m_log.m_wish = take ? control::HalfWish::Here : control::HalfWish::HandingOver;
           break;
+        }
         case 1:
-          half.OnGateReport("g", half.Epoch() - static_cast<std::uint64_t>(step % 3), 0);
+          gate = half.m_log;
           break;
-        case 2:
-          if (half.MayRecord()) {
-            records[who].push_back(half.Epoch());
-            half.OnRecorded(half.Epoch());
+        case 2: {
+          const bool drained =
+            std::all_of(std::begin(half.m_gates), std::end(half.m_gates), [&](const auto& aGate) {
+              return aGate.m_wish == control::HalfWish::HandingOver &&
+                     aGate.m_epoch == half.m_log.m_epoch;
+            });
+          if (control::MayRecordEnd(half.m_log, drained)) {
+            half.m_log.m_given = half.m_log.m_epoch;
+            half.m_log.m_wish = control::HalfWish::There;
           }
           break;
+        }
         case 3:
-          half.Take();
+          if (control::MustAskOther(half.m_log) && other.m_log.m_given + 1 >= half.m_log.m_epoch) {
+            half.m_log.m_received = half.m_log.m_epoch - 1;
+          }
           break;
         default:
-          if (!others.empty()) {
-            half.OnOtherRecorded(others[static_cast<std::size_t>(step) % others.size()]);
-          }
+          gate.m_given = half.m_log.m_given;
+          gate.m_received = half.m_log.m_received;
+      }
+      int serving = 0;
+      for (const Half& each : halves) {
+        serving +=
+          std::any_of(std::begin(each.m_gates), std::end(each.m_gates), control::MayServe) ? 1 : 0;
       }
-      RC_ASSERT(!(halves[0].MayServe() && halves[1].MayServe()));
+      RC_ASSERT(serving <= 1);
     }
   });
   CHECK(holds);
--- a/src/ferrytray/gate/context_restore.cpp
+++ b/src/ferrytray/gate/context_restore.cpp
@@ -69,14 +69,28 @@
   return found;
 }
 
-/// Waits for every store asked and keeps the one that has most.
+/// Waits for every store asked.
 struct Lookup
 {
   std::size_t m_left = 0;
-  StoreFound m_best;
+  std::vector<StoreFound> m_found; ///< in the order of the context's homes
   std::function<void(const StoreFound&)> m_done;
 };
 
+/// The one that has most; among equals the first home, so that all gates pick the same.
+const StoreFound& BestOf(const std::vector<StoreFound>& aFound)
+{
+  const StoreFound* best = &aFound.front();
+  for (const StoreFound& found : aFound) {
+    const bool better =
+      best->m_address.empty() || found.m_view.m_storedBlocks > best->m_view.m_storedBlocks;
+    if (!found.m_address.empty() && better) {
+      best = &found;
+    }
+  }
+  return *best;
+}
+
 void Confirm(GateCore& aCore,
              const ImportRequest& aRequest,
              const std::string& aImport,
@@ -125,22 +139,20 @@
     aDone({});
     return;
   }
-  auto lookup = std::make_shared<Lookup>(Lookup{ homes.size(), {}, std::move(aDone) });
+  auto lookup = std::make_shared<Lookup>();
+  lookup->m_left = homes.size();
+  lookup->m_found.resize(homes.size());
+  lookup->m_done = std::move(aDone);
   const json body{ { "blocks", HexNames(aBlocks) } };
-  for (const wire::EndpointStatus* home : homes) {
-    aCore.m_http->Fetch(
-      PostJson(home->m_host.m_address, "/kv/lookup", body, kLookupTimeout),
-      [lookup, store = home->m_host](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-        StoreFound found = ReadFound(store, aOutcome, aBody);
-        const bool better = lookup->m_best.m_address.empty() ||
-                            found.m_view.m_storedBlocks > lookup->m_best.m_view.m_storedBlocks;
-        if (!found.m_address.empty() && better) {
-          lookup->m_best = std::move(found);
-        }
-        if (--lookup->m_left == 0) {
-          lookup->m_done(lookup->m_best);
-        }
-      });
+  for (std::size_t rank = 0; rank < homes.size(); ++rank) {
+    aCore.m_http->Fetch(PostJson(homes[rank]->m_host.m_address, "/kv/lookup", body, kLookupTimeout),
+                        [lookup, rank, store = homes[rank]->m_host](
+                          const net::ClientOutcome& aOutcome, const std::string& aBody) {
+                          lookup->m_found[rank] = ReadFound(store, aOutcome, aBody);
+                          if (--lookup->m_left == 0) {
+                            lookup->m_done(BestOf(lookup->m_found));
+                          }
+                        });
   }
 }
 
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp> // for json
 
+#include "ferrytray/control/half_rule.hpp"     // for MayServe
 #include "ferrytray/gate/cache_watch.hpp"      // for CacheWatch
 #include "ferrytray/gate/model_exchange.hpp"   // for ModelExchange
 #include "ferrytray/gate/service_exchange.hpp" // for ServiceExchange
@@ -164,6 +165,7 @@
     report.m_demand = { m_demand.begin(), m_demand.end() };
     const auto& leaving = m_core.m_view.Leaving().All();
     report.m_leaving = { leaving.begin(), leaving.end() };
+    report.m_drained = DrainedRules();
     return report;
   }
 
@@ -250,9 +252,13 @@
   }
 
   /// Whether this half may serve what a rule covers.
-  static base::Result<void> CheckOwner(const config::HalfRule* aRule)
+  base::Result<void> CheckOwner(const config::HalfRule* aRule) const
   {
-    if (aRule == nullptr || aRule->m_owner == config::Owner::Here) {
+    if (aRule == nullptr) {
+      return {};
+    }
+    const auto epochs = m_core.m_keeper->Epochs(aRule->m_name);
+    if (epochs && control::MayServe(ViewOf(*aRule, *epochs))) {
       return {};
     }
     return tl::unexpected(base::Failure{ ErrorCode::OtherHalfOwns,
@@ -261,6 +267,31 @@
                                          kSecond });
   }
 
+  static control::HalfView ViewOf(const config::HalfRule& aRule, const wire::HalfEpochs& aEpochs)
+  {
+    control::HalfWish wish = control::HalfWish::There;
+    if (aRule.m_owner == config::Owner::Here) {
+      wish = control::HalfWish::Here;
+    } else if (aRule.m_owner == config::Owner::HandingOver) {
+      wish = control::HalfWish::HandingOver;
+    }
+    return { wish, aRule.m_epoch, aEpochs.m_given, aEpochs.m_received };
+  }
+
+  /// Hand-overs that this gate refuses new work of and has none open of.
+  [[nodiscard]] std::vector<std::string> DrainedRules() const
+  {
+    std::vector<std::string> drained;
+    for (const config::HalfRule* rule : m_core.m_keeper->Registry().Rules()) {
+      const std::string owner =
+        rule->m_fleet ? "fleet " + *rule->m_fleet : "account " + rule->m_account.value_or("");
+      if (rule->m_owner == config::Owner::HandingOver && !m_core.m_openOf.contains(owner)) {
+        drained.push_back(rule->m_name + "@" + std::to_string(rule->m_epoch));
+      }
+    }
+    return drained;
+  }
+
   base::Result<void> ServeModel(const HttpRequest& aRequest,
                                 const ReplyPtr& aReply,
                                 const std::string& aId,
@@ -341,6 +372,13 @@
     if (aRequest.m_path == "/metrics") {
       return text(200, RenderMetrics());
     }
+    const std::string handover = "/handover/";
+    if (aRequest.m_path.rfind(handover, 0) == 0) {
+      const auto epochs = m_core.m_keeper->Epochs(aRequest.m_path.substr(handover.size()));
+      const nlohmann::json body{ { "epoch", epochs ? epochs->m_given : 0 } };
+      aReply->Send(200, { { "Content-Type", "application/json" } }, body.dump());
+      return true;
+    }
     const std::string explain = "/explain/";
     if (aRequest.m_path.rfind(explain, 0) == 0) {
       const std::string found = m_core.m_decisions.Explain(aRequest.m_path.substr(explain.size()));
--- a/src/ferrytray/gate/gate_core.cpp
+++ b/src/ferrytray/gate/gate_core.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t kHintBlocksPerWorker = 8192;
+constexpr std::size_t kHintBlocksPerWorker = 2048; // 93 workers of a zone: 21 MB
 constexpr std::size_t kRememberedContexts = 50000;
 constexpr std::size_t kRememberedDecisions = 2000;
 
@@ -22,4 +22,23 @@
 {
 }
 
+void GateCore::Begin(const std::vector<std::string>& aOwners)
+{
+  ++m_openWork;
+  for (const std::string& owner : aOwners) {
+    ++m_openOf[owner];
+  }
+}
+
+void GateCore::End(const std::vector<std::string>& aOwners)
+{
+  --m_openWork;
+  for (const std::string& owner : aOwners) {
+    const auto found = m_openOf.find(owner);
+    if (found != m_openOf.end() && --found->second == 0) {
+      m_openOf.erase(found);
+    }
+  }
+}
+
 } // namespace ferrytray::gate
--- a/src/ferrytray/gate/keeper_link.cpp
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -103,6 +103,26 @@
   m_handlers.m_onShares(aUpdate);
 }
 
+void KeeperLink::Handle(const wire::HalfUpdate& aUpdate)
+{
+  m_halvesKnown = true;
+  for (const wire::HalfEpochs& told : aUpdate.m_rules) {
+    wire::HalfEpochs& epochs = m_epochs[told.m_rule];
+    epochs.m_rule = told.m_rule;
+    epochs.m_given = std::max(epochs.m_given, told.m_given);
+    epochs.m_received = std::max(epochs.m_received, told.m_received);
+  }
+}
+
+std::optional<wire::HalfEpochs> KeeperLink::Epochs(const std::string& aRule) const
+{
+  if (!m_halvesKnown) {
+    return std::nullopt;
+  }
+  const auto found = m_epochs.find(aRule);
+  return found == m_epochs.end() ? wire::HalfEpochs{ aRule, 0, 0 } : found->second;
+}
+
 const membership::Member* KeeperLink::TicketHome(const std::string& aIncarnation) const
 {
   const membership::Member* home = nullptr;
--- a/src/ferrytray/gate/model_exchange.cpp
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -45,7 +45,7 @@
 void ModelExchange::Start()
 {
   m_open = true;
-  ++m_core.m_openWork;
+  m_core.Begin({ "fleet " + m_call.m_fleet.m_name, "account " + m_call.m_account.m_name });
   const base::Duration deadline =
     m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
   m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
@@ -441,7 +441,7 @@
   if (m_held != 0) {
     m_services.m_queues.Drop(m_call.m_fleet.m_name, m_held);
   }
-  --m_core.m_openWork;
+  m_core.End({ "fleet " + m_call.m_fleet.m_name, "account " + m_call.m_account.m_name });
   m_core.m_limiter.Release(m_call.m_account.m_name);
 }
 
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -43,7 +43,7 @@
 void ServiceExchange::Start()
 {
   m_open = true;
-  ++m_core.m_openWork;
+  m_core.Begin({ "account " + m_call.m_account.m_name });
   const base::Duration deadline =
     m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
   m_deadline = m_call.m_arrival + std::min(deadline, m_core.m_options.m_longestDeadline);
@@ -187,7 +187,7 @@
 {
   if (m_open) {
     m_open = false;
-    --m_core.m_openWork;
+    m_core.End({ "account " + m_call.m_account.m_name });
     m_core.m_limiter.Release(m_call.m_account.m_name);
   }
 }
--- /dev/null
+++ b/src/ferrytray/keeper/half_controller.cpp
@@ -0,0 +1,153 @@
+#include "ferrytray/keeper/half_controller.hpp"
+
+#include <algorithm> // for all_of, find, max
+
+#include <nlohmann/json.hpp> // for json
+
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::keeper {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kStream = "handover";
+constexpr const char* kGiven = "given";
+constexpr const char* kReceived = "received";
+constexpr base::Duration kAskTimeout = std::chrono::seconds(2);
+
+control::HalfWish WishOf(config::Owner aOwner)
+{
+  switch (aOwner) {
+    case config::Owner::Here:
+      return control::HalfWish::Here;
+    case config::Owner::HandingOver:
+      return control::HalfWish::HandingOver;
+    case config::Owner::There:
+      break;
+  }
+  return control::HalfWish::There;
+}
+
+/// Every listed host must say so itself: one that is cut off may still serve by its old file.
+bool EveryGateDrained(const std::string& aMark,
+                      const std::set<std::string>& aListed,
+                      const std::vector<membership::Member>& aMembers)
+{
+  return std::all_of(aListed.begin(), aListed.end(), [&](const std::string& aHost) {
+    return std::any_of(aMembers.begin(), aMembers.end(), [&](const membership::Member& aMember) {
+      const auto& drained = aMember.m_drained;
+      return aMember.m_host == aHost &&
+             std::find(drained.begin(), drained.end(), aMark) != drained.end();
+    });
+  });
+}
+
+} // namespace
+
+control::HalfView ViewOf(const config::HalfRule& aRule, const wire::HalfEpochs& aEpochs)
+{
+  return { WishOf(aRule.m_owner), aRule.m_epoch, aEpochs.m_given, aEpochs.m_received };
+}
+
+HalfController::HalfController(net::Loop& aLoop,
+                               net::HttpClient& aHttp,
+                               const KeeperOptions& aOptions)
+  : m_http(aHttp)
+  , m_follower(aLoop, aHttp, aOptions.m_platform, kStream)
+  , m_appender(aHttp, aOptions.m_platform, kStream)
+{
+}
+
+void HalfController::Start()
+{
+  m_follower.Start(
+    1, [this](const wire::LogPage& aPage) { OnPage(aPage); }, [](bool) {});
+}
+
+void HalfController::OnPage(const wire::LogPage& aPage)
+{
+  for (const wire::LogRecord& record : aPage.m_records) {
+    const json object = json::parse(record.m_body, nullptr, false);
+    const bool known = object.is_object() && object.value("rule", json()).is_string() &&
+                       object.value("epoch", json()).is_number_unsigned() &&
+                       object.value("kind", json()).is_string();
+    if (!known) {
+      continue;
+    }
+    const std::string rule = object["rule"].get<std::string>();
+    wire::HalfEpochs& epochs = m_epochs[rule];
+    epochs.m_rule = rule;
+    std::uint64_t& epoch = object["kind"] == kGiven ? epochs.m_given : epochs.m_received;
+    epoch = std::max(epoch, object["epoch"].get<std::uint64_t>());
+  }
+}
+
+wire::HalfUpdate HalfController::Epochs() const
+{
+  wire::HalfUpdate update;
+  for (const auto& [rule, epochs] : m_epochs) {
+    update.m_rules.push_back(epochs);
+  }
+  return update;
+}
+
+wire::HalfEpochs HalfController::EpochsOf(const std::string& aRule) const
+{
+  const auto found = m_epochs.find(aRule);
+  return found == m_epochs.end() ? wire::HalfEpochs{ aRule, 0, 0 } : found->second;
+}
+
+void HalfController::OnRound(const std::vector<const config::HalfRule*>& aRules,
+                             const std::set<std::string>& aListed,
+                             const std::vector<membership::Member>& aMembers,
+                             bool aMine)
+{
+  if (!aMine || !Known()) {
+    return;
+  }
+  for (const config::HalfRule* rule : aRules) {
+    const control::HalfView view = ViewOf(*rule, EpochsOf(rule->m_name));
+    const std::string mark = rule->m_name + "@" + std::to_string(rule->m_epoch);
+    if (control::MayRecordEnd(view, EveryGateDrained(mark, aListed, aMembers))) {
+      Record(kGiven, rule->m_name, rule->m_epoch);
+    } else if (control::MustAskOther(view)) {
+      AskOther(*rule);
+    }
+  }
+}
+
+void HalfController::Record(const char* aKind, const std::string& aRule, std::uint64_t aEpoch)
+{
+  if (m_appending) {
+    return;
+  }
+  m_appending = true;
+  telemetry::LogLine("half_recorded").Add("kind", aKind).Add("rule", aRule).Add("epoch", aEpoch);
+  m_appender.Append(json{ { "kind", aKind }, { "rule", aRule }, { "epoch", aEpoch } }.dump(),
+                    [this](const auto&) { m_appending = false; });
+}
+
+void HalfController::AskOther(const config::HalfRule& aRule)
+{
+  if (!m_asking.insert(aRule.m_name).second) {
+    return;
+  }
+  net::ClientRequest request;
+  request.m_url = aRule.m_otherHalf + "/handover/" + aRule.m_name;
+  request.m_timeout = kAskTimeout;
+  m_http.Fetch(std::move(request),
+               [this, rule = aRule.m_name, wanted = aRule.m_epoch - 1](
+                 const net::ClientOutcome& aOutcome, const std::string& aBody) {
+                 m_asking.erase(rule);
+                 const json reply = json::parse(aBody, nullptr, false);
+                 const bool told = aOutcome.m_status == 200 && reply.is_object();
+                 const std::uint64_t ended = told ? reply.value("epoch", std::uint64_t{ 0 }) : 0;
+                 if (ended >= wanted) {
+                   Record(kReceived, rule, wanted);
+                 }
+               });
+}
+
+} // namespace ferrytray::keeper
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -2,19 +2,17 @@
 
 #include <algorithm> // for min
 #include <map>       // for map
+#include <set>       // for set
 #include <utility>   // for move
 
-#include <nlohmann/json.hpp> // for json
-
 #include "ferrytray/config/parse.hpp"       // for Parse
+#include "ferrytray/keeper/status_json.hpp" // for StatusJson
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::keeper {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::size_t kLoadsPerMessage = 8;
 constexpr std::size_t kDemandsPerMessage = 6;
 constexpr std::size_t kLeavingPerMessage = 8;
@@ -23,21 +21,6 @@
 constexpr int kRoundsToSuspect = 12;
 constexpr int kRoundsToDead = 30;
 
-const char* ToText(membership::MemberState aState)
-{
-  switch (aState) {
-    case membership::MemberState::Alive:
-      return "alive";
-    case membership::MemberState::Suspect:
-      return "suspect";
-    case membership::MemberState::Leaving:
-      return "leaving";
-    case membership::MemberState::Dead:
-      break;
-  }
-  return "dead";
-}
-
 /// A gate or a peer that is told of every change.
 struct Subscriber
 {
@@ -57,6 +40,7 @@
     , m_config(aLoop, *m_http, m_options.m_platform)
     , m_endpoints(aLoop, *m_http, m_options)
     , m_swaps(aLoop, *m_http, m_options)
+    , m_halves(aLoop, *m_http, m_options)
   {
   }
 
@@ -104,6 +88,7 @@
     m_config.Start([this] { OnConfigChange(); });
     m_endpoints.Start([this](const auto& aEntries) { OnEntryHosts(aEntries); });
     m_swaps.Start();
+    m_halves.Start();
     m_round = m_loop.Every(m_options.m_round, [this] { OnRound(); });
     m_push = m_loop.Every(m_options.m_loadPoll, [this] { PushEndpoints(); });
   }
@@ -254,6 +239,7 @@
     m_gate = aReport;
     m_members->SetGate(aReport.m_address, aReport.m_control);
     m_members->SetTickets(aReport.m_tickets);
+    m_members->SetDrained(aReport.m_drained);
     m_shares.OnOwnDemand(aReport.m_demand);
     for (const auto& [endpoint, incarnation] : aReport.m_leaving) {
       m_endpoints.MarkLeaving(endpoint, incarnation);
@@ -275,6 +261,13 @@
   {
     SendToGates(wire::EndpointUpdate{ m_endpoints.Endpoints(base::MonotonicNow()) });
   }
+  void PushHalves()
+  {
+    if (m_halves.Known()) {
+      SendToGates(m_halves.Epochs());
+    }
+  }
+
   void PushPeers() { SendToGates(wire::PeerUpdate{ m_members->Live() }); }
 
   // --- membership --------------------------------------------------------------------------
@@ -282,11 +275,13 @@
   void OnEntryHosts(const std::vector<wire::ListedHost>& aEntries)
   {
     std::vector<membership::Member> hosts;
+    m_listedHosts.clear();
     for (const wire::ListedHost& entry : aEntries) {
       membership::Member member;
       member.m_host = entry.m_name;
       member.m_zone = entry.m_zone;
       member.m_gossip = entry.m_address;
+      m_listedHosts.insert(entry.m_name);
       hosts.push_back(std::move(member));
     }
     m_members->OnHostList(hosts, base::MonotonicNow());
@@ -323,14 +318,17 @@
     CatchUpFromPeers();
     const std::vector<std::string> hosts = AliveNames(live);
     m_swaps.OnRound(m_registry.Fleets(), m_endpoints.Endpoints(now), hosts, now);
+    const bool first = !hosts.empty() && hosts.front() == m_options.m_host;
+    m_halves.OnRound(m_registry.Rules(), m_listedHosts, live, first);
+    PushHalves();
     m_endpoints.SetZoneHosts(AliveInZone(live));
-    m_endpoints.PollAllZones(m_swaps.HoldsAny(now));
+    m_endpoints.PollAllZones(m_swaps.NeedsEveryZone());
     // The lowest name renews: a second one now and then would do no harm. Not every round, since
     // it looks at every scope.
     if (++m_rounds % kRoundsPerRenewal != 0) {
       return;
     }
-    m_config.RenewDue(m_options.m_renewAge, !hosts.empty() && hosts.front() == m_options.m_host);
+    m_config.RenewDue(m_options.m_renewAge, first);
   }
 
   void SendGossip(membership::GossipSend& aSend, base::TimePoint aNow)
@@ -403,7 +401,7 @@
       m_metrics.Set("log_reachable", m_config.LogReachable() ? 1 : 0);
       sendText(200, m_metrics.Render());
     } else if (aRequest.m_path == "/status") {
-      aReply->Send(200, { { "Content-Type", "application/json" } }, StatusJson().dump());
+      aReply->Send(200, { { "Content-Type", "application/json" } }, Status());
     } else if (aRequest.m_path == "/drain" && aRequest.m_method == "POST") {
       OnDrain(aRequest, aReply);
     } else {
@@ -425,34 +423,14 @@
     aReply->Send(404, {}, "no such endpoint\n");
   }
 
-  [[nodiscard]] json StatusJson() const
+  [[nodiscard]] std::string Status() const
   {
-    json members = json::array();
-    for (const membership::Member& member : m_members->Live()) {
-      members.push_back({ { "host", member.m_host },
-                          { "zone", member.m_zone },
-                          { "state", ToText(member.m_state) },
-                          { "position", member.m_position },
-                          { "gate", member.m_gate } });
-    }
-    json endpoints = json::array();
-    for (const wire::EndpointStatus& endpoint : m_endpoints.Endpoints(base::MonotonicNow())) {
-      endpoints.push_back({ { "name", endpoint.m_host.m_name },
-                            { "pool", endpoint.m_host.m_pool },
-                            { "zone", endpoint.m_host.m_zone },
-                            { "leaving", endpoint.m_host.m_leaving },
-                            { "version", endpoint.m_load.m_version },
-                            { "queued_ms", endpoint.m_load.m_queuedMillis },
-                            { "report_age_ms", endpoint.m_reportAgeMillis } });
-    }
-    json scopes = json::object();
-    for (const auto& [name, scope] : m_config.Replay().Scopes()) {
-      scopes[name] = { { "offset", scope.m_accepted }, { "behind", !scope.m_schemaKnown } };
-    }
-    return { { "host", m_options.m_host },  { "position", m_config.Replay().Position() },
-             { "ready", m_config.Ready() }, { "log_reachable", m_config.LogReachable() },
-             { "members", members },        { "endpoints", endpoints },
-             { "scopes", scopes } };
+    return StatusJson({ m_options.m_host,
+                        m_config.Replay(),
+                        m_config.Ready(),
+                        m_config.LogReachable(),
+                        m_members->Live(),
+                        m_endpoints.Endpoints(base::MonotonicNow()) });
   }
 
   net::Loop& m_loop;
@@ -461,6 +439,8 @@
   ConfigSync m_config;
   EndpointWatch m_endpoints;
   SwapController m_swaps;
+  HalfController m_halves;
+  std::set<std::string> m_listedHosts;
   ShareBoard m_shares;
   replay::Registry m_registry;
   std::uint64_t m_parsedUpTo = 0;
--- a/src/ferrytray/keeper/swap_controller.cpp
+++ b/src/ferrytray/keeper/swap_controller.cpp
@@ -107,6 +107,7 @@
 {
   const std::string self = m_holderName.substr(0, m_holderName.rfind('#'));
   std::vector<std::string> wanted;
+  m_needsEveryZone = false;
   for (const config::Fleet* fleet : aFleets) {
     auto& fleetControl =
       m_fleets.try_emplace(fleet->m_name, m_holderName, m_holderOptions).first->second;
@@ -149,6 +150,10 @@
   }
   aControl.m_planner.SetMaxConcurrent(aFleet.m_maxConcurrentSwaps);
   const auto workers = WorkersOf(aFleet.m_name, aEndpoints);
+  const bool anyToSwap = std::any_of(workers.begin(), workers.end(), [&](const auto& aWorker) {
+    return aWorker.m_version != aFleet.m_version && !aWorker.m_leaving;
+  });
+  m_needsEveryZone = m_needsEveryZone || anyToSwap;
   for (const control::SwapOrder& order : aControl.m_planner.Plan(aFleet.m_version, workers, aNow)) {
     for (const wire::EndpointStatus& endpoint : aEndpoints) {
       if (endpoint.m_host.m_name == order.m_worker) {
@@ -188,11 +193,4 @@
     });
 }
 
-bool SwapController::HoldsAny(base::TimePoint aNow) const
-{
-  return std::any_of(m_fleets.begin(), m_fleets.end(), [&](const auto& aEntry) {
-    return aEntry.second.m_holder.MayOrder(true, aNow);
-  });
-}
-
 } // namespace ferrytray::keeper
--- a/src/ferrytray/membership/member_table.cpp
+++ b/src/ferrytray/membership/member_table.cpp
@@ -24,7 +24,8 @@
 {
   return aLeft.m_incarnation != aRight.m_incarnation || aLeft.m_gossip != aRight.m_gossip ||
          aLeft.m_control != aRight.m_control || aLeft.m_gate != aRight.m_gate ||
-         aLeft.m_gateControl != aRight.m_gateControl || aLeft.m_tickets != aRight.m_tickets;
+         aLeft.m_gateControl != aRight.m_gateControl || aLeft.m_tickets != aRight.m_tickets ||
+         aLeft.m_drained != aRight.m_drained;
 }
 
 bool StaysLeaving(const Member& aMember, std::uint64_t aIncarnation)
--- a/src/ferrytray/replay/registry.cpp
+++ b/src/ferrytray/replay/registry.cpp
@@ -131,6 +131,17 @@
   return fleets;
 }
 
+std::vector<const config::HalfRule*> Registry::Rules() const
+{
+  std::vector<const config::HalfRule*> rules;
+  for (const auto* index : { &m_fleetRules, &m_accountRules }) {
+    for (const auto& [covered, rule] : *index) {
+      rules.push_back(rule);
+    }
+  }
+  return rules;
+}
+
 const config::Document* Registry::Scope(const std::string& aScope) const
 {
   const auto found = m_scopes.find(aScope);
--- a/src/ferrytray/wire/frames.cpp
+++ b/src/ferrytray/wire/frames.cpp
@@ -75,7 +75,7 @@
   Shorts(aArchive, aMember.m_host, aMember.m_zone, aMember.m_gossip, aMember.m_control);
   Shorts(aArchive, aMember.m_gate, aMember.m_gateControl);
   aArchive(aMember.m_incarnation, aMember.m_heartbeat, aMember.m_position, aMember.m_state);
-  aArchive(aMember.m_tickets);
+  aArchive(aMember.m_tickets, aMember.m_drained);
 }
 
 template<typename Archive>
@@ -185,7 +185,19 @@
 void serialize(Archive& aArchive, GateReport& aFrame)
 {
   aArchive(aFrame.m_address, aFrame.m_control, aFrame.m_position, aFrame.m_openWork);
-  aArchive(aFrame.m_tickets, aFrame.m_demand, aFrame.m_leaving);
+  aArchive(aFrame.m_tickets, aFrame.m_demand, aFrame.m_leaving, aFrame.m_drained);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, HalfEpochs& aEpochs)
+{
+  aArchive(aEpochs.m_rule, aEpochs.m_given, aEpochs.m_received);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, HalfUpdate& aFrame)
+{
+  aArchive(aFrame.m_rules);
 }
 
 template<typename Archive>
--- a/tests/integration/client.cpp
+++ b/tests/integration/client.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr base::Duration kLongLimit = std::chrono::seconds(60);
-constexpr base::Duration kBeforeDuring = std::chrono::milliseconds(100);
+constexpr base::Duration kBeforeDuring = std::chrono::milliseconds(30);
 
 net::ClientRequest ToRequest(const Call& aCall)
 {
@@ -67,20 +67,26 @@
   net::Loop loop;
   const auto http = net::HttpClient::Create(loop);
   std::vector<Answer> answers(aCalls.size());
-  std::size_t left = aCalls.size();
+  // Ends when every call has ended and what is to be done meanwhile was done.
+  std::size_t left = aCalls.size() + 1;
+  const auto endOne = [&] {
+    if (--left == 0) {
+      loop.Stop();
+    }
+  };
   for (std::size_t i = 0; i < aCalls.size(); ++i) {
     http->Fetch(ToRequest(aCalls[i]),
                 [&, i](const net::ClientOutcome& aOutcome, std::string aBody) {
                   answers[i] = { aOutcome.m_status, std::move(aBody), aOutcome.m_end };
-                  if (--left == 0) {
-                    loop.Stop();
-                  }
+                  endOne();
                 });
   }
-  const auto timer = loop.After(kBeforeDuring, [&] {
+  const base::Duration before = aDuring ? kBeforeDuring : base::Duration::zero();
+  const auto timer = loop.After(before, [&] {
     if (aDuring) {
       aDuring();
     }
+    endOne();
   });
   loop.Run();
   return answers;
--- a/tests/integration/control_test.cpp
+++ b/tests/integration/control_test.cpp
@@ -217,3 +217,39 @@
   CHECK(m_deployment.Apply(std::string("\0\1\2", 3), "binary.yaml").m_exitCode != 0);
   LONGS_EQUAL(200, Send(Ask(Host("h1"), "still served")).m_status);
 }
+
+TEST(Control, WorkIsHandedToTheOtherHalfOnlyOnceDrainedAndRecorded)
+{
+  // Two halves, each with a platform of its own.
+  AddHosts(2);
+  m_deployment.AddEngine("w1", { "--token-time", "10" });
+  m_deployment.Begin();
+  Deployment other;
+  other.AddHost("o1", "z1");
+  other.AddEngine("w9");
+  other.Begin();
+  EntryHost& there = other.Hosts().at("o1");
+  const auto rule = [](const std::string& aOwner, int aEpoch, const std::string& aOther) {
+    return StandardFile() + "rules:\n  - name: move\n    fleet: f\n    owner: " + aOwner +
+           "\n    epoch: " + std::to_string(aEpoch) + "\n    other_half: " + aOther + "\n";
+  };
+  LONGS_EQUAL(0, m_deployment.Apply(rule("here", 1, there.Gate())).m_exitCode);
+  // The taker's operator is early: it must not serve before the hand-over is recorded.
+  LONGS_EQUAL(0, other.Apply(rule("here", 2, Host("h1").Gate())).m_exitCode);
+  LONGS_EQUAL(200, Send(Ask(Host("h1"), "mine")).m_status);
+  LONGS_EQUAL(6003, Send(Ask(there, "not yet")).Code());
+  const Call running = Ask(Host("h1"), "long", { { "max_tokens", 200 }, { "stream", true } });
+  const auto answers = SendAll({ running }, [&] {
+    LONGS_EQUAL(0, m_deployment.Apply(rule("handing-over", 1, there.Gate())).m_exitCode);
+    const Answer refused = Send(Ask(Host("h2"), "new work"));
+    LONGS_EQUAL(6003, refused.Code());
+    STRCMP_EQUAL("not_run", refused.Run().c_str());
+    LONGS_EQUAL(6003, Send(Ask(there, "still not")).Code());
+  });
+  CHECK(answers.front().m_body.find("[DONE]") != std::string::npos);
+  CHECK(WaitFor([&] { return Send(Ask(there, "now")).m_status == 200; }));
+  LONGS_EQUAL(6003, Send(Ask(Host("h1"), "gone")).Code());
+  // Wishing for the ended epoch again changes nothing.
+  LONGS_EQUAL(0, m_deployment.Apply(rule("here", 1, there.Gate())).m_exitCode);
+  LONGS_EQUAL(6003, Send(Ask(Host("h1"), "still gone")).Code());
+}
--- a/tests/integration/serving_test.cpp
+++ b/tests/integration/serving_test.cpp
@@ -235,13 +235,14 @@
   Begin(2, { "--token-time", "10" });
   std::vector<Call> calls;
   for (int i = 0; i < 60; ++i) {
-    calls.push_back(Ask(
-      *m_host, "stop" + std::to_string(i % 5), { { "max_tokens", 50 }, { "stream", i % 2 == 0 } }));
+    calls.push_back(Ask(*m_host,
+                        "stop" + std::to_string(i % 5),
+                        { { "max_tokens", 300 }, { "stream", i % 2 == 0 } }));
   }
   const auto answers = SendAll(calls, [&] { m_host->m_gate.Signal(SIGTERM); });
   std::vector<std::string> alone;
   for (int i = 0; i < 5; ++i) {
-    alone.push_back(AnswerAlone("stop" + std::to_string(i), "lab", "1", 50));
+    alone.push_back(AnswerAlone("stop" + std::to_string(i), "lab", "1", 300));
   }
   for (std::size_t i = 0; i < answers.size(); ++i) {
     LONGS_EQUAL(200, answers[i].m_status);
--- a/tools/gate_main.cpp
+++ b/tools/gate_main.cpp
@@ -1,6 +1,6 @@
-#include <chrono>   // for system_clock
-#include <iostream> // for cout, cerr
+#include <iostream> // for cout
 
+#include "daemon_settings.hpp"
 #include "ferrytray/gate/gate.hpp"          // for Gate
 #include "ferrytray/settings/settings.hpp"  // for SettingsBuilder
 #include "ferrytray/telemetry/log_line.hpp" // for StartLogging
@@ -47,23 +47,13 @@
   options.m_drainWait = aSettings.Millis("drain-wait");
   options.m_claimTimeout = aSettings.Millis("claim-timeout");
   options.m_claimWindow = aSettings.Millis("claim-window");
-  const auto start = std::chrono::system_clock::now().time_since_epoch();
-  options.m_incarnation =
-    options.m_host + "-" +
-    std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(start).count());
-  for (const auto& [flag, target] : { std::pair{ "listen", &options.m_listen },
-                                      std::pair{ "gate-control", &options.m_control },
-                                      std::pair{ "keeper", &options.m_keeper } }) {
-    const auto address = net::ParseAddress(aSettings.Text(flag));
-    if (!address) {
-      return base::Fail(base::ErrorCode::SettingInvalid,
-                        std::string("--") + flag + ": " + address.error().m_message);
-    }
-    *target = *address;
-  }
-  if (options.m_host.find_first_of(". #") != std::string::npos) {
-    return base::Fail(base::ErrorCode::SettingInvalid,
-                      "--host: expects a name without '.', '#' or spaces");
+  options.m_incarnation = options.m_host + "-" + std::to_string(daemon::NewIncarnation());
+  const auto addresses = daemon::ReadAddresses(aSettings,
+                                               { { "listen", &options.m_listen },
+                                                 { "gate-control", &options.m_control },
+                                                 { "keeper", &options.m_keeper } });
+  if (!addresses) {
+    return tl::unexpected(addresses.error());
   }
   return options;
 }
@@ -80,17 +70,13 @@
   }
   const auto options = ToOptions(*settings);
   if (!options) {
-    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": "
-              << options.error().m_message << "\n";
-    return settings::kExitBadSettings;
+    return daemon::Refuse(options.error(), settings::kExitBadSettings);
   }
   telemetry::StartLogging(argv[0]);
   net::Loop loop;
   const auto gate = gate::Gate::Create(loop, *options);
   if (!gate) {
-    std::cerr << "error " << static_cast<int>(gate.error().m_code) << ": " << gate.error().m_message
-              << "\n";
-    return settings::kExitFailed;
+    return daemon::Refuse(gate.error(), settings::kExitFailed);
   }
   std::cout << "listening " << net::ToString((*gate)->ListenAddress()) << std::endl;
   loop.OnTerminate([&] { (*gate)->Drain([&] { loop.Stop(); }); });
--- a/tools/keeper_main.cpp
+++ b/tools/keeper_main.cpp
@@ -1,7 +1,7 @@
-#include <chrono>   // for system_clock
-#include <iostream> // for cout, cerr
+#include <iostream> // for cout
 #include <sstream>  // for istringstream
 
+#include "daemon_settings.hpp"
 #include "ferrytray/keeper/keeper.hpp"      // for Keeper
 #include "ferrytray/settings/settings.hpp"  // for SettingsBuilder
 #include "ferrytray/telemetry/log_line.hpp" // for StartLogging
@@ -43,18 +43,13 @@
   options.m_hostListPoll = aSettings.Millis("host-list-poll");
   options.m_renewAge = aSettings.Millis("renew-age");
   options.m_lease = aSettings.Millis("lease");
-  const auto start = std::chrono::system_clock::now().time_since_epoch();
-  options.m_incarnation = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(start).count());
-  for (const auto& [flag, target] : { std::pair{ "listen", &options.m_http },
-                                      std::pair{ "keeper-control", &options.m_control },
-                                      std::pair{ "gossip", &options.m_gossip } }) {
-    const auto address = net::ParseAddress(aSettings.Text(flag));
-    if (!address) {
-      return base::Fail(base::ErrorCode::SettingInvalid,
-                        std::string("--") + flag + ": " + address.error().m_message);
-    }
-    *target = *address;
+  options.m_incarnation = daemon::NewIncarnation();
+  const auto addresses = daemon::ReadAddresses(aSettings,
+                                               { { "listen", &options.m_http },
+                                                 { "keeper-control", &options.m_control },
+                                                 { "gossip", &options.m_gossip } });
+  if (!addresses) {
+    return tl::unexpected(addresses.error());
   }
   std::istringstream seeds(aSettings.Text("seeds"));
   for (std::string seed; std::getline(seeds, seed, ',');) {
@@ -64,10 +59,6 @@
     }
     options.m_seeds.push_back(*address);
   }
-  if (options.m_host.find_first_of(". #") != std::string::npos) {
-    return base::Fail(base::ErrorCode::SettingInvalid,
-                      "--host: expects a name without '.', '#' or spaces");
-  }
   return options;
 }
 
@@ -83,17 +74,13 @@
   }
   const auto options = ToOptions(*settings);
   if (!options) {
-    std::cerr << "error " << static_cast<int>(options.error().m_code) << ": "
-              << options.error().m_message << "\n";
-    return settings::kExitBadSettings;
+    return daemon::Refuse(options.error(), settings::kExitBadSettings);
   }
   telemetry::StartLogging(argv[0]);
   net::Loop loop;
   const auto keeper = keeper::Keeper::Create(loop, *options);
   if (!keeper) {
-    std::cerr << "error " << static_cast<int>(keeper.error().m_code) << ": "
-              << keeper.error().m_message << "\n";
-    return settings::kExitFailed;
+    return daemon::Refuse(keeper.error(), settings::kExitFailed);
   }
   std::cout << "listening " << net::ToString((*keeper)->HttpAddress()) << "\n"
             << "control " << net::ToString((*keeper)->ControlAddress()) << "\n"
