--- a/src/ferrytray/config/yaml_reader.cpp
+++ b/src/ferrytray/config/yaml_reader.cpp
@@ -20,7 +20,7 @@
 
 leaf::error_id MappingReader::Fail(base::ErrorCode aCode,
                                    const YAML::Node& aAt,
-                                   std::string aMessage) const
+                                   const std::string& aMessage) const
 {
   const YAML::Mark mark = aAt.IsDefined() ? aAt.Mark() : m_node.Mark();
   const int line = mark.is_null() ? 1 : mark.line + 1;
--- a/src/ferrytray/config/yaml_reader.hpp
+++ b/src/ferrytray/config/yaml_reader.hpp
@@ -41,7 +41,7 @@
 
   [[nodiscard]] leaf::error_id Fail(base::ErrorCode aCode,
                                     const YAML::Node& aAt,
-                                    std::string aMessage) const;
+                                    const std::string& aMessage) const;
 
 private:
   leaf::result<std::string> Scalar(const YAML::Node& aNode, const std::string& aKey) const;
--- a/src/ferrytray/replay/registry.cpp
+++ b/src/ferrytray/replay/registry.cpp
@@ -125,6 +125,7 @@
 std::vector<const config::Fleet*> Registry::Fleets() const
 {
   std::vector<const config::Fleet*> fleets;
+  fleets.reserve(m_byModel.size());
   for (const auto& [model, fleet] : m_byModel) {
     fleets.push_back(fleet);
   }
