A gate that came before the configuration gets it; the engine's stand-in holds what it reuses

Ruled out: a crash (no process died), membership (the keeper's log shows config_started, the gate's never config_in_force). It now holds what it reuses, its answers depend on every block, and an import whose prefix is gone is not used.

--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -153,13 +153,14 @@
   m_platformTime = aPage->m_now;
   m_platformRead = base::MonotonicNow();
   const bool first = !m_caughtUp;
-  if (!aPage->m_records.empty() || first) {
-    m_onPage(*aPage);
-  }
   if (!aPage->m_records.empty()) {
     m_from = aPage->m_records.back().m_offset + 1;
   }
+  // Before the page is handed over: whoever takes it may ask whether this was the last one.
   m_caughtUp = m_caughtUp || m_from >= aPage->m_next;
+  if (!aPage->m_records.empty() || first) {
+    m_onPage(*aPage);
+  }
   ReadNext(m_caughtUp ? kFollowWait : base::Duration::zero());
 }
 
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -159,7 +159,8 @@
   run->m_blocks = aBody.value("x_blocks", std::vector<std::string>{});
   const auto import = m_imports.find(aBody.value("x_import", ""));
   if (import != m_imports.end()) {
-    run->m_imported = import->second;
+    run->m_imported = import->second.m_values;
+    run->m_importSkip = import->second.m_skip;
     m_imports.erase(import);
   }
   return run;
@@ -213,14 +214,23 @@
   m_waiting.erase(m_waiting.begin());
   m_prefilling = run;
   ++m_ledger[run->m_request];
-  std::uint32_t reused = 0;
-  while (reused < run->m_blocks.size() && !m_cache.Get(run->m_blocks[reused]).empty()) {
-    ++reused;
-  }
-  run->m_cached = reused * m_options.m_blockTokens;
-  const auto imported = static_cast<std::uint32_t>(run->m_imported.size());
-  if (imported > reused) {
-    run->m_restored = (imported - reused) * m_options.m_blockTokens;
+  // What is reused is held from here on: an eviction during the prefill does not touch it.
+  for (const std::string& block : run->m_blocks) {
+    const std::string value = m_cache.Get(block);
+    if (value.empty()) {
+      break;
+    }
+    run->m_reused.push_back(value);
+  }
+  const std::size_t cached = run->m_reused.size();
+  run->m_cached = static_cast<std::uint32_t>(cached) * m_options.m_blockTokens;
+  // An import is of use only if everything before it is there.
+  const std::size_t importEnd = run->m_importSkip + run->m_imported.size();
+  if (run->m_importSkip <= cached && importEnd > cached) {
+    const auto from = static_cast<std::ptrdiff_t>(cached - run->m_importSkip);
+    run->m_reused.insert(
+      run->m_reused.end(), run->m_imported.begin() + from, run->m_imported.end());
+    run->m_restored = static_cast<std::uint32_t>(importEnd - cached) * m_options.m_blockTokens;
   }
   const std::uint32_t known = std::min(run->m_cached + run->m_restored, run->m_promptTokens);
   const double seconds = (run->m_promptTokens - known) / m_options.m_tokensPerSecond * m_slowness;
@@ -244,16 +254,15 @@
   m_prefilling = nullptr;
   std::vector<std::string> values = TrueValues(*aRun);
   // What was reused is used as it is, right or wrong: that is what a real engine does.
-  const std::size_t cached = aRun->m_cached / m_options.m_blockTokens;
+  std::string all;
   for (std::size_t i = 0; i < values.size(); ++i) {
-    if (i < cached) {
-      values[i] = m_cache.Get(aRun->m_blocks[i]);
-    } else if (i < aRun->m_imported.size()) {
-      values[i] = aRun->m_imported[i];
+    if (i < aRun->m_reused.size()) {
+      values[i] = aRun->m_reused[i];
     }
     m_cache.Put(aRun->m_blocks[i], values[i]);
+    all = Hash(all, values[i]);
   }
-  const std::string all = Hash(values.empty() ? "" : values.back(), aRun->m_prompt);
+  all = Hash(all, aRun->m_prompt);
   aRun->m_seed = Hash(all, aRun->m_salt + "\n" + m_options.m_model + "\n" + aRun->m_version);
   if (!aRun->m_cancelled) {
     m_decoding.push_back(aRun);
@@ -323,8 +332,7 @@
                     SendError(aReply, 502, "store did not answer", false);
                     return;
                   }
-                  // The blocks before `skip` are in the cache already; they keep their places.
-                  std::vector<std::string> values(skip);
+                  std::vector<std::string> values;
                   for (const json& row : reply["blocks"]) {
                     const std::string value = row.at("value").get<std::string>();
                     const bool whole = value.size() == row.at("length").get<std::size_t>() &&
@@ -334,8 +342,8 @@
                     }
                     values.push_back(value);
                   }
-                  m_imports[import] = values;
-                  SendJson(aReply, 200, { { "imported", values.size() - skip } });
+                  m_imports[import] = { skip, values };
+                  SendJson(aReply, 200, { { "imported", values.size() } });
                 });
 }
 
--- a/standins/engine.hpp
+++ b/standins/engine.hpp
@@ -49,7 +49,9 @@
     std::string m_prompt;
     std::string m_version;
     std::vector<std::string> m_blocks;
-    std::vector<std::string> m_imported;
+    std::vector<std::string> m_imported; ///< contents of the blocks from m_importSkip on
+    std::size_t m_importSkip = 0;
+    std::vector<std::string> m_reused; ///< held from the start of the prefill on
     std::uint64_t m_priority = 0;
     std::uint64_t m_sequence = 0;
     std::uint32_t m_tokensLeft = 0;
@@ -100,7 +102,12 @@
   ferrytray::net::TimerHandle m_loadTimer;
   ferrytray::net::TimerHandle m_swapTimer;
   std::deque<std::pair<ferrytray::base::TimePoint, json>> m_loads;
-  std::map<std::string, std::vector<std::string>> m_imports;
+  struct Import
+  {
+    std::size_t m_skip = 0;
+    std::vector<std::string> m_values;
+  };
+  std::map<std::string, Import> m_imports;
   std::map<std::string, int> m_ledger;
   std::vector<json> m_orders;
   std::uint64_t m_sequence = 0;
--- a/tests/integration/control_test.cpp
+++ b/tests/integration/control_test.cpp
@@ -253,3 +253,21 @@
   LONGS_EQUAL(0, m_deployment.Apply(rule("here", 1, there.Gate())).m_exitCode);
   LONGS_EQUAL(6003, Send(Ask(Host("h1"), "still gone")).Code());
 }
+
+// Found by the soak: the keeper told its gate of the first configuration only if the gate came
+// after the log had been read to its end.
+TEST(Control, AGateThatCameBeforeTheConfigurationGetsIt)
+{
+  AddHosts(1);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  m_deployment.PlatformFaults({ { "down", true } });
+  EntryHost& late = m_deployment.AddHost("h2", "z1");
+  CHECK(WaitFor([&] {
+    return Get(late.Gate() + "/metrics").m_body.find("ferrytray_keeper_connected 1") !=
+           std::string::npos;
+  }));
+  m_deployment.PlatformFaults({ { "down", false } });
+  m_deployment.List();
+  CHECK(WaitFor([&] { return Get(late.Gate() + "/readyz").m_status == 200; }));
+}
--- a/tests/integration/restore_test.cpp
+++ b/tests/integration/restore_test.cpp
@@ -202,3 +202,16 @@
   STRCMP_EQUAL("unknown", answer.Run().c_str());
   CHECK(answer.Text().empty());
 }
+
+// Found by the soak: an import begins after the blocks that the engine is thought to have. When
+// those have gone since, what follows them must not be used.
+TEST(Restore, AnImportWhosePrefixWasEvictedIsNotUsed)
+{
+  Begin();
+  const std::string context = Context(9);
+  RunAndEvict(context, 20);
+  LONGS_EQUAL(200, Send(Ask(*m_host, context.substr(0, 10U * 1024))).m_status);
+  m_deployment.At("w1").Faults({ { "evict", true } });
+  const Answer answer = Send(Ask(*m_host, context + "again"));
+  STRCMP_EQUAL(AnswerAlone(context + "again").c_str(), answer.Text().c_str());
+}
