Soak: a planned stop waits only for the gate that it signalled

Cause: with 'gate killed' and 'gate stopped as planned' on one host in one round the soak waited for ever for a gate that it had never signalled (seen by its stack). Change: it compares process ids.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -328,10 +328,14 @@
   std::function<void()> StopGate()
   {
     EntryHost& host = AnyHost();
+    const pid_t stopped = host.m_gate.Pid();
     host.m_gate.Signal(SIGTERM);
-    return [this, &host] {
-      host.m_gate.Wait();
-      m_deployment.RestartGate(host, kGate);
+    return [this, &host, stopped] {
+      // Another fault of the round may have ended or replaced it.
+      if (host.m_gate.Pid() == stopped) {
+        host.m_gate.Wait();
+        m_deployment.RestartGate(host, kGate);
+      }
     };
   }
 
