No request outlives its answer in memory

Change: the callback is taken out before it is called; a cancelled attempt lets its handlers go. Measured: asan, APlannedStopCutsNothingOff: before, leak and exit code not 0; after, no report and green.

--- a/include/ferrytray/gate/once_guard.hpp
+++ b/include/ferrytray/gate/once_guard.hpp
@@ -48,6 +48,7 @@
   [[nodiscard]] bool KeepsAnswer() const { return m_terms.m_ticket || m_terms.m_idempotencyKey; }
 
 private:
+  void Tell(const OnceVerdict& aVerdict);
   void BeginTicket();
   void BeginClaim();
   void OnClaim(const once::ClaimAction& aAction);
--- a/src/ferrytray/gate/engine_attempt.cpp
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -73,7 +73,9 @@
 void EngineAttempt::OnEvent(const EnginePiece& aPiece)
 {
   if (aPiece.m_version != m_request.m_version) {
+    const Handlers handlers = m_handlers;
     Cancel();
+    m_handlers = handlers;
     m_ended = false;
     End(AttemptWrongVersion{});
     return;
@@ -152,6 +154,8 @@
     return;
   }
   m_ended = true;
+  // The handlers hold the request, which holds this attempt. Freed later: one may be running.
+  m_core.m_loop.Post([handlers = std::exchange(m_handlers, {})] {});
   if (m_call != 0) {
     m_core.m_http->Cancel(m_call);
   }
--- a/src/ferrytray/gate/once_guard.cpp
+++ b/src/ferrytray/gate/once_guard.cpp
@@ -1,5 +1,7 @@
 #include "ferrytray/gate/once_guard.hpp"
 
+#include <utility> // for exchange
+
 namespace ferrytray::gate {
 
 namespace {
@@ -35,7 +37,16 @@
   } else if (m_terms.m_idempotencyKey) {
     BeginClaim();
   } else {
-    m_onVerdict(RunHere{});
+    Tell(RunHere{});
+  }
+}
+
+void OnceGuard::Tell(const OnceVerdict& aVerdict)
+{
+  // Taken out first: the call holds the request, which holds this guard.
+  const auto onVerdict = std::exchange(m_onVerdict, nullptr);
+  if (onVerdict) {
+    onVerdict(aVerdict);
   }
 }
 
@@ -45,13 +56,13 @@
     m_core.m_tickets.Redeem(*m_terms.m_ticket, m_account, m_content, base::MonotonicNow());
   if (std::holds_alternative<once::RedeemRun>(redeemed)) {
     m_redeemed = true;
-    m_onVerdict(RunHere{});
+    Tell(RunHere{});
   } else if (const auto* elsewhere = std::get_if<once::RedeemElsewhere>(&redeemed)) {
-    m_onVerdict(VerdictFor(*elsewhere));
+    Tell(VerdictFor(*elsewhere));
   } else if (const auto* replay = std::get_if<once::RedeemReplay>(&redeemed)) {
-    m_onVerdict(ReplayAnswer{ replay->m_answer });
+    Tell(ReplayAnswer{ replay->m_answer });
   } else {
-    m_onVerdict(std::get<base::Failure>(redeemed));
+    Tell(std::get<base::Failure>(redeemed));
   }
 }
 
@@ -86,18 +97,18 @@
 void OnceGuard::OnClaim(const once::ClaimAction& aAction)
 {
   if (std::holds_alternative<once::ClaimWon>(aAction)) {
-    m_onVerdict(RunHere{});
+    Tell(RunHere{});
     return;
   }
   m_claimEnded = true;
   m_claim.reset();
   if (const auto* lost = std::get_if<once::ClaimLost>(&aAction)) {
-    m_onVerdict(VerdictForHolder(lost->m_holder));
+    Tell(VerdictForHolder(lost->m_holder));
     return;
   }
-  m_onVerdict(Refusal(ErrorCode::ClaimLogUnavailable,
-                      RunState::NotRun,
-                      "the platform's log cannot settle the key now; nothing was run"));
+  Tell(Refusal(ErrorCode::ClaimLogUnavailable,
+               RunState::NotRun,
+               "the platform's log cannot settle the key now; nothing was run"));
 }
 
 OnceVerdict OnceGuard::VerdictForHolder(const once::LiveClaim& aHolder) const
