Overhead script opens what it says; daemons raise their file limit

Cause: the probe counted refusals as open streams, and the example account's burst refused half of the 2,000.

--- a/src/ferrytray/net/loop.cpp
+++ b/src/ferrytray/net/loop.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/net/loop.hpp"
 
-#include <csignal> // for SIGTERM, SIGINT, SIGPIPE, signal
-#include <utility> // for move
+#include <csignal>        // for SIGTERM, SIGINT, SIGPIPE, signal
+#include <sys/resource.h> // for getrlimit, setrlimit
+#include <utility>        // for move
 
 #include <asio/executor_work_guard.hpp> // for make_work_guard
 #include <asio/post.hpp>                // for post
@@ -66,12 +67,23 @@
   return timer;
 }
 
+/// A stream takes two sockets; the usual soft limit of 1,024 would end a gate at 500.
+void RaiseFileLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 } // namespace
 
 Loop::Loop()
   : m_impl(std::make_unique<LoopImpl>())
 {
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseFileLimit();
 }
 
 Loop::~Loop() = default;
--- a/tools/load_probe.cpp
+++ b/tools/load_probe.cpp
@@ -93,8 +93,10 @@
   std::vector<bool> seen(aStreams, false);
   for (std::size_t i = 0; i < aStreams; ++i) {
     net::ClientEvents events;
-    events.m_onData = [&, i](std::string_view) {
-      if (!seen[i]) {
+    auto status = std::make_shared<int>(0);
+    events.m_onStatus = [status](int aStatus) { *status = aStatus; };
+    events.m_onData = [&, i, status](std::string_view) {
+      if (!seen[i] && *status == 200) {
         seen[i] = true;
         ++begun;
       }
