Hosts tell each other what KV stores hold

Now a few hosts of each zone (8 in all, by a rank that all compute alike) read the stores, the others ask one of them three times a second. Hosts find each other by a keyed topic of the product's own.

--- a/include/ferrytray/base/error.hpp
+++ b/include/ferrytray/base/error.hpp
@@ -65,6 +65,7 @@
   PlatformMalformed = 8002,
   SettingInvalid = 8003,
   ListenFailed = 8004,
+  PeerMalformed = 8005,
 };
 
 /// @brief Whether a request has run, as far as the system can truthfully say.
--- a/include/ferrytray/cache/store_contents.hpp
+++ b/include/ferrytray/cache/store_contents.hpp
@@ -4,20 +4,23 @@
 #include <map>      // for map
 #include <optional> // for optional
 
-#include "ferrytray/base/time.hpp"        // for Duration, TimePoint
-#include "ferrytray/cache/store_feed.hpp" // for PartName, StoreNews
+#include "ferrytray/base/time.hpp"             // for Duration, TimePoint
+#include "ferrytray/cache/change_history.hpp"  // for ChangeHistory
+#include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
+#include "ferrytray/cache/store_feed.hpp"      // for PartName, StoreNews
 
 namespace ferrytray::cache {
 
 struct ContentsOptions
 {
-  /// News older than this are too old to fetch by: the store may have restarted since.
-  base::Duration m_freshFor = std::chrono::milliseconds(1500);
+  /// News older than this are too old to fetch by: the store may have restarted since. They count
+  /// from when they were asked for: two reads of 0.5 s and a pause, and the way over another host.
+  base::Duration m_freshFor = std::chrono::milliseconds(1900);
   /// A fetch that has not ended by then is thrown away and the prompt is read.
   base::Duration m_fetchWithin = std::chrono::milliseconds(2000);
   /// After a restart was noticed, nothing is saved for so long: until then another host may still
   /// send fetches by the old contents, and a save under way must never be what they read.
-  /// Both times above, and one second for what is in between.
+  /// Both times above, and half a second for what is in between.
   base::Duration m_settle = std::chrono::milliseconds(4500);
   /// Room taken by a save whose news have not come is counted for so long.
   base::Duration m_pendingFor = std::chrono::milliseconds(8000);
@@ -34,7 +37,18 @@
   }
 
   /// @brief News that follow what is known, or the whole contents.
-  void OnNews(const StoreNews& aNews, bool aWhole, base::TimePoint aNow);
+  /// @param aAskedAt when they were asked for: a process that stood still may read an answer late
+  void OnNews(const StoreNews& aNews, bool aWhole, base::TimePoint aAskedAt, base::TimePoint aNow);
+  /// @brief The same from another host that follows the store.
+  void OnDigest(const ContentsDigest& aDigest, base::TimePoint aAskedAt, base::TimePoint aNow);
+  /// @brief What another host that has followed up to the cursor does not know yet; empty when
+  /// nothing was heard of the store.
+  [[nodiscard]] std::optional<ContentsDigest> DigestFor(const ContentsCursor& aCursor,
+                                                        base::TimePoint aNow) const;
+  /// @brief Up to where the other host's digests were followed.
+  [[nodiscard]] const ContentsCursor& Cursor() const { return m_cursor; }
+  /// @brief Digests come from another host from now on.
+  void ForgetCursor() { m_cursor = {}; }
   /// @brief This host asked an endpoint to save a part here.
   void OnSaveAsked(const PartName& aPart, std::uint32_t aTokens, base::TimePoint aNow);
 
@@ -61,7 +75,9 @@
   };
 
   void BeginEpoch(std::uint64_t aEpoch, base::TimePoint aNow);
+  void Replace();
   void Apply(const StoreChange& aChange);
+  void HeardAt(base::TimePoint aTime, base::TimePoint aNow);
 
   std::uint64_t m_capacity;
   ContentsOptions m_options;
@@ -73,6 +89,8 @@
   std::map<PartName, std::uint32_t> m_parts;
   std::uint64_t m_used = 0;
   std::map<PartName, Pending> m_pending;
+  ChangeHistory m_history;
+  ContentsCursor m_cursor;
 };
 
 } // namespace ferrytray::cache
--- a/include/ferrytray/cache/store_follower.hpp
+++ b/include/ferrytray/cache/store_follower.hpp
@@ -12,7 +12,9 @@
 
 struct FollowerOptions
 {
-  base::Duration m_wait = std::chrono::milliseconds(800);
+  /// What is heard counts from when it was asked for, so it must not be held long
+  /// (ContentsOptions::m_freshFor).
+  base::Duration m_wait = std::chrono::milliseconds(500);
   /// Between two reads, so that news come in batches.
   base::Duration m_pause = std::chrono::milliseconds(200);
   base::Duration m_retry = std::chrono::milliseconds(400);
@@ -45,6 +47,7 @@
   Stores& m_stores;
   std::string m_address;
   FollowerOptions m_options;
+  base::TimePoint m_askedAt{};
   bool m_stopped = false;
   bool m_away = false;
   net::TimerHandle m_timer;
--- a/src/ferrytray/wire/bounded_archive.hpp
+++ b/include/ferrytray/net/bounded_archive.hpp
@@ -8,9 +8,9 @@
 #include <cereal/archives/binary.hpp> // for BinaryOutputArchive
 #include <cereal/cereal.hpp>          // for InputArchive, SizeTag, BinaryData
 
-namespace ferrytray::wire {
+namespace ferrytray::net {
 
-/// Reads what cereal's BinaryOutputArchive wrote, and believes no size that the bytes left could
+/// @brief Reads what cereal's BinaryOutputArchive wrote, and believes no size that the bytes left could
 /// not hold: a damaged datagram must not make a host allocate gigabytes.
 class BoundedInputArchive
   : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
@@ -71,11 +71,11 @@
   aArchive.CheckCount(aTag.size);
 }
 
-} // namespace ferrytray::wire
+} // namespace ferrytray::net
 
 // cereal's own macro would pair the two both ways, and the output archive has its pair already.
 template<>
-struct cereal::traits::detail::get_output_from_input<ferrytray::wire::BoundedInputArchive>
+struct cereal::traits::detail::get_output_from_input<ferrytray::net::BoundedInputArchive>
 {
   using type = cereal::BinaryOutputArchive;
 };
--- /dev/null
+++ b/include/ferrytray/peers/messages.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>     // for uint64_t
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
+
+#include "ferrytray/base/error.hpp"            // for Result
+#include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
+#include "ferrytray/peers/roster.hpp"          // for Peer
+
+namespace ferrytray::peers {
+
+/// @brief One host asks another for what it does not know yet.
+struct NewsRequest
+{
+  Peer m_sender;
+  std::uint64_t m_incarnation = 0; ///< of the other host, to which the cursors belong
+  std::vector<cache::ContentsCursor> m_cursors;
+};
+
+/// @brief The answer.
+struct NewsReply
+{
+  std::uint64_t m_incarnation = 0; ///< of the host that answers
+  std::vector<cache::ContentsDigest> m_stores;
+};
+
+std::string Encode(const NewsRequest& aRequest);
+std::string Encode(const NewsReply& aReply);
+/// @return PeerMalformed when the bytes are anything else
+base::Result<NewsRequest> DecodeNewsRequest(std::string_view aBytes);
+base::Result<NewsReply> DecodeNewsReply(std::string_view aBytes);
+
+} // namespace ferrytray::peers
--- /dev/null
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional> // for function
+#include <memory>     // for unique_ptr, shared_ptr
+#include <optional>   // for optional
+#include <string>     // for string
+
+#include "ferrytray/base/error.hpp"         // for Result
+#include "ferrytray/cache/part_planner.hpp" // for Stores
+#include "ferrytray/net/http_client.hpp"    // for HttpClient
+#include "ferrytray/net/http_server.hpp"    // for HttpServer
+#include "ferrytray/net/loop.hpp"           // for Loop
+#include "ferrytray/peers/messages.hpp"     // for NewsReply, NewsRequest
+#include "ferrytray/peers/roster.hpp"       // for Roster
+#include "ferrytray/store/record_log.hpp"   // for RecordLog
+
+namespace ferrytray::peers {
+
+struct NewsOptions
+{
+  net::Address m_listen;   ///< for other hosts
+  std::string m_name;      ///< of this host, the same over its restarts
+  std::string m_zone;      ///< its availability zone
+  std::string m_topic;     ///< keyed; each host's record is its Peer
+  RosterOptions m_roster;
+  /// Between two questions; what is heard is as old at most (ContentsOptions::m_freshFor).
+  base::Duration m_askEvery = std::chrono::milliseconds(300);
+  base::Duration m_answerWithin = std::chrono::milliseconds(600);
+  base::Duration m_connectWithin = std::chrono::milliseconds(300);
+  /// A host that is asked reads from the stores until it was not asked for so long.
+  base::Duration m_readFor = std::chrono::seconds(4);
+  /// Hosts that start together find each other by the second look at the topic; each is charged.
+  base::Duration m_lookAgain = std::chrono::seconds(2);
+  base::Duration m_lookEvery = std::chrono::seconds(15);
+  base::Duration m_enrolRetry = std::chrono::milliseconds(700);
+};
+
+/// @brief Hosts tell each other what KV stores hold, so that few of them have to read it there.
+class NewsExchange
+{
+public:
+  NewsExchange(net::Loop& aLoop,
+               net::HttpClient& aClient,
+               store::RecordLog& aLog,
+               cache::Stores& aStores,
+               NewsOptions aOptions);
+  /// @brief Listens, enrols in the topic and begins to ask. @return ListenFailed
+  base::Result<void> Start();
+  /// @brief A planned stop has begun: other hosts are to ask elsewhere.
+  void Leave() { m_leaving = true; }
+  void Stop();
+  /// @brief Calls when this host is to begin or to stop to read from the stores itself.
+  void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
+
+private:
+  void Enrol();
+  void Look();
+  void Tick();
+  void Ask(const Peer& aSource, base::TimePoint aNow);
+  void OnReply(const Peer& aSource,
+               base::TimePoint aAskedAt,
+               const net::ClientOutcome& aOutcome,
+               const std::string& aBody);
+  void Answer(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply);
+  void SetDirect(bool aDirect, const char* aWhy);
+
+  net::Loop& m_loop;
+  net::HttpClient& m_client;
+  store::RecordLog& m_log;
+  cache::Stores& m_stores;
+  NewsOptions m_options;
+  std::uint64_t m_incarnation;
+  std::optional<Roster> m_roster; ///< once the own address is known
+  std::unique_ptr<net::HttpServer> m_server;
+  std::function<void(bool)> m_onDirect;
+  std::string m_source;                  ///< name of the host that was asked last
+  std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
+  std::optional<base::TimePoint> m_wasAskedAt;
+  bool m_asking = false;
+  bool m_direct = false;
+  bool m_leaving = false;
+  bool m_stopped = false;
+  bool m_looked = false; ///< the topic was read once
+  net::TimerHandle m_tick;
+  net::TimerHandle m_enrolTimer;
+  net::TimerHandle m_lookTimer;
+};
+
+} // namespace ferrytray::peers
--- /dev/null
+++ b/include/ferrytray/peers/roster.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>  // for size_t
+#include <cstdint>  // for uint32_t
+#include <map>      // for map
+#include <optional> // for optional
+#include <string>   // for string
+#include <vector>   // for vector
+
+#include "ferrytray/base/time.hpp" // for Duration, TimePoint
+
+namespace ferrytray::peers {
+
+/// @brief Another host of the system.
+struct Peer
+{
+  std::string m_name;
+  std::string m_zone;    ///< availability zone
+  std::string m_address; ///< IP:PORT where it answers other hosts
+  bool operator==(const Peer&) const = default;
+};
+
+struct RosterOptions
+{
+  /// Hosts that read from each KV store. A store answers 12 readers at once on the users' sites; the
+  /// rest is for hosts that take over and for those that were just replaced.
+  std::size_t m_readers = 8;
+  base::Duration m_avoidFirst = std::chrono::milliseconds(1000); ///< after a peer did not answer
+  base::Duration m_avoidMost = std::chrono::milliseconds(16000);
+};
+
+/// @brief The hosts that this one knows of, and which of them it asks for news. Pure.
+///
+/// Some hosts of each zone read the KV stores for all others there, so that what a store bears
+/// does not depend on the number of hosts. Every host finds them by the same rule.
+class Roster
+{
+public:
+  explicit Roster(Peer aSelf, RosterOptions aOptions = {})
+    : m_self(std::move(aSelf))
+    , m_options(aOptions)
+  {
+  }
+
+  void Learn(const Peer& aPeer);
+  void OnAnswered(const std::string& aName);
+  void OnMissed(const std::string& aName, base::TimePoint aNow);
+
+  /// @brief Whom this host asks; empty: it reads from the stores itself.
+  [[nodiscard]] std::optional<Peer> Source(base::TimePoint aNow) const;
+  [[nodiscard]] const Peer& Self() const { return m_self; }
+  [[nodiscard]] std::size_t Hosts() const { return m_peers.size() + 1; }
+
+private:
+  struct Entry
+  {
+    Peer m_peer;
+    std::uint32_t m_misses = 0; ///< in a row
+    std::optional<base::TimePoint> m_avoidUntil;
+  };
+
+  [[nodiscard]] std::vector<const Peer*> Reachable(base::TimePoint aNow) const;
+
+  Peer m_self;
+  RosterOptions m_options;
+  std::map<std::string, Entry> m_peers; ///< by name
+};
+
+} // namespace ferrytray::peers
--- a/include/ferrytray/relay/record_format.hpp
+++ b/include/ferrytray/relay/record_format.hpp
@@ -23,6 +23,8 @@
   virtual ~RecordFormat() = default;
   [[nodiscard]] virtual std::string OperatorTopic() const = 0;
   [[nodiscard]] virtual std::string EndpointTopic() const = 0;
+  /// @brief A keyed topic of the product's own, in which hosts find each other.
+  [[nodiscard]] virtual std::string HostTopic() const = 0;
   [[nodiscard]] virtual bool IsConfiguration(std::string_view aKey) const = 0;
   [[nodiscard]] virtual bool IsNamedWeights(std::string_view aKey) const = 0;
   [[nodiscard]] virtual base::Result<fleet::Configuration> ReadConfiguration(
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -5,6 +5,7 @@
 
 #include "ferrytray/base/error.hpp"             // for Result
 #include "ferrytray/net/http_server.hpp"        // for HttpServer
+#include "ferrytray/peers/news_exchange.hpp"    // for NewsExchange
 #include "ferrytray/relay/relay_core.hpp"       // for RelayCore
 #include "ferrytray/relay/relay_front.hpp"      // for RelayFront
 #include "ferrytray/relay/state_feeds.hpp"      // for StateFeeds
@@ -19,6 +20,7 @@
   net::Address m_callers;
   net::Address m_readiness;
   net::Address m_metrics;
+  peers::NewsOptions m_peers;
   RelayOptions m_relay;
   FeedOptions m_feeds;
   rollout::RolloutOptions m_rollout;
@@ -68,6 +70,7 @@
   RelayFront m_front;
   StateFeeds m_feeds;
   StoreWatch m_stores;
+  peers::NewsExchange m_news;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
--- a/include/ferrytray/relay/store_watch.hpp
+++ b/include/ferrytray/relay/store_watch.hpp
@@ -9,7 +9,8 @@
 
 namespace ferrytray::relay {
 
-/// @brief Follows the stores that the configuration in force names.
+/// @brief Keeps the KV stores that the configuration in force names, and follows them if this host
+/// is to read from them itself.
 class StoreWatch
 {
 public:
@@ -21,11 +22,16 @@
 
   /// @brief A configuration came into force.
   void OnConfiguration();
+  /// @brief Whether this host reads from the stores itself.
+  void SetDirect(bool aDirect);
   void Stop();
 
 private:
+  void Follow(const std::string& aAddress);
+
   RelayCore& m_core;
   cache::StoreFeed& m_feed;
+  bool m_direct = false;
   std::map<std::string, std::shared_ptr<cache::StoreFollower>> m_followers; ///< by address
 };
 
--- a/include/ferrytray/store/record_log.hpp
+++ b/include/ferrytray/store/record_log.hpp
@@ -71,6 +71,12 @@
                       std::string_view aRecord,
                       Offset aExpectedEnd,
                       Done<AppendResult> aDone) = 0;
+  /// @brief Appends a record to a keyed topic, whatever its end; for records that only their writer
+  /// writes. A failure means the same as that of Append().
+  virtual void AppendKeyed(const std::string& aTopic,
+                           std::string_view aKey,
+                           std::string_view aValue,
+                           Done<AppendResult> aDone) = 0;
 };
 
 } // namespace ferrytray::store
--- a/src/ferrytray/cache/store_follower.cpp
+++ b/src/ferrytray/cache/store_follower.cpp
@@ -27,6 +27,7 @@
 
 void StoreFollower::Read()
 {
+  m_askedAt = base::MonotonicNow();
   m_feed.ReadNews(
     m_address,
     m_stores.at(m_address).Next(),
@@ -36,6 +37,7 @@
 
 void StoreFollower::ReadAll()
 {
+  m_askedAt = base::MonotonicNow();
   m_feed.ReadAll(m_address, [self = shared_from_this()](const base::Result<StoreNews>& aNews) {
     self->OnAll(aNews);
   });
@@ -58,7 +60,7 @@
     return;
   }
   m_away = false;
-  contents.OnNews(*aNews, false, base::MonotonicNow());
+  contents.OnNews(*aNews, false, m_askedAt, base::MonotonicNow());
   Later(m_options.m_pause);
 }
 
@@ -72,7 +74,7 @@
     return;
   }
   m_away = false;
-  m_stores.at(m_address).OnNews(*aNews, true, base::MonotonicNow());
+  m_stores.at(m_address).OnNews(*aNews, true, m_askedAt, base::MonotonicNow());
   telemetry::LogLine("store_listed")
     .Add("store", m_address)
     .Add("epoch", aNews->m_epoch)
--- /dev/null
+++ b/src/ferrytray/peers/messages.cpp
@@ -0,0 +1,122 @@
+#include "ferrytray/peers/messages.hpp"
+
+#include <sstream> // for ostringstream
+
+#include <cereal/archives/binary.hpp> // for BinaryOutputArchive
+#include <cereal/types/chrono.hpp>    // for duration
+#include <cereal/types/string.hpp>    // for string
+#include <cereal/types/vector.hpp>    // for vector
+
+#include "ferrytray/net/bounded_archive.hpp" // for BoundedInputArchive
+
+namespace ferrytray::cache {
+
+template<typename Archive>
+void serialize(Archive& aArchive, PartName& aPart)
+{
+  aArchive(aPart.m_scope, aPart.m_id);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, StoreChange& aChange)
+{
+  aArchive(aChange.m_part, aChange.m_tokens, aChange.m_added);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, ContentsCursor& aCursor)
+{
+  aArchive(aCursor.m_store, aCursor.m_series, aCursor.m_next);
+}
+
+/// Its clock is written as a flag and a number: cereal's own reader of optional values needs C++17
+/// headers that the bounded archive does not go with.
+template<typename Archive>
+void serialize(Archive& aArchive, ContentsDigest& aDigest)
+{
+  bool hasClock = aDigest.m_clockMillis.has_value();
+  std::int64_t clock = aDigest.m_clockMillis.value_or(0);
+  aArchive(aDigest.m_store, aDigest.m_epoch, aDigest.m_series, aDigest.m_next, aDigest.m_whole);
+  aArchive(aDigest.m_age, hasClock, clock, aDigest.m_changes);
+  aDigest.m_clockMillis = hasClock ? std::optional(clock) : std::nullopt;
+}
+
+} // namespace ferrytray::cache
+
+namespace ferrytray::peers {
+
+namespace {
+
+/// Both ends are of one version but while hosts are replaced; another version's bytes are refused.
+constexpr std::uint32_t kFormat = 0x66740001;
+
+template<typename Message>
+std::string Write(const Message& aMessage)
+{
+  std::ostringstream bytes;
+  {
+    cereal::BinaryOutputArchive archive(bytes);
+    archive(kFormat, aMessage);
+  }
+  return bytes.str();
+}
+
+template<typename Message>
+base::Result<Message> Read(std::string_view aBytes)
+{
+  try {
+    net::BoundedInputArchive archive(aBytes);
+    std::uint32_t format = 0;
+    Message message;
+    archive(format);
+    if (format != kFormat) {
+      return base::Fail(base::ErrorCode::PeerMalformed, "another format");
+    }
+    archive(message);
+    return message;
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::PeerMalformed, error.what());
+  }
+}
+
+} // namespace
+
+template<typename Archive>
+void serialize(Archive& aArchive, Peer& aPeer)
+{
+  aArchive(aPeer.m_name, aPeer.m_zone, aPeer.m_address);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, NewsRequest& aRequest)
+{
+  aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, NewsReply& aReply)
+{
+  aArchive(aReply.m_incarnation, aReply.m_stores);
+}
+
+std::string Encode(const NewsRequest& aRequest)
+{
+  return Write(aRequest);
+}
+
+std::string Encode(const NewsReply& aReply)
+{
+  return Write(aReply);
+}
+
+base::Result<NewsRequest> DecodeNewsRequest(std::string_view aBytes)
+{
+  return Read<NewsRequest>(aBytes);
+}
+
+base::Result<NewsReply> DecodeNewsReply(std::string_view aBytes)
+{
+  return Read<NewsReply>(aBytes);
+}
+
+} // namespace ferrytray::peers
--- /dev/null
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -0,0 +1,50 @@
+#include "ferrytray/peers/messages.hpp"
+
+#include <rapidcheck.h> // for check, gen
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PeerMessages){};
+
+TEST(PeerMessages, ComeBackAsTheyWere)
+{
+  peers::NewsRequest request{ { "h", "z", "10.0.0.1:7" }, 9, { { "s:1", 2, 3 } } };
+  const auto readRequest = peers::DecodeNewsRequest(peers::Encode(request));
+  CHECK(readRequest.has_value());
+  CHECK(readRequest->m_sender == request.m_sender);
+  LONGS_EQUAL(9, readRequest->m_incarnation);
+  STRCMP_EQUAL("s:1", readRequest->m_cursors.at(0).m_store.c_str());
+  LONGS_EQUAL(3, readRequest->m_cursors.at(0).m_next);
+
+  peers::NewsReply reply{ 11, {} };
+  reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
+  reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
+  const auto readReply = peers::DecodeNewsReply(peers::Encode(reply));
+  CHECK(readReply.has_value());
+  const cache::ContentsDigest& digest = readReply->m_stores.at(0);
+  CHECK(digest.m_whole && digest.m_age == 5ms && digest.m_clockMillis == 77);
+  LONGS_EQUAL(400, digest.m_changes.at(0).m_tokens);
+  STRCMP_EQUAL("p", digest.m_changes.at(0).m_part.m_id.c_str());
+  CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
+}
+
+TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
+{
+  peers::NewsReply reply{ 11, {} };
+  reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
+  const std::string whole = peers::Encode(reply);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const auto read = peers::DecodeNewsReply(std::string_view(whole).substr(0, size));
+    CHECK(!read && read.error().m_code == base::ErrorCode::PeerMalformed);
+  }
+  // Ends without a crash or a huge allocation.
+  const bool held = rc::check([&] {
+    std::string damaged = whole;
+    damaged[*rc::gen::inRange<std::size_t>(0, whole.size())] = *rc::gen::arbitrary<char>();
+    static_cast<void>(peers::DecodeNewsReply(damaged));
+  });
+  CHECK(held);
+}
--- /dev/null
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -0,0 +1,253 @@
+#include "ferrytray/peers/news_exchange.hpp"
+
+#include <random>  // for random_device
+#include <utility> // for exchange, move
+
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::peers {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kPath = "/news";
+
+std::uint64_t RandomNumber()
+{
+  std::random_device device;
+  constexpr unsigned kHalf = 32;
+  return (static_cast<std::uint64_t>(device()) << kHalf) | device();
+}
+
+/// A host's record in the topic: "zone address".
+std::string ToRecord(const Peer& aPeer)
+{
+  return aPeer.m_zone + " " + aPeer.m_address;
+}
+
+std::optional<Peer> FromRecord(const store::Record& aRecord)
+{
+  const std::size_t space = aRecord.m_value.rfind(' ');
+  if (space == std::string::npos || !net::ParseAddress(aRecord.m_value.substr(space + 1))) {
+    return std::nullopt;
+  }
+  return Peer{ aRecord.m_key,
+               aRecord.m_value.substr(0, space),
+               aRecord.m_value.substr(space + 1) };
+}
+
+} // namespace
+
+NewsExchange::NewsExchange(net::Loop& aLoop,
+                           net::HttpClient& aClient,
+                           store::RecordLog& aLog,
+                           cache::Stores& aStores,
+                           NewsOptions aOptions)
+  : m_loop(aLoop)
+  , m_client(aClient)
+  , m_log(aLog)
+  , m_stores(aStores)
+  , m_options(std::move(aOptions))
+  , m_incarnation(RandomNumber())
+{
+}
+
+base::Result<void> NewsExchange::Start()
+{
+  net::HttpServerOptions options;
+  options.m_listen = m_options.m_listen;
+  auto server = net::HttpServer::Create(
+    m_loop,
+    options,
+    [this](const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply) {
+      Answer(aRequest, aReply);
+    });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  m_server = std::move(*server);
+  m_roster.emplace(
+    Peer{ m_options.m_name, m_options.m_zone, net::ToString(m_server->ListenAddress()) },
+    m_options.m_roster);
+  Enrol();
+  m_tick = m_loop.Every(m_options.m_askEvery, [this] { Tick(); });
+  return {};
+}
+
+void NewsExchange::Stop()
+{
+  m_stopped = true;
+  m_tick.reset();
+  m_enrolTimer.reset();
+  m_lookTimer.reset();
+}
+
+void NewsExchange::Enrol()
+{
+  m_log.AppendKeyed(m_options.m_topic,
+                    m_options.m_name,
+                    ToRecord(m_roster->Self()),
+                    [this](const base::Result<store::AppendResult>& aResult) {
+                      if (m_stopped) {
+                        return;
+                      }
+                      if (!aResult) {
+                        telemetry::LogLine("enrolled")
+                          .Add("outcome", "failed")
+                          .Add("why", aResult.error().m_message);
+                        m_enrolTimer = m_loop.After(m_options.m_enrolRetry, [this] { Enrol(); });
+                        return;
+                      }
+                      Look();
+                    });
+}
+
+void NewsExchange::Look()
+{
+  m_log.ReadSnapshot(m_options.m_topic, [this](const base::Result<store::Snapshot>& aResult) {
+    if (m_stopped) {
+      return;
+    }
+    const bool first = !m_looked;
+    if (aResult) {
+      m_looked = true;
+      for (const store::Record& record : aResult->m_records) {
+        if (const auto peer = FromRecord(record)) {
+          m_roster->Learn(*peer);
+        }
+      }
+      telemetry::LogLine("hosts").Add("known", m_roster->Hosts());
+    }
+    m_lookTimer =
+      m_loop.After(first ? m_options.m_lookAgain : m_options.m_lookEvery, [this] { Look(); });
+  });
+}
+
+void NewsExchange::Tick()
+{
+  if (!m_looked) {
+    return; // nobody is known yet
+  }
+  const base::TimePoint now = base::MonotonicNow();
+  const std::optional<Peer> source = m_roster->Source(now);
+  const bool asked = m_wasAskedAt && now < *m_wasAskedAt + m_options.m_readFor;
+  if (!source) {
+    SetDirect(true, "reader by rank");
+    return;
+  }
+  SetDirect(asked, asked ? "asked by others" : "another host reads");
+  if (!m_direct && !m_asking) {
+    Ask(*source, now);
+  }
+}
+
+void NewsExchange::SetDirect(bool aDirect, const char* aWhy)
+{
+  if (std::exchange(m_direct, aDirect) == aDirect) {
+    return;
+  }
+  telemetry::LogLine("reads_stores")
+    .Add("outcome", aDirect ? "itself" : "by_another_host")
+    .Add("why", aWhy)
+    .Add("hosts", m_roster->Hosts());
+  if (m_onDirect) {
+    m_onDirect(aDirect);
+  }
+}
+
+void NewsExchange::Ask(const Peer& aSource, base::TimePoint aNow)
+{
+  if (std::exchange(m_source, aSource.m_name) != aSource.m_name) {
+    telemetry::LogLine("asks_host").Add("host", aSource.m_name).Add("address", aSource.m_address);
+    m_sourceIncarnation = 0;
+  }
+  NewsRequest question{ m_roster->Self(), m_sourceIncarnation, {} };
+  for (const auto& [address, contents] : m_stores) {
+    cache::ContentsCursor cursor = contents.Cursor();
+    cursor.m_store = address;
+    question.m_cursors.push_back(std::move(cursor));
+  }
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + aSource.m_address + std::string(kPath);
+  request.m_headers = { { "Content-Type", "application/octet-stream" } };
+  request.m_body = Encode(question);
+  request.m_connectTimeout = m_options.m_connectWithin;
+  request.m_timeout = m_options.m_answerWithin;
+  m_asking = true;
+  m_client.Fetch(
+    std::move(request),
+    [this, aSource, aNow](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+      m_asking = false;
+      if (!m_stopped) {
+        OnReply(aSource, aNow, aOutcome, aBody);
+      }
+    });
+}
+
+void NewsExchange::OnReply(const Peer& aSource,
+                           base::TimePoint aAskedAt,
+                           const net::ClientOutcome& aOutcome,
+                           const std::string& aBody)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const bool whole = aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status == kOk;
+  const base::Result<NewsReply> reply =
+    whole ? DecodeNewsReply(aBody)
+          : base::Fail(base::ErrorCode::EndpointUnreachable,
+                       "status " + std::to_string(aOutcome.m_status) + ", " + aOutcome.m_detail);
+  if (!reply) {
+    telemetry::LogLine("host_missed")
+      .Add("host", aSource.m_name)
+      .Add("why", reply.error().m_message);
+    m_roster->OnMissed(aSource.m_name, now);
+    return;
+  }
+  m_roster->OnAnswered(aSource.m_name);
+  if (m_direct || aSource.m_name != m_source) {
+    return; // this host reads by itself meanwhile, or asks another one
+  }
+  m_sourceIncarnation = reply->m_incarnation;
+  for (const cache::ContentsDigest& digest : reply->m_stores) {
+    const auto known = m_stores.find(digest.m_store);
+    if (known != m_stores.end()) {
+      known->second.OnDigest(digest, aAskedAt, now);
+    }
+  }
+}
+
+void NewsExchange::Answer(const net::HttpRequest& aRequest,
+                          const std::shared_ptr<net::HttpReply>& aReply)
+{
+  base::Result<NewsRequest> question = DecodeNewsRequest(aRequest.m_body);
+  if (!question) {
+    aReply->Send(kBadRequest, {}, question.error().m_message);
+    return;
+  }
+  if (m_leaving || m_stopped) {
+    aReply->Send(kUnavailable, {}, "this host stops");
+    return;
+  }
+  const base::TimePoint now = base::MonotonicNow();
+  m_roster->Learn(question->m_sender);
+  m_wasAskedAt = now;
+  SetDirect(true, "asked by others");
+  NewsReply reply{ m_incarnation, {} };
+  for (cache::ContentsCursor& cursor : question->m_cursors) {
+    if (question->m_incarnation != m_incarnation) {
+      cursor.m_series = 0;
+    }
+    const auto known = m_stores.find(cursor.m_store);
+    if (known == m_stores.end()) {
+      continue;
+    }
+    if (auto digest = known->second.DigestFor(cursor, now)) {
+      reply.m_stores.push_back(std::move(*digest));
+    }
+  }
+  aReply->Send(kOk, { { "Content-Type", "application/octet-stream" } }, Encode(reply));
+}
+
+} // namespace ferrytray::peers
--- /dev/null
+++ b/src/ferrytray/peers/roster.cpp
@@ -0,0 +1,94 @@
+#include "ferrytray/peers/roster.hpp"
+
+#include <algorithm> // for max, min, sort
+#include <set>       // for set
+
+#include "ferrytray/base/digest.hpp" // for Hash64
+
+namespace ferrytray::peers {
+
+namespace {
+
+constexpr std::string_view kReaderRank = "reader";
+
+/// Sorts by a hash that all hosts compute alike.
+void SortByRank(std::vector<const Peer*>& aPeers, std::string_view aSeed)
+{
+  std::sort(aPeers.begin(), aPeers.end(), [aSeed](const Peer* aLeft, const Peer* aRight) {
+    return base::Hash64(aSeed, aLeft->m_name) < base::Hash64(aSeed, aRight->m_name);
+  });
+}
+
+} // namespace
+
+void Roster::Learn(const Peer& aPeer)
+{
+  if (aPeer.m_name == m_self.m_name) {
+    return;
+  }
+  Entry& entry = m_peers[aPeer.m_name];
+  if (entry.m_peer != aPeer) {
+    entry = { aPeer, 0, {} };
+  }
+}
+
+void Roster::OnAnswered(const std::string& aName)
+{
+  const auto found = m_peers.find(aName);
+  if (found != m_peers.end()) {
+    found->second.m_misses = 0;
+    found->second.m_avoidUntil.reset();
+  }
+}
+
+void Roster::OnMissed(const std::string& aName, base::TimePoint aNow)
+{
+  const auto found = m_peers.find(aName);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  constexpr std::uint32_t kMostDoublings = 8;
+  const auto factor = std::int64_t{ 1 } << std::min(entry.m_misses, kMostDoublings);
+  entry.m_avoidUntil = aNow + std::min(m_options.m_avoidFirst * factor, m_options.m_avoidMost);
+  ++entry.m_misses;
+}
+
+std::vector<const Peer*> Roster::Reachable(base::TimePoint aNow) const
+{
+  std::vector<const Peer*> reachable{ &m_self };
+  for (const auto& [name, entry] : m_peers) {
+    if (!entry.m_avoidUntil || *entry.m_avoidUntil <= aNow) {
+      reachable.push_back(&entry.m_peer);
+    }
+  }
+  return reachable;
+}
+
+std::optional<Peer> Roster::Source(base::TimePoint aNow) const
+{
+  if (Hosts() <= m_options.m_readers) {
+    return std::nullopt;
+  }
+  std::set<std::string> zones{ m_self.m_zone };
+  for (const auto& [name, entry] : m_peers) {
+    zones.insert(entry.m_peer.m_zone);
+  }
+  // With more zones than readers, all hosts share the same readers.
+  const bool byZone = zones.size() <= m_options.m_readers;
+  const std::size_t readers = byZone ? m_options.m_readers / zones.size() : m_options.m_readers;
+  std::vector<const Peer*> candidates = Reachable(aNow);
+  std::erase_if(candidates, [&](const Peer* aPeer) {
+    return byZone && aPeer->m_zone != m_self.m_zone;
+  });
+  SortByRank(candidates, kReaderRank);
+  candidates.resize(std::min(candidates.size(), readers));
+  if (std::find(candidates.begin(), candidates.end(), &m_self) != candidates.end()) {
+    return std::nullopt;
+  }
+  // The zone's readers share its hosts.
+  SortByRank(candidates, m_self.m_name);
+  return *candidates.front();
+}
+
+} // namespace ferrytray::peers
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+peers::NewsOptions WithTopic(peers::NewsOptions aOptions, const RecordFormat& aRecords)
+{
+  aOptions.m_topic = aRecords.HostTopic();
+  return aOptions;
+}
+
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -26,6 +32,11 @@
   , m_front(m_core)
   , m_feeds(m_core, aPorts.m_log, aPorts.m_records, m_options.m_feeds)
   , m_stores(m_core, aPorts.m_stores)
+  , m_news(aLoop,
+           aPorts.m_client,
+           aPorts.m_log,
+           m_core.m_stores,
+           WithTopic(m_options.m_peers, aPorts.m_records))
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               aPorts.m_log,
@@ -42,6 +53,10 @@
   if (!listening) {
     return listening;
   }
+  m_news.OnDirect([this](bool aDirect) { m_stores.SetDirect(aDirect); });
+  if (base::Result<void> news = m_news.Start(); !news) {
+    return news;
+  }
   m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
   m_feeds.Start();
   m_rollout.AddDuty(m_upkeep);
@@ -111,6 +126,7 @@
   }
   telemetry::LogLine("stop").Add("outcome", "begun").Add("open", m_core.m_open);
   m_onLeft = std::move(aDone);
+  m_news.Leave();
   m_leavingSince = base::MonotonicNow();
   m_rollout.Stop();
   m_leaveTimer = m_loop.Every(kLeaveCheck, [this] { CheckLeft(); });
@@ -130,6 +146,7 @@
   }
   telemetry::LogLine("stop").Add("outcome", "done").Add("open", m_core.m_open);
   m_feeds.Stop();
+  m_news.Stop();
   m_stores.Stop();
   m_leaveTimer->Cancel();
   m_onLeft();
--- a/src/ferrytray/relay/store_watch.cpp
+++ b/src/ferrytray/relay/store_watch.cpp
@@ -10,22 +10,40 @@
       named[service.m_kvStore->m_address] = service.m_kvStore->m_tokens;
     }
   }
-  std::erase_if(m_followers, [&](const auto& aPair) {
+  std::erase_if(m_core.m_stores, [&](const auto& aPair) {
     const bool gone = !named.contains(aPair.first);
-    if (gone) {
-      aPair.second->Stop();
-      m_core.m_stores.erase(aPair.first);
+    const auto follower = m_followers.find(aPair.first);
+    if (gone && follower != m_followers.end()) {
+      follower->second->Stop();
+      m_followers.erase(follower);
     }
     return gone;
   });
   for (const auto& [address, tokens] : named) {
-    if (m_followers.contains(address)) {
-      continue;
+    const bool isNew = m_core.m_stores.try_emplace(address, tokens).second;
+    if (isNew && m_direct) {
+      Follow(address);
     }
-    m_core.m_stores.try_emplace(address, tokens);
-    auto follower =
-      std::make_shared<cache::StoreFollower>(m_core.m_loop, m_feed, m_core.m_stores, address);
-    m_followers[address] = follower;
+  }
+}
+
+void StoreWatch::SetDirect(bool aDirect)
+{
+  m_direct = aDirect;
+  if (!m_direct) {
+    Stop();
+    return;
+  }
+  for (const auto& [address, contents] : m_core.m_stores) {
+    Follow(address);
+  }
+}
+
+void StoreWatch::Follow(const std::string& aAddress)
+{
+  auto follower =
+    std::make_shared<cache::StoreFollower>(m_core.m_loop, m_feed, m_core.m_stores, aAddress);
+  if (m_followers.try_emplace(aAddress, follower).second) {
     follower->Start();
   }
 }
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -42,6 +42,12 @@
     m_records.emplace_back(aRecord);
     aDone(store::AppendResult{ true, m_records.size() - 1, m_records.size() });
   }
+  void AppendKeyed(const std::string&,
+                   std::string_view,
+                   std::string_view,
+                   store::Done<store::AppendResult>) override
+  {
+  }
 
   std::vector<std::string> m_records;
 };
--- a/src/ferrytray/store/topic_follower_test.cpp
+++ b/src/ferrytray/store/topic_follower_test.cpp
@@ -46,6 +46,12 @@
               store::Done<store::AppendResult>) override
   {
   }
+  void AppendKeyed(const std::string&,
+                   std::string_view,
+                   std::string_view,
+                   store::Done<store::AppendResult>) override
+  {
+  }
 
   std::deque<base::Result<store::Snapshot>> m_snapshots;
   std::deque<base::Result<store::Batch>> m_batches;
--- a/src/ferrytray/wire/frames.cpp
+++ b/src/ferrytray/wire/frames.cpp
@@ -10,7 +10,7 @@
 #include <cereal/types/variant.hpp>   // for variant
 #include <cereal/types/vector.hpp>    // for vector
 
-#include "ferrytray/wire/bounded_archive.hpp" // for BoundedInputArchive
+#include "ferrytray/net/bounded_archive.hpp" // for BoundedInputArchive
 
 namespace ferrytray::base {
 
@@ -229,7 +229,7 @@
 base::Result<Message> DecodeAny(std::string_view aBytes, const char* aWhat)
 {
   try {
-    BoundedInputArchive archive(aBytes);
+    net::BoundedInputArchive archive(aBytes);
     Message message;
     archive(message);
     return message;
