--- a/include/ferrytray/cache/contents_digest.hpp
+++ b/include/ferrytray/cache/contents_digest.hpp
@@ -21,12 +21,12 @@
 /// @brief What one host tells another of a store that it follows.
 struct ContentsDigest
 {
-  std::string m_store;               ///< IP:PORT
-  std::uint64_t m_epoch = 0;         ///< the store's
-  std::uint64_t m_series = 0;        ///< for the next cursor
-  std::uint64_t m_next = 0;          ///< for the next cursor
-  bool m_whole = false;              ///< the changes are the whole contents
-  base::Duration m_age{};            ///< since the store said so
+  std::string m_store;                       ///< IP:PORT
+  std::uint64_t m_epoch = 0;                 ///< the store's
+  std::uint64_t m_series = 0;                ///< for the next cursor
+  std::uint64_t m_next = 0;                  ///< for the next cursor
+  bool m_whole = false;                      ///< the changes are the whole contents
+  base::Duration m_age{};                    ///< since the store said so
   std::optional<std::int64_t> m_clockMillis; ///< the endpoints' common clock at the time of sending
   std::vector<StoreChange> m_changes;
 };
--- a/include/ferrytray/net/bounded_archive.hpp
+++ b/include/ferrytray/net/bounded_archive.hpp
@@ -10,8 +10,8 @@
 
 namespace ferrytray::net {
 
-/// @brief Reads what cereal's BinaryOutputArchive wrote, and believes no size that the bytes left could
-/// not hold: a damaged datagram must not make a host allocate gigabytes.
+/// @brief Reads what cereal's BinaryOutputArchive wrote, and believes no size that the bytes left
+/// could not hold: a damaged datagram must not make a host allocate gigabytes.
 class BoundedInputArchive
   : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
 {
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -18,10 +18,10 @@
 
 struct NewsOptions
 {
-  net::Address m_listen;   ///< for other hosts
-  std::string m_name;      ///< of this host, the same over its restarts
-  std::string m_zone;      ///< its availability zone
-  std::string m_topic;     ///< keyed; each host's record is its Peer
+  net::Address m_listen; ///< for other hosts
+  std::string m_name;    ///< of this host, the same over its restarts
+  std::string m_zone;    ///< its availability zone
+  std::string m_topic;   ///< keyed; each host's record is its Peer
   RosterOptions m_roster;
   /// Between two questions; what is heard is as old at most (ContentsOptions::m_freshFor).
   base::Duration m_askEvery = std::chrono::milliseconds(300);
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -22,8 +22,8 @@
 
 struct RosterOptions
 {
-  /// Hosts that read from each KV store. A store answers 12 readers at once on the users' sites; the
-  /// rest is for hosts that take over and for those that were just replaced.
+  /// Hosts that read from each KV store. A store answers 12 readers at once on the users' sites;
+  /// the rest is for hosts that take over and for those that were just replaced.
   std::size_t m_readers = 8;
   base::Duration m_avoidFirst = std::chrono::milliseconds(1000); ///< after a peer did not answer
   base::Duration m_avoidMost = std::chrono::milliseconds(16000);
--- a/src/ferrytray/cache/store_contents_test.cpp
+++ b/src/ferrytray/cache/store_contents_test.cpp
@@ -133,8 +133,7 @@
   Follow(kStart + 1s);
   CHECK(m_follower.MayFetch(kPart, kStart + 1s));
   CHECK_FALSE(m_follower.MayFetch(kPart, kStart + 1900ms));
-  LONGS_EQUAL(m_reader.FetchUntil(kStart + 1s).value(),
-              m_follower.FetchUntil(kStart + 1s).value());
+  LONGS_EQUAL(m_reader.FetchUntil(kStart + 1s).value(), m_follower.FetchUntil(kStart + 1s).value());
 }
 
 TEST(ContentsDigest, ARestartOfTheStoreEmptiesTheFollowerAndHoldsItsSavesBack)
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -33,9 +33,7 @@
   if (space == std::string::npos || !net::ParseAddress(aRecord.m_value.substr(space + 1))) {
     return std::nullopt;
   }
-  return Peer{ aRecord.m_key,
-               aRecord.m_value.substr(0, space),
-               aRecord.m_value.substr(space + 1) };
+  return Peer{ aRecord.m_key, aRecord.m_value.substr(0, space), aRecord.m_value.substr(space + 1) };
 }
 
 } // namespace
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -78,9 +78,8 @@
   const bool byZone = zones.size() <= m_options.m_readers;
   const std::size_t readers = byZone ? m_options.m_readers / zones.size() : m_options.m_readers;
   std::vector<const Peer*> candidates = Reachable(aNow);
-  std::erase_if(candidates, [&](const Peer* aPeer) {
-    return byZone && aPeer->m_zone != m_self.m_zone;
-  });
+  std::erase_if(candidates,
+                [&](const Peer* aPeer) { return byZone && aPeer->m_zone != m_self.m_zone; });
   SortByRank(candidates, kReaderRank);
   candidates.resize(std::min(candidates.size(), readers));
   if (std::find(candidates.begin(), candidates.end(), &m_self) != candidates.end()) {
