--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -7,6 +7,7 @@
 
 #include "ferrytray/base/error.hpp"            // for Result
 #include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
+#include "ferrytray/peers/load_board.hpp"      // for EndpointLoads, LoadScope
 #include "ferrytray/peers/roster.hpp"          // for Peer
 
 namespace ferrytray::peers {
@@ -15,8 +16,10 @@
 struct NewsRequest
 {
   Peer m_sender;
-  std::uint64_t m_incarnation = 0; ///< of the other host, to which the cursors belong
-  std::vector<cache::ContentsCursor> m_cursors;
+  std::uint64_t m_incarnation = 0;              ///< of the other host, to which the cursors belong
+  std::vector<cache::ContentsCursor> m_cursors; ///< of stores that it wants to hear of
+  LoadScope m_scope = LoadScope::Own;
+  EndpointLoads m_loads; ///< of this scope
 };
 
 /// @brief The answer.
@@ -24,6 +27,8 @@
 {
   std::uint64_t m_incarnation = 0; ///< of the host that answers
   std::vector<cache::ContentsDigest> m_stores;
+  /// To a host that tells its own load: all others'. To one that tells a summary: this host's.
+  EndpointLoads m_loads;
 };
 
 std::string Encode(const NewsRequest& aRequest);
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -3,6 +3,7 @@
 #include <functional> // for function
 #include <memory>     // for unique_ptr, shared_ptr
 #include <optional>   // for optional
+#include <set>        // for set
 #include <string>     // for string
 
 #include "ferrytray/base/error.hpp"         // for Result
@@ -35,7 +36,8 @@
   base::Duration m_enrolRetry = std::chrono::milliseconds(700);
 };
 
-/// @brief Hosts tell each other what KV stores hold, so that few of them have to read it there.
+/// @brief What hosts tell each other: what KV stores hold, so that few of them have to read it
+/// there, and what each has open at endpoints.
 class NewsExchange
 {
 public:
@@ -43,6 +45,7 @@
                net::HttpClient& aClient,
                store::RecordLog& aLog,
                cache::Stores& aStores,
+               LoadBoard& aLoads,
                NewsOptions aOptions);
   /// @brief Listens, enrols in the topic and begins to ask. @return ListenFailed
   base::Result<void> Start();
@@ -51,12 +54,18 @@
   void Stop();
   /// @brief Calls when this host is to begin or to stop to read from the stores itself.
   void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
+  /// @brief Asks for what this host has open at endpoints.
+  void OwnLoads(std::function<EndpointLoads()> aCall) { m_ownLoads = std::move(aCall); }
 
 private:
   void Enrol();
   void Look();
   void Tick();
-  void Ask(const Peer& aSource, base::TimePoint aNow);
+  /// Asks for the contents of the stores and for all loads.
+  void AskSource(const Peer& aSource, base::TimePoint aNow);
+  /// Exchanges loads with another reader.
+  void AskReader(const Peer& aReader, base::TimePoint aNow);
+  void Ask(const Peer& aPeer, const NewsRequest& aQuestion, base::TimePoint aNow);
   void OnReply(const Peer& aSource,
                base::TimePoint aAskedAt,
                const net::ClientOutcome& aOutcome,
@@ -68,15 +77,17 @@
   net::HttpClient& m_client;
   store::RecordLog& m_log;
   cache::Stores& m_stores;
+  LoadBoard& m_loads;
   NewsOptions m_options;
   std::uint64_t m_incarnation;
   std::optional<Roster> m_roster; ///< once the own address is known
   std::unique_ptr<net::HttpServer> m_server;
   std::function<void(bool)> m_onDirect;
+  std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
   std::optional<base::TimePoint> m_wasAskedAt;
-  bool m_asking = false;
+  std::set<std::string> m_asking; ///< names of hosts that have not answered yet
   bool m_direct = false;
   bool m_leaving = false;
   bool m_stopped = false;
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>  // for uint32_t
 #include <map>      // for map
 #include <optional> // for optional
+#include <set>      // for set
 #include <string>   // for string
 #include <vector>   // for vector
 
@@ -48,6 +49,8 @@
 
   /// @brief Whom this host asks; empty: it reads from the stores itself.
   [[nodiscard]] std::optional<Peer> Source(base::TimePoint aNow) const;
+  /// @brief Of a host that reads from the stores: the others that do.
+  [[nodiscard]] std::vector<Peer> OtherReaders(base::TimePoint aNow) const;
   [[nodiscard]] const Peer& Self() const { return m_self; }
   [[nodiscard]] std::size_t Hosts() const { return m_peers.size() + 1; }
 
@@ -59,6 +62,10 @@
     std::optional<base::TimePoint> m_avoidUntil;
   };
 
+  [[nodiscard]] std::set<std::string> Zones() const;
+  /// @brief The readers for the hosts of a zone, by rank.
+  [[nodiscard]] std::vector<const Peer*> ReadersFor(const std::string& aZone,
+                                                    base::TimePoint aNow) const;
   [[nodiscard]] std::vector<const Peer*> Reachable(base::TimePoint aNow) const;
 
   Peer m_self;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -15,6 +15,7 @@
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
+#include "ferrytray/peers/load_board.hpp"          // for LoadBoard
 #include "ferrytray/relay/attempt_policy.hpp"      // for AttemptLimits
 #include "ferrytray/relay/prompt_placement.hpp"    // for PromptPlacement
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
@@ -66,6 +67,7 @@
   fleet::ConfigurationPtr m_configuration; ///< null until the first one is read
   fleet::Directory m_directory;
   routing::EndpointBoard m_board;
+  peers::LoadBoard m_otherLoads; ///< other hosts' requests
   limits::RetryWindow m_retries;
   std::map<std::string, limits::AdmissionLimit> m_admission; ///< by service
   PromptPlacement m_placement;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -61,6 +61,7 @@
 
 private:
   base::Result<void> Listen();
+  [[nodiscard]] peers::EndpointLoads OwnLoads() const;
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
   void CheckLeft();
 
--- a/include/ferrytray/routing/endpoint_board.hpp
+++ b/include/ferrytray/routing/endpoint_board.hpp
@@ -39,6 +39,16 @@
   void OnIdleTimeout(const std::string& aEndpoint, base::Duration aTimeout);
   void Forget(const std::string& aEndpoint);
 
+  /// @brief Calls with each endpoint that has open requests, and their number.
+  template<typename Call>
+  void ForEachOpen(const Call& aCall) const
+  {
+    for (const auto& [endpoint, entry] : m_entries) {
+      if (entry.m_open > 0) {
+        aCall(endpoint, entry.m_open);
+      }
+    }
+  }
   [[nodiscard]] std::uint32_t Open(const std::string& aEndpoint) const;
   /// @brief How long a connection to it may have been idle and still be used: what it closes at
   /// that very moment is lost for good if it may not be sent twice.
@@ -62,7 +72,7 @@
 struct PlacementCandidate
 {
   std::string m_name;
-  std::uint32_t m_open = 0; ///< this host's own requests there
+  std::uint32_t m_open = 0; ///< requests there: this host's own, and others' as far as known
   bool m_avoided = false;
 };
 
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -48,7 +48,7 @@
 namespace {
 
 /// Both ends are of one version but while hosts are replaced; another version's bytes are refused.
-constexpr std::uint32_t kFormat = 0x66740001;
+constexpr std::uint32_t kFormat = 0x66740002;
 
 template<typename Message>
 std::string Write(const Message& aMessage)
@@ -87,16 +87,23 @@
   aArchive(aPeer.m_name, aPeer.m_zone, aPeer.m_address);
 }
 
+template<typename Archive>
+void serialize(Archive& aArchive, EndpointLoad& aLoad)
+{
+  aArchive(aLoad.m_endpoint, aLoad.m_open);
+}
+
 template<typename Archive>
 void serialize(Archive& aArchive, NewsRequest& aRequest)
 {
   aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
+  aArchive(aRequest.m_scope, aRequest.m_loads);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, NewsReply& aReply)
 {
-  aArchive(aReply.m_incarnation, aReply.m_stores);
+  aArchive(aReply.m_incarnation, aReply.m_stores, aReply.m_loads);
 }
 
 std::string Encode(const NewsRequest& aRequest)
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -11,15 +11,19 @@
 
 TEST(PeerMessages, ComeBackAsTheyWere)
 {
-  peers::NewsRequest request{ { "h", "z", "10.0.0.1:7" }, 9, { { "s:1", 2, 3 } } };
+  peers::NewsRequest request{
+    { "h", "z", "10.0.0.1:7" }, 9, { { "s:1", 2, 3 } }, peers::LoadScope::Summary, { { 5, 6 } }
+  };
   const auto readRequest = peers::DecodeNewsRequest(peers::Encode(request));
   CHECK(readRequest.has_value());
   CHECK(readRequest->m_sender == request.m_sender);
   LONGS_EQUAL(9, readRequest->m_incarnation);
   STRCMP_EQUAL("s:1", readRequest->m_cursors.at(0).m_store.c_str());
   LONGS_EQUAL(3, readRequest->m_cursors.at(0).m_next);
+  CHECK(readRequest->m_scope == peers::LoadScope::Summary);
+  LONGS_EQUAL(6, readRequest->m_loads.at(0).m_open);
 
-  peers::NewsReply reply{ 11, {} };
+  peers::NewsReply reply{ 11, {}, { { 7, 8 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
   const auto readReply = peers::DecodeNewsReply(peers::Encode(reply));
@@ -29,11 +33,12 @@
   LONGS_EQUAL(400, digest.m_changes.at(0).m_tokens);
   STRCMP_EQUAL("p", digest.m_changes.at(0).m_part.m_id.c_str());
   CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
+  LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
 }
 
 TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
 {
-  peers::NewsReply reply{ 11, {} };
+  peers::NewsReply reply{ 11, {}, { { 7, 8 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -42,11 +42,13 @@
                            net::HttpClient& aClient,
                            store::RecordLog& aLog,
                            cache::Stores& aStores,
+                           LoadBoard& aLoads,
                            NewsOptions aOptions)
   : m_loop(aLoop)
   , m_client(aClient)
   , m_log(aLog)
   , m_stores(aStores)
+  , m_loads(aLoads)
   , m_options(std::move(aOptions))
   , m_incarnation(RandomNumber())
 {
@@ -125,19 +127,24 @@
 
 void NewsExchange::Tick()
 {
+  const base::TimePoint now = base::MonotonicNow();
+  m_loads.Expire(now);
   if (!m_looked) {
     return; // nobody is known yet
   }
-  const base::TimePoint now = base::MonotonicNow();
   const std::optional<Peer> source = m_roster->Source(now);
   const bool asked = m_wasAskedAt && now < *m_wasAskedAt + m_options.m_readFor;
-  if (!source) {
+  if (source) {
+    SetDirect(asked, asked ? "asked by others" : "another host reads");
+  } else {
     SetDirect(true, "reader by rank");
+  }
+  if (!m_direct) {
+    AskSource(*source, now);
     return;
   }
-  SetDirect(asked, asked ? "asked by others" : "another host reads");
-  if (!m_direct && !m_asking) {
-    Ask(*source, now);
+  for (const Peer& reader : m_roster->OtherReaders(now)) {
+    AskReader(reader, now);
   }
 }
 
@@ -155,34 +162,56 @@
   }
 }
 
-void NewsExchange::Ask(const Peer& aSource, base::TimePoint aNow)
+void NewsExchange::AskSource(const Peer& aSource, base::TimePoint aNow)
 {
-  if (std::exchange(m_source, aSource.m_name) != aSource.m_name) {
+  if (m_source != aSource.m_name) {
+    // The new source tells of the same hosts: counted twice, all endpoints would look busier.
+    m_loads.OnReport(m_source, LoadScope::Summary, {}, aNow);
+    m_source = aSource.m_name;
     telemetry::LogLine("asks_host").Add("host", aSource.m_name).Add("address", aSource.m_address);
     m_sourceIncarnation = 0;
   }
-  NewsRequest question{ m_roster->Self(), m_sourceIncarnation, {} };
+  NewsRequest question;
+  question.m_incarnation = m_sourceIncarnation;
   for (const auto& [address, contents] : m_stores) {
     cache::ContentsCursor cursor = contents.Cursor();
     cursor.m_store = address;
     question.m_cursors.push_back(std::move(cursor));
   }
+  question.m_scope = LoadScope::Own;
+  question.m_loads = m_ownLoads();
+  Ask(aSource, question, aNow);
+}
+
+void NewsExchange::AskReader(const Peer& aReader, base::TimePoint aNow)
+{
+  NewsRequest question;
+  question.m_scope = LoadScope::Summary;
+  question.m_loads = Sum(m_loads.OwnReports(), m_ownLoads());
+  Ask(aReader, question, aNow);
+}
+
+void NewsExchange::Ask(const Peer& aPeer, const NewsRequest& aQuestion, base::TimePoint aNow)
+{
+  if (!m_asking.insert(aPeer.m_name).second) {
+    return;
+  }
+  NewsRequest question = aQuestion;
+  question.m_sender = m_roster->Self();
   net::ClientRequest request;
   request.m_method = "POST";
-  request.m_url = "http://" + aSource.m_address + std::string(kPath);
+  request.m_url = "http://" + aPeer.m_address + std::string(kPath);
   request.m_headers = { { "Content-Type", "application/octet-stream" } };
   request.m_body = Encode(question);
   request.m_connectTimeout = m_options.m_connectWithin;
   request.m_timeout = m_options.m_answerWithin;
-  m_asking = true;
-  m_client.Fetch(
-    std::move(request),
-    [this, aSource, aNow](const net::ClientOutcome& aOutcome, const std::string& aBody) {
-      m_asking = false;
-      if (!m_stopped) {
-        OnReply(aSource, aNow, aOutcome, aBody);
-      }
-    });
+  m_client.Fetch(std::move(request),
+                 [this, aPeer, aNow](const net::ClientOutcome& aOutcome, const std::string& aBody) {
+                   m_asking.erase(aPeer.m_name);
+                   if (!m_stopped) {
+                     OnReply(aPeer, aNow, aOutcome, aBody);
+                   }
+                 });
 }
 
 void NewsExchange::OnReply(const Peer& aSource,
@@ -204,6 +233,7 @@
     return;
   }
   m_roster->OnAnswered(aSource.m_name);
+  m_loads.OnReport(aSource.m_name, LoadScope::Summary, reply->m_loads, now);
   if (m_direct || aSource.m_name != m_source) {
     return; // this host reads by itself meanwhile, or asks another one
   }
@@ -230,9 +260,15 @@
   }
   const base::TimePoint now = base::MonotonicNow();
   m_roster->Learn(question->m_sender);
-  m_wasAskedAt = now;
-  SetDirect(true, "asked by others");
-  NewsReply reply{ m_incarnation, {} };
+  m_loads.OnReport(question->m_sender.m_name, question->m_scope, question->m_loads, now);
+  NewsReply reply{ m_incarnation, {}, m_ownLoads() };
+  if (question->m_scope == LoadScope::Own) {
+    m_wasAskedAt = now;
+    SetDirect(true, "asked by others");
+    reply.m_loads = Sum(reply.m_loads, m_loads.AllBut(question->m_sender.m_name));
+  } else {
+    reply.m_loads = Sum(reply.m_loads, m_loads.OwnReports());
+  }
   for (cache::ContentsCursor& cursor : question->m_cursors) {
     if (question->m_incarnation != m_incarnation) {
       cursor.m_series = 0;
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -1,7 +1,6 @@
 #include "ferrytray/peers/roster.hpp"
 
 #include <algorithm> // for max, min, sort
-#include <set>       // for set
 
 #include "ferrytray/base/digest.hpp" // for Hash64
 
@@ -65,29 +64,55 @@
   return reachable;
 }
 
-std::optional<Peer> Roster::Source(base::TimePoint aNow) const
+std::set<std::string> Roster::Zones() const
 {
-  if (Hosts() <= m_options.m_readers) {
-    return std::nullopt;
-  }
   std::set<std::string> zones{ m_self.m_zone };
   for (const auto& [name, entry] : m_peers) {
     zones.insert(entry.m_peer.m_zone);
   }
+  return zones;
+}
+
+std::vector<const Peer*> Roster::ReadersFor(const std::string& aZone, base::TimePoint aNow) const
+{
+  std::vector<const Peer*> readers = Reachable(aNow);
+  if (Hosts() <= m_options.m_readers) {
+    return readers;
+  }
+  const std::size_t zones = Zones().size();
   // With more zones than readers, all hosts share the same readers.
-  const bool byZone = zones.size() <= m_options.m_readers;
-  const std::size_t readers = byZone ? m_options.m_readers / zones.size() : m_options.m_readers;
-  std::vector<const Peer*> candidates = Reachable(aNow);
-  std::erase_if(candidates,
-                [&](const Peer* aPeer) { return byZone && aPeer->m_zone != m_self.m_zone; });
-  SortByRank(candidates, kReaderRank);
-  candidates.resize(std::min(candidates.size(), readers));
-  if (std::find(candidates.begin(), candidates.end(), &m_self) != candidates.end()) {
+  const bool byZone = zones <= m_options.m_readers;
+  const std::size_t most = byZone ? m_options.m_readers / zones : m_options.m_readers;
+  std::erase_if(readers, [&](const Peer* aPeer) { return byZone && aPeer->m_zone != aZone; });
+  SortByRank(readers, kReaderRank);
+  readers.resize(std::min(readers.size(), most));
+  return readers;
+}
+
+std::optional<Peer> Roster::Source(base::TimePoint aNow) const
+{
+  std::vector<const Peer*> readers = ReadersFor(m_self.m_zone, aNow);
+  if (std::find(readers.begin(), readers.end(), &m_self) != readers.end()) {
     return std::nullopt;
   }
   // The zone's readers share its hosts.
-  SortByRank(candidates, m_self.m_name);
-  return *candidates.front();
+  SortByRank(readers, m_self.m_name);
+  return *readers.front();
+}
+
+std::vector<Peer> Roster::OtherReaders(base::TimePoint aNow) const
+{
+  std::set<const Peer*> readers;
+  for (const std::string& zone : Zones()) {
+    const std::vector<const Peer*> ofZone = ReadersFor(zone, aNow);
+    readers.insert(ofZone.begin(), ofZone.end());
+  }
+  readers.erase(&m_self);
+  std::vector<Peer> others;
+  for (const Peer* reader : readers) {
+    others.push_back(*reader);
+  }
+  return others;
 }
 
 } // namespace ferrytray::peers
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -38,8 +38,10 @@
       continue;
     }
     endpoints.push_back(endpoint);
-    candidates.push_back(
-      { endpoint->m_incarnation, open, m_core.m_board.Avoided(endpoint->m_incarnation, now) });
+    const std::uint32_t others = m_core.m_otherLoads.Others(peers::TagOf(endpoint->m_incarnation));
+    candidates.push_back({ endpoint->m_incarnation,
+                           open + others,
+                           m_core.m_board.Avoided(endpoint->m_incarnation, now) });
   }
   if (!m_request.m_prompt) {
     const auto chosen = routing::PlaceAnywhere(candidates, m_core.m_random());
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -36,6 +36,7 @@
            aPorts.m_client,
            aPorts.m_log,
            m_core.m_stores,
+           m_core.m_otherLoads,
            WithTopic(m_options.m_peers, aPorts.m_records))
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
@@ -54,6 +55,7 @@
     return listening;
   }
   m_news.OnDirect([this](bool aDirect) { m_stores.SetDirect(aDirect); });
+  m_news.OwnLoads([this] { return OwnLoads(); });
   if (base::Result<void> news = m_news.Start(); !news) {
     return news;
   }
@@ -113,6 +115,15 @@
   return {};
 }
 
+peers::EndpointLoads RelayHost::OwnLoads() const
+{
+  peers::EndpointLoads loads;
+  m_core.m_board.ForEachOpen([&](const std::string& aEndpoint, std::uint32_t aOpen) {
+    loads.push_back({ peers::TagOf(aEndpoint), static_cast<std::uint16_t>(aOpen) });
+  });
+  return loads;
+}
+
 void RelayHost::AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const
 {
   const bool ready = m_feeds.Loaded() && !m_core.m_leaving;
