Most hosts follow the record log through a reader of their zone

Now readers pass records on with the age of their own last contact; a host whose reader fails, is cut off from the log or has too little reads by itself at once. Hosts that are not readers leave orders to those that are for half of the time in which weights are due. The strongest hosts are readers; records over 32 KB are not passed on (thin links). Ruled out: a longer pause for all (the time in which a leaving endpoint may get requests binds).

--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -9,6 +9,7 @@
 #include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
 #include "ferrytray/peers/load_board.hpp"      // for EndpointLoads, LoadScope
 #include "ferrytray/peers/roster.hpp"          // for Peer
+#include "ferrytray/store/topic_news.hpp"      // for TopicCursor, TopicNews
 
 namespace ferrytray::peers {
 
@@ -18,6 +19,7 @@
   Peer m_sender;
   std::uint64_t m_incarnation = 0;              ///< of the other host, to which the cursors belong
   std::vector<cache::ContentsCursor> m_cursors; ///< of stores that it wants to hear of
+  std::vector<store::TopicCursor> m_topics;     ///< that it follows through the other host
   LoadScope m_scope = LoadScope::Own;
   EndpointLoads m_loads; ///< of this scope
 };
@@ -26,14 +28,17 @@
 struct NewsReply
 {
   std::uint64_t m_incarnation = 0; ///< of the host that answers
+  std::vector<store::TopicNews> m_topics;
   std::vector<cache::ContentsDigest> m_stores;
   /// To a host that tells its own load: all others'. To one that tells a summary: this host's.
   EndpointLoads m_loads;
 };
 
+std::string Encode(const Peer& aPeer);
 std::string Encode(const NewsRequest& aRequest);
 std::string Encode(const NewsReply& aReply);
 /// @return PeerMalformed when the bytes are anything else
+base::Result<Peer> DecodePeer(std::string_view aBytes);
 base::Result<NewsRequest> DecodeNewsRequest(std::string_view aBytes);
 base::Result<NewsReply> DecodeNewsReply(std::string_view aBytes);
 
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -6,38 +6,40 @@
 #include <set>        // for set
 #include <string>     // for string
 
-#include "ferrytray/base/error.hpp"         // for Result
-#include "ferrytray/cache/part_planner.hpp" // for Stores
-#include "ferrytray/net/http_client.hpp"    // for HttpClient
-#include "ferrytray/net/http_server.hpp"    // for HttpServer
-#include "ferrytray/net/loop.hpp"           // for Loop
-#include "ferrytray/peers/messages.hpp"     // for NewsReply, NewsRequest
-#include "ferrytray/peers/roster.hpp"       // for Roster
-#include "ferrytray/store/record_log.hpp"   // for RecordLog
+#include "ferrytray/base/error.hpp"           // for Result
+#include "ferrytray/cache/part_planner.hpp"   // for Stores
+#include "ferrytray/net/http_client.hpp"      // for HttpClient
+#include "ferrytray/net/http_server.hpp"      // for HttpServer
+#include "ferrytray/net/loop.hpp"             // for Loop
+#include "ferrytray/peers/messages.hpp"       // for NewsReply, NewsRequest
+#include "ferrytray/peers/roster.hpp"         // for Roster
+#include "ferrytray/store/record_log.hpp"     // for RecordLog
+#include "ferrytray/store/topic_follower.hpp" // for TopicFollower
 
 namespace ferrytray::peers {
 
 struct NewsOptions
 {
-  net::Address m_listen; ///< for other hosts
-  std::string m_name;    ///< of this host, the same over its restarts
-  std::string m_zone;    ///< its availability zone
-  std::string m_topic;   ///< keyed; each host's record is its Peer
+  net::Address m_listen;        ///< for other hosts
+  std::string m_name;           ///< of this host, the same over its restarts
+  std::string m_zone;           ///< its availability zone
+  std::uint32_t m_capacity = 0; ///< of its processor and link; only compared
+  std::string m_topic;          ///< keyed; each host's record is its Peer
   RosterOptions m_roster;
   /// Between two questions; what is heard is as old at most (ContentsOptions::m_freshFor).
   base::Duration m_askEvery = std::chrono::milliseconds(300);
-  base::Duration m_answerWithin = std::chrono::milliseconds(600);
+  base::Duration m_answerWithin = std::chrono::milliseconds(700);
   base::Duration m_connectWithin = std::chrono::milliseconds(300);
   /// A host that is asked reads from the stores until it was not asked for so long.
   base::Duration m_readFor = std::chrono::seconds(4);
   /// Hosts that start together find each other by the second look at the topic; each is charged.
   base::Duration m_lookAgain = std::chrono::seconds(2);
-  base::Duration m_lookEvery = std::chrono::seconds(15);
+  base::Duration m_lookEvery = std::chrono::seconds(60);
   base::Duration m_enrolRetry = std::chrono::milliseconds(700);
 };
 
-/// @brief What hosts tell each other: what KV stores hold, so that few of them have to read it
-/// there, and what each has open at endpoints.
+/// @brief What hosts tell each other: new records of the log and what KV stores hold, so that few
+/// of them have to read it there, and what each has open at endpoints.
 class NewsExchange
 {
 public:
@@ -54,6 +56,11 @@
   void Stop();
   /// @brief Calls when this host is to begin or to stop to read from the stores itself.
   void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
+  /// @brief Lets other hosts follow this topic through this one, and the reverse.
+  void AddTopic(std::shared_ptr<store::TopicFollower> aTopic)
+  {
+    m_topics.push_back(std::move(aTopic));
+  }
   /// @brief Asks for what this host has open at endpoints.
   void OwnLoads(std::function<EndpointLoads()> aCall) { m_ownLoads = std::move(aCall); }
 
@@ -72,6 +79,12 @@
                const std::string& aBody);
   void Answer(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply);
   void SetDirect(bool aDirect, const char* aWhy);
+  [[nodiscard]] std::vector<store::TopicNews> NewsOfTopics(
+    const std::vector<store::TopicCursor>& aCursors,
+    base::TimePoint aNow) const;
+  void TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews, base::TimePoint aAskedAt) const;
+  /// News do not come any more: each topic is read by this host itself.
+  void EndNewsOfTopics() const;
 
   net::Loop& m_loop;
   net::HttpClient& m_client;
@@ -82,6 +95,7 @@
   std::uint64_t m_incarnation;
   std::optional<Roster> m_roster; ///< once the own address is known
   std::unique_ptr<net::HttpServer> m_server;
+  std::vector<std::shared_ptr<store::TopicFollower>> m_topics;
   std::function<void(bool)> m_onDirect;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the host that was asked last
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -16,8 +16,9 @@
 struct Peer
 {
   std::string m_name;
-  std::string m_zone;    ///< availability zone
-  std::string m_address; ///< IP:PORT where it answers other hosts
+  std::string m_zone;           ///< availability zone
+  std::string m_address;        ///< IP:PORT where it answers other hosts
+  std::uint32_t m_capacity = 0; ///< of its processor and link; only compared
   bool operator==(const Peer&) const = default;
 };
 
@@ -32,8 +33,9 @@
 
 /// @brief The hosts that this one knows of, and which of them it asks for news. Pure.
 ///
-/// Some hosts of each zone read the KV stores for all others there, so that what a store bears
-/// does not depend on the number of hosts. Every host finds them by the same rule.
+/// Some hosts of each zone, the strongest, read the KV stores and the record log for all others
+/// there, so that what these bear does not depend on the number of hosts. Every host finds them by
+/// the same rule.
 class Roster
 {
 public:
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -3,6 +3,7 @@
 #include <functional> // for function
 #include <memory>     // for shared_ptr
 #include <string>     // for string
+#include <vector>     // for vector
 
 #include "ferrytray/net/loop.hpp"             // for Loop
 #include "ferrytray/relay/record_format.hpp"  // for RecordFormat
@@ -21,6 +22,10 @@
   /// Between two reads of the directory; a part of the time that a leaving endpoint may still get
   /// requests.
   base::Duration m_endpointPause = std::chrono::milliseconds(600);
+  /// The same while other hosts follow through this one.
+  base::Duration m_endpointServingPause = std::chrono::milliseconds(600);
+  /// What another host passes on counts for so long after the log answered that host.
+  base::Duration m_newsFresh = std::chrono::milliseconds(1300);
 };
 
 /// @brief Keeps a host's configuration, directory and named weights as the record log has them.
@@ -34,6 +39,11 @@
   void Start();
   void Stop();
 
+  /// @brief The topics that are followed.
+  [[nodiscard]] std::vector<std::shared_ptr<store::TopicFollower>> Topics() const
+  {
+    return { m_operators, m_endpoints };
+  }
   /// @brief Calls after each configuration that came into force.
   void OnConfigured(std::function<void()> aCall) { m_onConfigured = std::move(aCall); }
   /// @brief Whether both topics have been read once.
--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -38,6 +38,7 @@
   /// Requests may begin on older weights for so long (settings); late is after m_lateAfter of it.
   base::Duration m_due = std::chrono::seconds(12);
   double m_lateAfter = 0.4;
+  double m_standbyAfter = 0.5; ///< of m_due; then hosts on standby try, too
 };
 
 /// @brief Brings engines to the weights that the operators named. One host at a time gives orders.
@@ -56,6 +57,9 @@
   /// @brief Does this, too, while the lease is held. It must outlive the driver.
   void AddDuty(LeasedDuty& aDuty) { m_duties.push_back(&aDuty); }
   void Start();
+  /// @brief Whether this host leaves the orders to others unless they take very long. With many
+  /// hosts, each one's looking at the lease is charged.
+  void SetStandby(bool aStandby) { m_standby = aStandby; }
   /// @brief Gives no orders any more.
   void Stop();
 
@@ -106,6 +110,7 @@
   base::TimePoint m_readAt{};
   bool m_reading = false;
   bool m_wasHolder = false;
+  bool m_standby = false;
 };
 
 } // namespace ferrytray::rollout
--- /dev/null
+++ b/include/ferrytray/store/record_tail.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>  // for size_t
+#include <deque>    // for deque
+#include <optional> // for optional
+#include <vector>   // for vector
+
+#include "ferrytray/store/record_log.hpp" // for Offset, Record
+
+namespace ferrytray::store {
+
+struct TailOptions
+{
+  std::size_t m_records = 512; ///< kept; a busy topic gets some tens a second
+  /// More than this is not passed on at once: hosts with thin links would be busy with it (bytes).
+  std::size_t m_passedOnBytes = 32U << 10U;
+};
+
+/// @brief The newest records of a topic, for hosts that follow it through this one. Pure.
+class RecordTail
+{
+public:
+  explicit RecordTail(TailOptions aOptions = {})
+    : m_options(aOptions)
+  {
+  }
+
+  /// @brief Begins anew behind a snapshot.
+  void Restart(Offset aEnd)
+  {
+    m_records.clear();
+    m_end = aEnd;
+  }
+
+  /// @brief Adds the record at the end.
+  void Add(const Record& aRecord)
+  {
+    m_records.push_back(aRecord);
+    m_end = aRecord.m_offset + 1;
+    if (m_records.size() > m_options.m_records) {
+      m_records.pop_front();
+    }
+  }
+
+  /// @brief The records from an offset on; empty if they are no longer kept or too large.
+  [[nodiscard]] std::optional<std::vector<Record>> Since(Offset aFrom) const;
+  [[nodiscard]] Offset End() const { return m_end; }
+
+private:
+  TailOptions m_options;
+  Offset m_end = 0;
+  std::deque<Record> m_records;
+};
+
+} // namespace ferrytray::store
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -8,9 +8,11 @@
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
 
-#include "ferrytray/base/time.hpp"        // for Duration
-#include "ferrytray/net/loop.hpp"         // for Loop
-#include "ferrytray/store/record_log.hpp" // for RecordLog
+#include "ferrytray/base/time.hpp"         // for Duration
+#include "ferrytray/net/loop.hpp"          // for Loop
+#include "ferrytray/store/record_log.hpp"  // for RecordLog
+#include "ferrytray/store/record_tail.hpp" // for RecordTail
+#include "ferrytray/store/topic_news.hpp"  // for TopicCursor, TopicNews
 
 namespace ferrytray::store {
 
@@ -22,6 +24,9 @@
   base::Duration m_wait{};
   /// Pause between reads. Every read costs the operators, so a busy topic is read in batches.
   base::Duration m_pause = std::chrono::milliseconds(500);
+  /// The same while other hosts follow through this one: what they learn comes later still.
+  base::Duration m_servingPause = std::chrono::milliseconds(500);
+  base::Duration m_servingFor = std::chrono::seconds(4); ///< after the last of them asked
   /// A read that is held open may be lost without a word while the log is slow or around an outage.
   /// For m_waryFor after such a sign, and after the start, reads are held open this long only.
   base::Duration m_waryWait = std::chrono::milliseconds(800);
@@ -33,6 +38,9 @@
   base::Duration m_patienceMost = std::chrono::milliseconds(2400);
   base::Duration m_retryFirst = std::chrono::milliseconds(100);
   base::Duration m_retryMost = std::chrono::milliseconds(500);
+  /// News through another host count while the log answered that host no longer ago than this; then
+  /// this one reads by itself.
+  base::Duration m_newsFresh = std::chrono::milliseconds(1000);
 };
 
 /// @brief What the follower tells. All calls come on the loop, records in order.
@@ -42,7 +50,8 @@
   /// The whole topic was read; keys that are not listed are gone.
   std::function<void(const std::set<std::string>& aKeys)> m_onSnapshot;
   /// A read succeeded, after failures if aWasAway. Comes before what that read brought.
-  std::function<void(bool aWasAway)> m_onContact;
+  /// The log answered at aAt, this host or the one that passes its records on.
+  std::function<void(bool aWasAway, base::TimePoint aAt)> m_onContact;
   std::function<void(const base::Failure&)> m_onAway;
   /// A read that is not held open took long.
   std::function<void(base::Duration aTook)> m_onSlow;
@@ -59,6 +68,17 @@
   /// @brief The log was seen to have failed or to be slow: the read under way is not relied on any
   /// more.
   void Renew();
+  /// @brief Up to where records are known; empty until the topic was read once.
+  [[nodiscard]] std::optional<TopicCursor> Cursor() const;
+  /// @brief What a host that has followed up to there does not know yet.
+  [[nodiscard]] std::optional<TopicNews> NewsSince(Offset aFrom, base::TimePoint aNow);
+  [[nodiscard]] const std::string& Topic() const { return m_options.m_topic; }
+  /// @brief News through another host. While they keep coming, this one does not read by itself.
+  /// @param aAskedAt when that host was asked
+  void OnNews(const TopicNews& aNews, base::TimePoint aAskedAt);
+  /// @brief News come from another host from now on, or no more: until they come again, this one
+  /// reads by itself.
+  void OnNewsEnded();
 
 private:
   void LoadSnapshot();
@@ -67,7 +87,8 @@
   void OnBatch(std::uint64_t aRead, base::Result<Batch> aResult);
   [[nodiscard]] base::Duration WaitNow() const;
   void Tell(const Record& aRecord);
-  void Contact();
+  void Contact(base::TimePoint aAt, bool aWasAway);
+  [[nodiscard]] base::Duration PauseNow() const;
   void Away(const base::Failure& aFailure);
   void Later(base::Duration aDelay, void (TopicFollower::*aStep)());
 
@@ -85,6 +106,12 @@
   base::Duration m_patienceNow{};
   std::optional<base::TimePoint> m_waryUntil;
   base::Duration m_retry{};
+  RecordTail m_tail;
+  bool m_byNews = false; ///< through another host: this one does not read by itself
+  std::optional<base::TimePoint> m_contactAt;       ///< when the log last answered, as far as known
+  std::uint64_t m_outages = 0;                      ///< times that it came back
+  std::optional<std::uint64_t> m_outagesThere;      ///< the same at the host that passes news on
+  std::optional<base::TimePoint> m_servedAt;        ///< when another host last asked this one
   std::unordered_map<std::string, Offset> m_newest; ///< offset last told, by key
   net::TimerHandle m_timer;
 };
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -43,12 +43,35 @@
 
 } // namespace ferrytray::cache
 
+namespace ferrytray::store {
+
+template<typename Archive>
+void serialize(Archive& aArchive, TopicCursor& aCursor)
+{
+  aArchive(aCursor.m_topic, aCursor.m_next);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, Record& aRecord)
+{
+  aArchive(aRecord.m_offset, aRecord.m_key, aRecord.m_value, aRecord.m_removed);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, TopicNews& aNews)
+{
+  aArchive(aNews.m_topic, aNews.m_end, aNews.m_records, aNews.m_readYourself);
+  aArchive(aNews.m_age, aNews.m_outages);
+}
+
+} // namespace ferrytray::store
+
 namespace ferrytray::peers {
 
 namespace {
 
 /// Both ends are of one version but while hosts are replaced; another version's bytes are refused.
-constexpr std::uint32_t kFormat = 0x66740002;
+constexpr std::uint32_t kFormat = 0x66740003;
 
 template<typename Message>
 std::string Write(const Message& aMessage)
@@ -84,7 +107,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, Peer& aPeer)
 {
-  aArchive(aPeer.m_name, aPeer.m_zone, aPeer.m_address);
+  aArchive(aPeer.m_name, aPeer.m_zone, aPeer.m_address, aPeer.m_capacity);
 }
 
 template<typename Archive>
@@ -97,13 +120,18 @@
 void serialize(Archive& aArchive, NewsRequest& aRequest)
 {
   aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
-  aArchive(aRequest.m_scope, aRequest.m_loads);
+  aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, NewsReply& aReply)
 {
-  aArchive(aReply.m_incarnation, aReply.m_stores, aReply.m_loads);
+  aArchive(aReply.m_incarnation, aReply.m_topics, aReply.m_stores, aReply.m_loads);
+}
+
+std::string Encode(const Peer& aPeer)
+{
+  return Write(aPeer);
 }
 
 std::string Encode(const NewsRequest& aRequest)
@@ -116,6 +144,11 @@
   return Write(aReply);
 }
 
+base::Result<Peer> DecodePeer(std::string_view aBytes)
+{
+  return Read<Peer>(aBytes);
+}
+
 base::Result<NewsRequest> DecodeNewsRequest(std::string_view aBytes)
 {
   return Read<NewsRequest>(aBytes);
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -11,9 +11,9 @@
 
 TEST(PeerMessages, ComeBackAsTheyWere)
 {
-  peers::NewsRequest request{
-    { "h", "z", "10.0.0.1:7" }, 9, { { "s:1", 2, 3 } }, peers::LoadScope::Summary, { { 5, 6 } }
-  };
+  peers::NewsRequest request{ { "h", "z", "10.0.0.1:7" }, 9,
+                              { { "s:1", 2, 3 } },        { { "t", 8 } },
+                              peers::LoadScope::Summary,  { { 5, 6 } } };
   const auto readRequest = peers::DecodeNewsRequest(peers::Encode(request));
   CHECK(readRequest.has_value());
   CHECK(readRequest->m_sender == request.m_sender);
@@ -23,9 +23,10 @@
   CHECK(readRequest->m_scope == peers::LoadScope::Summary);
   LONGS_EQUAL(6, readRequest->m_loads.at(0).m_open);
 
-  peers::NewsReply reply{ 11, {}, { { 7, 8 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
+  reply.m_topics.push_back({ "t", 9, { { 8, "key", "value", false } }, false, 3ms, 2 });
   const auto readReply = peers::DecodeNewsReply(peers::Encode(reply));
   CHECK(readReply.has_value());
   const cache::ContentsDigest& digest = readReply->m_stores.at(0);
@@ -34,11 +35,14 @@
   STRCMP_EQUAL("p", digest.m_changes.at(0).m_part.m_id.c_str());
   CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
   LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
+  const store::TopicNews& news = readReply->m_topics.at(0);
+  CHECK(news.m_end == 9 && news.m_age == 3ms && news.m_outages == 2 && !news.m_readYourself);
+  STRCMP_EQUAL("value", news.m_records.at(0).m_value.c_str());
 }
 
 TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
 {
-  peers::NewsReply reply{ 11, {}, { { 7, 8 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/peers/news_exchange.hpp"
 
-#include <random>  // for random_device
-#include <utility> // for exchange, move
+#include <algorithm> // for min
+#include <random>    // for random_device
+#include <utility>   // for exchange, move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -21,19 +22,17 @@
   return (static_cast<std::uint64_t>(device()) << kHalf) | device();
 }
 
-/// A host's record in the topic: "zone address".
-std::string ToRecord(const Peer& aPeer)
-{
-  return aPeer.m_zone + " " + aPeer.m_address;
-}
-
 std::optional<Peer> FromRecord(const store::Record& aRecord)
 {
-  const std::size_t space = aRecord.m_value.rfind(' ');
-  if (space == std::string::npos || !net::ParseAddress(aRecord.m_value.substr(space + 1))) {
+  base::Result<Peer> peer = DecodePeer(aRecord.m_value);
+  if (!peer || peer->m_name != aRecord.m_key) {
+    telemetry::LogLine("record_unreadable")
+      .Add("key", aRecord.m_key)
+      .Add("offset", aRecord.m_offset)
+      .Add("why", peer ? "the record is another host's" : peer.error().m_message);
     return std::nullopt;
   }
-  return Peer{ aRecord.m_key, aRecord.m_value.substr(0, space), aRecord.m_value.substr(space + 1) };
+  return std::move(*peer);
 }
 
 } // namespace
@@ -68,9 +67,11 @@
     return tl::unexpected(server.error());
   }
   m_server = std::move(*server);
-  m_roster.emplace(
-    Peer{ m_options.m_name, m_options.m_zone, net::ToString(m_server->ListenAddress()) },
-    m_options.m_roster);
+  m_roster.emplace(Peer{ m_options.m_name,
+                         m_options.m_zone,
+                         net::ToString(m_server->ListenAddress()),
+                         m_options.m_capacity },
+                   m_options.m_roster);
   Enrol();
   m_tick = m_loop.Every(m_options.m_askEvery, [this] { Tick(); });
   return {};
@@ -88,7 +89,7 @@
 {
   m_log.AppendKeyed(m_options.m_topic,
                     m_options.m_name,
-                    ToRecord(m_roster->Self()),
+                    Encode(m_roster->Self()),
                     [this](const base::Result<store::AppendResult>& aResult) {
                       if (m_stopped) {
                         return;
@@ -167,6 +168,7 @@
   if (m_source != aSource.m_name) {
     // The new source tells of the same hosts: counted twice, all endpoints would look busier.
     m_loads.OnReport(m_source, LoadScope::Summary, {}, aNow);
+    EndNewsOfTopics();
     m_source = aSource.m_name;
     telemetry::LogLine("asks_host").Add("host", aSource.m_name).Add("address", aSource.m_address);
     m_sourceIncarnation = 0;
@@ -178,6 +180,11 @@
     cursor.m_store = address;
     question.m_cursors.push_back(std::move(cursor));
   }
+  for (const auto& topic : m_topics) {
+    if (const auto cursor = topic->Cursor()) {
+      question.m_topics.push_back(*cursor);
+    }
+  }
   question.m_scope = LoadScope::Own;
   question.m_loads = m_ownLoads();
   Ask(aSource, question, aNow);
@@ -230,6 +237,9 @@
       .Add("host", aSource.m_name)
       .Add("why", reply.error().m_message);
     m_roster->OnMissed(aSource.m_name, now);
+    if (aSource.m_name == m_source) {
+      EndNewsOfTopics();
+    }
     return;
   }
   m_roster->OnAnswered(aSource.m_name);
@@ -238,6 +248,7 @@
     return; // this host reads by itself meanwhile, or asks another one
   }
   m_sourceIncarnation = reply->m_incarnation;
+  TakeNewsOfTopics(reply->m_topics, aAskedAt);
   for (const cache::ContentsDigest& digest : reply->m_stores) {
     const auto known = m_stores.find(digest.m_store);
     if (known != m_stores.end()) {
@@ -246,6 +257,51 @@
   }
 }
 
+std::vector<store::TopicNews> NewsExchange::NewsOfTopics(
+  const std::vector<store::TopicCursor>& aCursors,
+  base::TimePoint aNow) const
+{
+  std::vector<store::TopicNews> all;
+  for (const store::TopicCursor& cursor : aCursors) {
+    for (const auto& topic : m_topics) {
+      if (topic->Topic() != cursor.m_topic) {
+        continue;
+      }
+      if (auto news = topic->NewsSince(cursor.m_next, aNow)) {
+        all.push_back(std::move(*news));
+      }
+    }
+  }
+  // A read that is held open says nothing of the log for long; that of another topic does.
+  base::Duration age = base::Duration::max();
+  for (const store::TopicNews& news : all) {
+    age = std::min(age, news.m_age);
+  }
+  for (store::TopicNews& news : all) {
+    news.m_age = age;
+  }
+  return all;
+}
+
+void NewsExchange::TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews,
+                                    base::TimePoint aAskedAt) const
+{
+  for (const store::TopicNews& news : aNews) {
+    for (const auto& topic : m_topics) {
+      if (topic->Topic() == news.m_topic) {
+        topic->OnNews(news, aAskedAt);
+      }
+    }
+  }
+}
+
+void NewsExchange::EndNewsOfTopics() const
+{
+  for (const auto& topic : m_topics) {
+    topic->OnNewsEnded();
+  }
+}
+
 void NewsExchange::Answer(const net::HttpRequest& aRequest,
                           const std::shared_ptr<net::HttpReply>& aReply)
 {
@@ -261,7 +317,10 @@
   const base::TimePoint now = base::MonotonicNow();
   m_roster->Learn(question->m_sender);
   m_loads.OnReport(question->m_sender.m_name, question->m_scope, question->m_loads, now);
-  NewsReply reply{ m_incarnation, {}, m_ownLoads() };
+  NewsReply reply;
+  reply.m_incarnation = m_incarnation;
+  reply.m_topics = NewsOfTopics(question->m_topics, now);
+  reply.m_loads = m_ownLoads();
   if (question->m_scope == LoadScope::Own) {
     m_wasAskedAt = now;
     SetDirect(true, "asked by others");
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/peers/roster.hpp"
 
-#include <algorithm> // for max, min, sort
+#include <algorithm> // for max, min, sort, stable_sort
 
 #include "ferrytray/base/digest.hpp" // for Hash64
 
@@ -11,7 +11,7 @@
 constexpr std::string_view kReaderRank = "reader";
 
 /// Sorts by a hash that all hosts compute alike.
-void SortByRank(std::vector<const Peer*>& aPeers, std::string_view aSeed)
+void SortByHash(std::vector<const Peer*>& aPeers, std::string_view aSeed)
 {
   std::sort(aPeers.begin(), aPeers.end(), [aSeed](const Peer* aLeft, const Peer* aRight) {
     return base::Hash64(aSeed, aLeft->m_name) < base::Hash64(aSeed, aRight->m_name);
@@ -84,7 +84,10 @@
   const bool byZone = zones <= m_options.m_readers;
   const std::size_t most = byZone ? m_options.m_readers / zones : m_options.m_readers;
   std::erase_if(readers, [&](const Peer* aPeer) { return byZone && aPeer->m_zone != aZone; });
-  SortByRank(readers, kReaderRank);
+  SortByHash(readers, kReaderRank);
+  std::stable_sort(readers.begin(), readers.end(), [](const Peer* aLeft, const Peer* aRight) {
+    return aLeft->m_capacity > aRight->m_capacity;
+  });
   readers.resize(std::min(readers.size(), most));
   return readers;
 }
@@ -96,7 +99,7 @@
     return std::nullopt;
   }
   // The zone's readers share its hosts.
-  SortByRank(readers, m_self.m_name);
+  SortByHash(readers, m_self.m_name);
   return *readers.front();
 }
 
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -54,13 +54,20 @@
   if (!listening) {
     return listening;
   }
-  m_news.OnDirect([this](bool aDirect) { m_stores.SetDirect(aDirect); });
+  m_news.OnDirect([this](bool aDirect) {
+    m_stores.SetDirect(aDirect);
+    m_rollout.SetStandby(!aDirect);
+  });
+  for (auto& topic : m_feeds.Topics()) {
+    m_news.AddTopic(std::move(topic));
+  }
   m_news.OwnLoads([this] { return OwnLoads(); });
   if (base::Result<void> news = m_news.Start(); !news) {
     return news;
   }
   m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
   m_feeds.Start();
+  m_rollout.SetStandby(true); // until it is known to be one of those that read
   m_rollout.AddDuty(m_upkeep);
   m_rollout.Start();
   telemetry::LogLine("start")
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/relay/state_feeds.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for max
+#include <utility>   // for move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -31,6 +32,7 @@
   operators.m_wait = aOptions.m_operatorWait;
   operators.m_pause = {};
   operators.m_waryWait = aOptions.m_operatorWaryWait;
+  operators.m_newsFresh = aOptions.m_newsFresh;
   store::FollowEvents onOperators = EventsFor(operators.m_topic);
   onOperators.m_onRecord = [this](const store::Record& aRecord) { OnOperatorRecord(aRecord); };
   m_operators = std::make_shared<store::TopicFollower>(
@@ -39,6 +41,8 @@
   store::FollowOptions endpoints;
   endpoints.m_topic = aFormat.EndpointTopic();
   endpoints.m_pause = aOptions.m_endpointPause;
+  endpoints.m_servingPause = aOptions.m_endpointServingPause;
+  endpoints.m_newsFresh = aOptions.m_newsFresh;
   store::FollowEvents onEndpoints = EventsFor(endpoints.m_topic);
   onEndpoints.m_onRecord = [this](const store::Record& aRecord) { OnEndpointRecord(aRecord); };
   onEndpoints.m_onSnapshot = [this](const std::set<std::string>& aListed) {
@@ -65,9 +69,9 @@
 {
   store::FollowEvents events;
   const bool isDirectory = aTopic == m_format.EndpointTopic();
-  events.m_onContact = [this, aTopic, isDirectory](bool aWasAway) {
+  events.m_onContact = [this, aTopic, isDirectory](bool aWasAway, base::TimePoint aAt) {
     const base::TimePoint now = base::MonotonicNow();
-    m_core.m_lastContact = now;
+    m_core.m_lastContact = std::max(m_core.m_lastContact.value_or(aAt), aAt);
     if (!aWasAway) {
       return;
     }
--- a/src/ferrytray/rollout/rollout_driver.cpp
+++ b/src/ferrytray/rollout/rollout_driver.cpp
@@ -82,6 +82,9 @@
   if (!m_tryFrom) {
     const auto spread = static_cast<std::uint64_t>(m_options.m_spread.count());
     m_tryFrom = now + base::Duration(m_wasHolder ? 0 : std::random_device{}() % (spread + 1));
+    if (m_standby && !m_wasHolder) {
+      *m_tryFrom += base::FromSeconds(m_options.m_standbyAfter * base::Seconds(m_options.m_due));
+    }
   }
   if (now < *m_tryFrom) {
     return;
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -202,3 +202,21 @@
   RunFor(30ms);
   CHECK(m_engines.m_orders.empty());
 }
+
+TEST(RolloutDriver, OnStandbyItBeginsOnlyWhenTheOrdersAreLate)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_options.m_due = 400ms;
+  m_options.m_standbyAfter = 0.5;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  driver.SetStandby(true);
+  const base::TimePoint start = base::MonotonicNow();
+  driver.Start();
+  for (int i = 0; i < 2000 && m_engines.m_orders.empty(); ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  CHECK_FALSE(m_engines.m_orders.empty());
+  CHECK(base::MonotonicNow() - start >= 200ms);
+}
--- /dev/null
+++ b/src/ferrytray/store/record_tail.cpp
@@ -0,0 +1,28 @@
+#include "ferrytray/store/record_tail.hpp"
+
+namespace ferrytray::store {
+
+std::optional<std::vector<Record>> RecordTail::Since(Offset aFrom) const
+{
+  std::vector<Record> records;
+  if (aFrom >= m_end) {
+    return records; // whoever asks knows as much
+  }
+  if (m_records.empty() || aFrom < m_records.front().m_offset) {
+    return std::nullopt;
+  }
+  std::size_t bytes = 0;
+  for (const Record& record : m_records) {
+    if (record.m_offset < aFrom) {
+      continue;
+    }
+    bytes += record.m_key.size() + record.m_value.size();
+    if (bytes > m_options.m_passedOnBytes) {
+      return std::nullopt;
+    }
+    records.push_back(record);
+  }
+  return records;
+}
+
+} // namespace ferrytray::store
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/store/topic_follower.hpp"
 
-#include <algorithm> // for min
+#include <algorithm> // for max, min
 #include <utility>   // for move
 
 namespace ferrytray::store {
@@ -31,6 +31,7 @@
 
 void TopicFollower::LoadSnapshot()
 {
+  m_readAt = base::MonotonicNow();
   m_log.ReadSnapshot(m_options.m_topic,
                      [self = shared_from_this()](base::Result<Snapshot> aResult) {
                        self->OnSnapshot(std::move(aResult));
@@ -46,20 +47,20 @@
     Away(aResult.error());
     return;
   }
-  Contact();
+  Contact(m_readAt, std::exchange(m_away, false));
   std::set<std::string> keys;
   for (const Record& record : aResult->m_records) {
     keys.insert(record.m_key);
     Tell(record);
   }
   m_next = aResult->m_end;
+  m_tail.Restart(m_next);
   m_loaded = true;
   m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
   if (m_events.m_onSnapshot) {
     m_events.m_onSnapshot(keys);
   }
-  Later(m_options.m_wait.count() > 0 ? base::Duration::zero() : m_options.m_pause,
-        &TopicFollower::ReadOn);
+  Later(m_options.m_wait.count() > 0 ? base::Duration::zero() : PauseNow(), &TopicFollower::ReadOn);
 }
 
 base::Duration TopicFollower::WaitNow() const
@@ -105,16 +106,17 @@
     LoadSnapshot();
     return;
   }
-  Contact();
+  Contact(m_readAt, std::exchange(m_away, false));
   const base::Duration took = base::MonotonicNow() - m_readAt;
   if (m_options.m_wait.count() == 0 && took > m_options.m_slowAfter && m_events.m_onSlow) {
     m_events.m_onSlow(took);
   }
   for (const Record& record : aResult->m_records) {
+    m_tail.Add(record);
     Tell(record);
     m_next = record.m_offset + 1;
   }
-  Later(m_options.m_pause, &TopicFollower::ReadOn);
+  Later(PauseNow(), &TopicFollower::ReadOn);
 }
 
 void TopicFollower::Tell(const Record& aRecord)
@@ -127,16 +129,83 @@
   m_events.m_onRecord(aRecord);
 }
 
-void TopicFollower::Contact()
+void TopicFollower::Contact(base::TimePoint aAt, bool aWasAway)
 {
   m_retry = m_options.m_retryFirst;
   m_patienceNow = m_options.m_patience;
-  const bool wasAway = std::exchange(m_away, false);
-  if (wasAway) {
+  m_contactAt = m_contactAt ? std::max(*m_contactAt, aAt) : aAt;
+  if (aWasAway) {
+    ++m_outages;
     m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
   }
   if (m_events.m_onContact) {
-    m_events.m_onContact(wasAway);
+    m_events.m_onContact(aWasAway, *m_contactAt);
+  }
+}
+
+base::Duration TopicFollower::PauseNow() const
+{
+  const bool serving = m_servedAt && base::MonotonicNow() < *m_servedAt + m_options.m_servingFor;
+  return serving ? std::min(m_options.m_servingPause, m_options.m_pause) : m_options.m_pause;
+}
+
+std::optional<TopicCursor> TopicFollower::Cursor() const
+{
+  return m_loaded ? std::optional(TopicCursor{ m_options.m_topic, m_next }) : std::nullopt;
+}
+
+std::optional<TopicNews> TopicFollower::NewsSince(Offset aFrom, base::TimePoint aNow)
+{
+  m_servedAt = aNow;
+  if (!m_loaded || !m_contactAt) {
+    return std::nullopt;
+  }
+  TopicNews news;
+  news.m_topic = m_options.m_topic;
+  news.m_end = m_tail.End();
+  news.m_age = aNow - *m_contactAt;
+  news.m_outages = m_outages;
+  std::optional<std::vector<Record>> records = m_tail.Since(aFrom);
+  news.m_readYourself = m_away || !records;
+  if (!news.m_readYourself) {
+    news.m_records = std::move(*records);
+  }
+  return news;
+}
+
+void TopicFollower::OnNews(const TopicNews& aNews, base::TimePoint aAskedAt)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const base::TimePoint contact = aAskedAt - aNews.m_age;
+  const bool usable = m_loaded && !aNews.m_readYourself && now < contact + m_options.m_newsFresh;
+  const bool gap = !aNews.m_records.empty() && aNews.m_records.front().m_offset > m_next;
+  if (m_stopped || !usable || gap) {
+    OnNewsEnded();
+    return;
+  }
+  // Any read under way is dropped: the other host's reads stand for it.
+  ++m_read;
+  m_reading = false;
+  m_byNews = true;
+  const bool cameBack = m_outagesThere && *m_outagesThere != aNews.m_outages;
+  m_outagesThere = aNews.m_outages;
+  Contact(contact, std::exchange(m_away, false) || cameBack);
+  for (const Record& record : aNews.m_records) {
+    if (record.m_offset >= m_next) {
+      m_tail.Add(record);
+      Tell(record);
+      m_next = record.m_offset + 1;
+    }
+  }
+  Later(m_options.m_newsFresh - (now - contact), &TopicFollower::OnNewsEnded);
+}
+
+void TopicFollower::OnNewsEnded()
+{
+  m_outagesThere.reset();
+  if (std::exchange(m_byNews, false) && !m_stopped) {
+    m_timer.reset();
+    ReadOn();
   }
 }
 
