--- a/standins/proxy_main.cpp
+++ b/standins/proxy_main.cpp
@@ -22,6 +22,7 @@
   base::Duration m_delay{};
   bool m_cut = false;        ///< close connections, drop datagrams
   bool m_halfOpen = false;   ///< accept and take bytes, pass nothing on
+  bool m_mute = false;       ///< one way only: requests pass, replies do not
   int m_dropReplies = 0;     ///< so many connections end after the request, before any reply byte
   long m_cutReplyAfter = -1; ///< bytes of a reply after which one connection is cut; -1: never
 };
@@ -82,7 +83,7 @@
                std::size_t aSize,
                bool aIsReply)
   {
-    if (m_faults.m_halfOpen) {
+    if (m_faults.m_halfOpen || (aIsReply && m_faults.m_mute)) {
       Pass(aFrom, aTo, aBuffer, aIsReply);
       return;
     }
@@ -138,11 +139,12 @@
 public:
   Proxy(asio::io_context& aContext, tcp::endpoint aTo)
     : m_context(aContext)
-    , m_acceptor(aContext, { aTo.address(), 0 })
-    , m_udp(aContext, { aTo.address(), m_acceptor.local_endpoint().port() })
+    , m_acceptor(aContext)
+    , m_udp(aContext)
     , m_udpOut(aContext, { aTo.address(), 0 })
     , m_to(std::move(aTo))
   {
+    Listen();
     Accept();
     Receive();
   }
@@ -155,6 +157,7 @@
       std::chrono::milliseconds(aBody.value("delay_ms", m_faults.m_delay.count() / 1000));
     m_faults.m_cut = aBody.value("cut", m_faults.m_cut);
     m_faults.m_halfOpen = aBody.value("half_open", m_faults.m_halfOpen);
+    m_faults.m_mute = aBody.value("mute", m_faults.m_mute);
     m_faults.m_dropReplies = aBody.value("drop_replies", m_faults.m_dropReplies);
     m_faults.m_cutReplyAfter = aBody.value("cut_reply_after", m_faults.m_cutReplyAfter);
     if (m_faults.m_cut) {
@@ -168,6 +171,21 @@
   }
 
 private:
+  /// Finds a port that is free for both; other programs' datagram sockets may have the first ones.
+  void Listen()
+  {
+    constexpr int kTries = 50;
+    asio::error_code taken;
+    for (int i = 0; i < kTries; ++i) {
+      m_acceptor = tcp::acceptor(m_context, { m_to.address(), 0 });
+      m_udp = udp::socket(m_context, udp::v4());
+      if (!m_udp.bind({ m_to.address(), Port() }, taken)) {
+        return;
+      }
+    }
+    throw asio::system_error(taken);
+  }
+
   void Accept()
   {
     m_acceptor.async_accept([this](const asio::error_code& aError, tcp::socket aSocket) {
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -65,6 +65,20 @@
   return spawned;
 }
 
+/// Copies what is left of a program's output to a file until the program ends.
+void KeepOutput(std::FILE* aOutput, const std::string& aPath)
+{
+  std::FILE* file = std::fopen(aPath.c_str(), "a");
+  std::array<char, 4096> buffer{};
+  while (file != nullptr && std::fgets(buffer.data(), buffer.size(), aOutput) != nullptr) {
+    std::fputs(buffer.data(), file);
+  }
+  if (file != nullptr) {
+    std::fclose(file);
+  }
+  std::fclose(aOutput);
+}
+
 int WaitForExit(pid_t aPid)
 {
   int status = 0;
@@ -76,7 +90,8 @@
 
 Process::Process(const std::string& aProgram,
                  std::vector<std::string> aArguments,
-                 std::vector<std::string> aWords)
+                 std::vector<std::string> aWords,
+                 const std::string& aKeepOutputIn)
 {
   const Spawned spawned = Spawn(aProgram, aArguments, false);
   m_pid = spawned.m_pid;
@@ -95,7 +110,11 @@
     }
   }
   std::free(line);
-  std::fclose(output);
+  if (aKeepOutputIn.empty()) {
+    std::fclose(output);
+  } else {
+    std::thread(&KeepOutput, output, aKeepOutputIn).detach();
+  }
   if (m_words.size() < aWords.size()) {
     throw std::runtime_error(aProgram + " did not start");
   }
@@ -132,6 +151,16 @@
   return m_pid > 0 ? WaitForExit(std::exchange(m_pid, -1)) : 0;
 }
 
+std::optional<int> Process::TryWait()
+{
+  int status = 0;
+  if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == 0) {
+    return std::nullopt;
+  }
+  m_pid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 void Process::Kill()
 {
   Signal(SIGKILL);
--- a/tests/integration/process.hpp
+++ b/tests/integration/process.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>  // for function
 #include <map>         // for map
+#include <optional>    // for optional
 #include <string>      // for string
 #include <sys/types.h> // for pid_t
 #include <vector>      // for vector
@@ -17,9 +18,11 @@
   Process() = default;
   /// @param aProgram path below the build folder
   /// @param aWords words of its first lines to wait for; the rest of such a line is kept
+  /// @param aKeepOutputIn file to which later output is appended; empty: nobody reads it
   Process(const std::string& aProgram,
           std::vector<std::string> aArguments,
-          std::vector<std::string> aWords);
+          std::vector<std::string> aWords,
+          const std::string& aKeepOutputIn = "");
   ~Process();
   Process(Process&& aOther) noexcept;
   Process& operator=(Process&& aOther) noexcept;
@@ -29,6 +32,8 @@
   void Signal(int aSignal) const;
   /// Waits for it to end. @return its exit code, or minus the signal that ended it
   int Wait();
+  /// The same without waiting. @return empty while it runs
+  std::optional<int> TryWait();
   void Kill();
   bool Running() const { return m_pid > 0; }
   pid_t Pid() const { return m_pid; }
