--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -112,6 +112,7 @@
   }
   readers.erase(&m_self);
   std::vector<Peer> others;
+  others.reserve(readers.size());
   for (const Peer* reader : readers) {
     others.push_back(*reader);
   }
