Requests begin on no weights that should have been replaced by now

Now engines on weights that are overdue (1.5 s before the bound: a request may wait at an engine) get no prompts; a host that starts in the middle of a roll-out counts the name as long known, but for the 2.5 s in which it is excused. Test: exchange_test OnceNewWeightsAreDueEnginesOnOlderOnesGetNothing (seen red before).

--- a/include/ferrytray/relay/call_planner.hpp
+++ b/include/ferrytray/relay/call_planner.hpp
@@ -42,6 +42,8 @@
                                     std::optional<std::uint64_t> aResumeAfter);
 
 private:
+  /// Its weights should have been replaced by now.
+  [[nodiscard]] bool TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const;
   [[nodiscard]] cache::PartPlan PlanParts(const std::string& aScope, const std::string& aHome);
 
   RelayCore& m_core;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -11,6 +11,7 @@
 #include "ferrytray/cache/part_planner.hpp"        // for PartPlanner, Stores
 #include "ferrytray/fleet/configuration_index.hpp" // for ConfigurationPtr
 #include "ferrytray/fleet/directory.hpp"           // for Directory
+#include "ferrytray/fleet/named_weights.hpp"       // for NamedWeightsLog
 #include "ferrytray/limits/admission_limit.hpp"    // for AdmissionLimit
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
@@ -39,6 +40,10 @@
   base::Duration m_peerTimeout = std::chrono::milliseconds(1500);
   /// One host's part of an endpoint's connections: this many hosts can share it.
   std::uint32_t m_hostsSharing = 10;
+  /// Requests begin on no older weights from so long after newer ones were named (settings, less
+  /// the time for which a request may wait at an engine and that in which a host hears of the
+  /// name).
+  base::Duration m_weightsDue = std::chrono::milliseconds(10500);
   /// When a caller whose request was not run should come back.
   base::Duration m_comeBack = std::chrono::milliseconds(250);
   /// A plain answer over this size breaks off (bytes).
@@ -57,6 +62,7 @@
     , m_format(aFormat)
     , m_options(std::move(aOptions))
     , m_retries(m_options.m_retries)
+    , m_named(m_options.m_weightsDue)
   {
   }
 
@@ -76,6 +82,7 @@
   telemetry::Metrics m_metrics;
   std::mt19937_64 m_random{ std::random_device{}() };
   std::map<std::string, fleet::WeightVersion> m_wanted; ///< newest named weights, by model
+  fleet::NamedWeightsLog m_named;                       ///< when those were named
   std::optional<base::TimePoint> m_lastContact;         ///< with the record log
   std::size_t m_open = 0;                               ///< exchanges that have not ended
   bool m_leaving = false;                               ///< a planned stop has begun
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -61,6 +61,7 @@
   std::shared_ptr<store::TopicFollower> m_operators;
   std::shared_ptr<store::TopicFollower> m_endpoints;
   std::function<void()> m_onConfigured;
+  bool m_operatorsLoaded = false;
   bool m_endpointsLoaded = false;
 };
 
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -34,7 +34,7 @@
   std::vector<routing::PlacementCandidate> candidates;
   for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(aService)) {
     const std::uint32_t open = m_core.m_board.Open(endpoint->m_incarnation);
-    if (aTried.contains(endpoint->m_incarnation) || open >= most) {
+    if (aTried.contains(endpoint->m_incarnation) || open >= most || TooOld(*endpoint, now)) {
       continue;
     }
     endpoints.push_back(endpoint);
@@ -56,6 +56,17 @@
   return { endpoints[place->m_chosen], elsewhere ? endpoints[place->m_home]->m_address : "" };
 }
 
+bool CallPlanner::TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const
+{
+  if (!m_request.m_prompt) {
+    return false;
+  }
+  const std::string& model = m_request.m_prompt->m_model;
+  const auto weights = aEndpoint.m_weights.find(model);
+  return weights != aEndpoint.m_weights.end() &&
+         weights->second < m_core.m_named.Oldest(model, aNow);
+}
+
 EndpointCall CallPlanner::CallTo(const Target& aTarget,
                                  base::Duration aLeft,
                                  std::optional<std::uint64_t> aResumeAfter)
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -335,3 +335,25 @@
   CHECK(reply->m_closes);
   CHECK(Ask("/none/x")->m_closes);
 }
+
+TEST(Exchange, OnceNewWeightsAreDueEnginesOnOlderOnesGetNothing)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_directory.NoteWeights("b", "m", 2);
+  m_core.m_named.OnNamed("m", 2, now - 1h);
+  for (int i = 0; i < 20; ++i) {
+    Ask("/stream/x", "k", "m");
+    STRCMP_EQUAL("b:1", m_client.m_calls.back().m_request.m_url.c_str());
+  }
+  m_core.m_named.OnNamed("m", 3, now - 1h);
+  const auto reply = Ask("/stream/x", "k", "m");
+  LONGS_EQUAL(503, reply->m_status);
+}
+
+TEST(Exchange, UntilNewWeightsAreDueOlderOnesServe)
+{
+  m_core.m_named.OnNamed("m", 2, base::MonotonicNow());
+  const std::size_t before = m_client.m_calls.size();
+  Ask("/stream/x", "k", "m");
+  LONGS_EQUAL(before + 1, m_client.m_calls.size());
+}
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// The users' platform judges a host from 3 s after its start.
+constexpr base::Duration kStartExcuse = std::chrono::milliseconds(2500);
+
 void LogUnreadable(const store::Record& aRecord, const base::Failure& aFailure)
 {
   telemetry::LogLine("record_unreadable")
@@ -35,6 +38,7 @@
   operators.m_newsFresh = aOptions.m_newsFresh;
   store::FollowEvents onOperators = EventsFor(operators.m_topic);
   onOperators.m_onRecord = [this](const store::Record& aRecord) { OnOperatorRecord(aRecord); };
+  onOperators.m_onSnapshot = [this](const std::set<std::string>&) { m_operatorsLoaded = true; };
   m_operators = std::make_shared<store::TopicFollower>(
     aCore.m_loop, aLog, std::move(operators), std::move(onOperators));
 
@@ -143,6 +147,13 @@
     return;
   }
   wanted = read->m_version;
+  // A host that starts does not know for how long they have been named. It counts as long ago, but
+  // for the time in which a host that has just started is excused.
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_named.OnNamed(read->m_model,
+                         read->m_version,
+                         m_operatorsLoaded ? now
+                                           : now - m_core.m_options.m_weightsDue + kStartExcuse);
   telemetry::LogLine("weights_named")
     .Add("model", read->m_model)
     .Add("version", read->m_version)
