Placement by work, not by requests; a busy home's prompts go to the least busy of four

Cause: an open digest of 17,000 tokens counted as much as a lookup of 380, so lookups went to engines that were reading digests; and a prompt whose home was too busy took the first next home that was not, not the one with the least to do.

--- a/include/ferrytray/peers/load_board.hpp
+++ b/include/ferrytray/peers/load_board.hpp
@@ -17,11 +17,11 @@
 
 EndpointTag TagOf(std::string_view aIncarnation);
 
-/// @brief Requests that are open at an endpoint.
+/// @brief Work that is open at an endpoint (routing::WorkOf).
 struct EndpointLoad
 {
   EndpointTag m_endpoint = 0;
-  std::uint16_t m_open = 0;
+  std::uint16_t m_work = 0;
 };
 
 using EndpointLoads = std::vector<EndpointLoad>;
@@ -55,7 +55,7 @@
   /// @brief Forgets what is too old.
   void Expire(base::TimePoint aNow);
 
-  /// @brief Requests of all other hosts at an endpoint.
+  /// @brief Open work of all other hosts at an endpoint.
   [[nodiscard]] std::uint32_t Others(EndpointTag aEndpoint) const;
   /// @brief All that is known, without what one host told itself.
   [[nodiscard]] EndpointLoads AllBut(const std::string& aHost) const;
--- a/src/ferrytray/peers/load_board.cpp
+++ b/src/ferrytray/peers/load_board.cpp
@@ -13,10 +13,10 @@
 {
   EndpointLoads loads;
   loads.reserve(aTotals.size());
-  for (const auto& [endpoint, open] : aTotals) {
+  for (const auto& [endpoint, work] : aTotals) {
     constexpr std::uint32_t kMost = UINT16_MAX;
-    if (open > 0) {
-      loads.push_back({ endpoint, static_cast<std::uint16_t>(std::min(open, kMost)) });
+    if (work > 0) {
+      loads.push_back({ endpoint, static_cast<std::uint16_t>(std::min(work, kMost)) });
     }
   }
   return loads;
@@ -33,7 +33,7 @@
 {
   for (const EndpointLoad& load : aReport.m_loads) {
     const auto total = m_totals.find(load.m_endpoint);
-    total->second -= load.m_open;
+    total->second -= load.m_work;
     if (total->second == 0) {
       m_totals.erase(total);
     }
@@ -45,9 +45,9 @@
                          EndpointLoads aLoads,
                          base::TimePoint aNow)
 {
-  std::erase_if(aLoads, [](const EndpointLoad& aLoad) { return aLoad.m_open == 0; });
+  std::erase_if(aLoads, [](const EndpointLoad& aLoad) { return aLoad.m_work == 0; });
   for (const EndpointLoad& load : aLoads) {
-    m_totals[load.m_endpoint] += load.m_open;
+    m_totals[load.m_endpoint] += load.m_work;
   }
   Report& report = m_reports[aHost];
   Subtract(report);
@@ -77,7 +77,7 @@
   const auto found = m_reports.find(aHost);
   if (found != m_reports.end()) {
     for (const EndpointLoad& load : found->second.m_loads) {
-      totals[load.m_endpoint] -= load.m_open;
+      totals[load.m_endpoint] -= load.m_work;
     }
   }
   return ToLoads(totals);
@@ -91,7 +91,7 @@
       continue;
     }
     for (const EndpointLoad& load : report.m_loads) {
-      totals[load.m_endpoint] += load.m_open;
+      totals[load.m_endpoint] += load.m_work;
     }
   }
   return ToLoads(totals);
@@ -102,7 +102,7 @@
   std::unordered_map<EndpointTag, std::uint32_t> totals;
   for (const EndpointLoads* loads : { &aLeft, &aRight }) {
     for (const EndpointLoad& load : *loads) {
-      totals[load.m_endpoint] += load.m_open;
+      totals[load.m_endpoint] += load.m_work;
     }
   }
   return ToLoads(totals);
--- a/src/ferrytray/peers/load_board_test.cpp
+++ b/src/ferrytray/peers/load_board_test.cpp
@@ -15,7 +15,7 @@
 {
   for (const peers::EndpointLoad& load : aLoads) {
     if (load.m_endpoint == aEndpoint) {
-      return load.m_open;
+      return load.m_work;
     }
   }
   return 0;
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -113,7 +113,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, EndpointLoad& aLoad)
 {
-  aArchive(aLoad.m_endpoint, aLoad.m_open);
+  aArchive(aLoad.m_endpoint, aLoad.m_work);
 }
 
 template<typename Archive>
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -21,7 +21,7 @@
   STRCMP_EQUAL("s:1", readRequest->m_cursors.at(0).m_store.c_str());
   LONGS_EQUAL(3, readRequest->m_cursors.at(0).m_next);
   CHECK(readRequest->m_scope == peers::LoadScope::Summary);
-  LONGS_EQUAL(6, readRequest->m_loads.at(0).m_open);
+  LONGS_EQUAL(6, readRequest->m_loads.at(0).m_work);
 
   peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -40,7 +40,7 @@
     endpoints.push_back(endpoint);
     const std::uint32_t others = m_core.m_otherLoads.Others(peers::TagOf(endpoint->m_incarnation));
     candidates.push_back({ endpoint->m_incarnation,
-                           open + others,
+                           m_core.m_board.OpenWork(endpoint->m_incarnation) + others,
                            m_core.m_board.Avoided(endpoint->m_incarnation, now) });
   }
   if (!m_request.m_prompt) {
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -18,6 +18,7 @@
   , m_reply(std::move(aReply))
   , m_arrival(base::MonotonicNow())
   , m_dueAt(m_arrival + m_admitted.m_route->m_timeout)
+  , m_work(routing::WorkOf(m_request.m_prompt ? m_request.m_prompt->m_inputTokens : 0))
   , m_lastEvent(m_request.m_resumeAfter)
 {
   if (m_request.m_deadline) {
@@ -89,7 +90,7 @@
   m_tried.insert(endpoint->m_incarnation);
   m_lastEndpoint = endpoint->m_incarnation;
   ++m_sends;
-  m_core.m_board.OnSent(endpoint->m_incarnation);
+  m_core.m_board.OnSent(endpoint->m_incarnation, m_work);
   const std::weak_ptr<Exchange> weak = weak_from_this();
   net::ClientEvents events;
   events.m_onHead = [weak](int aStatus, const net::Headers& aHeaders) {
@@ -215,7 +216,7 @@
   }
   Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
-  m_core.m_board.OnEnded(attempt.m_endpoint);
+  m_core.m_board.OnEnded(attempt.m_endpoint, m_work);
   if (IsSuccess(attempt) && aOutcome.m_end == net::WireEnd::Complete) {
     Deliver(std::move(attempt));
     return;
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -11,7 +11,7 @@
 {
   if (m_attempt) {
     m_core.m_client.Cancel(m_attempt->m_call);
-    m_core.m_board.OnEnded(m_attempt->m_endpoint);
+    m_core.m_board.OnEnded(m_attempt->m_endpoint, m_work);
     m_mayHaveRun = true;
     m_attempt.reset();
   }
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -125,8 +125,8 @@
 peers::EndpointLoads RelayHost::OwnLoads() const
 {
   peers::EndpointLoads loads;
-  m_core.m_board.ForEachOpen([&](const std::string& aEndpoint, std::uint32_t aOpen) {
-    loads.push_back({ peers::TagOf(aEndpoint), static_cast<std::uint16_t>(aOpen) });
+  m_core.m_board.ForEachOpen([&](const std::string& aEndpoint, routing::Work aWork) {
+    loads.push_back({ peers::TagOf(aEndpoint), static_cast<std::uint16_t>(aWork) });
   });
   return loads;
 }
--- a/src/ferrytray/routing/endpoint_board.cpp
+++ b/src/ferrytray/routing/endpoint_board.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/routing/endpoint_board.hpp"
 
-#include <algorithm> // for clamp, min
+#include <algorithm> // for clamp, min, min_element
 #include <vector>    // for vector
 
 #include "ferrytray/base/digest.hpp"        // for HashWithSeed
@@ -27,11 +27,19 @@
 
 } // namespace
 
-void EndpointBoard::OnEnded(const std::string& aEndpoint)
+void EndpointBoard::OnSent(const std::string& aEndpoint, Work aWork)
+{
+  Entry& entry = m_entries[aEndpoint];
+  ++entry.m_open;
+  entry.m_work += aWork;
+}
+
+void EndpointBoard::OnEnded(const std::string& aEndpoint, Work aWork)
 {
   const auto found = m_entries.find(aEndpoint);
   if (found != m_entries.end() && found->second.m_open > 0) {
     --found->second.m_open;
+    found->second.m_work -= std::min(found->second.m_work, aWork);
   }
 }
 
@@ -85,6 +93,12 @@
   return found == m_entries.end() ? 0 : found->second.m_open;
 }
 
+Work EndpointBoard::OpenWork(const std::string& aEndpoint) const
+{
+  const auto found = m_entries.find(aEndpoint);
+  return found == m_entries.end() ? 0 : found->second.m_work;
+}
+
 bool EndpointBoard::Avoided(const std::string& aEndpoint, base::TimePoint aNow) const
 {
   const auto found = m_entries.find(aEndpoint);
@@ -102,7 +116,7 @@
   constexpr unsigned kHalf = 32;
   const std::size_t first = usable[(aRandom & 0xffffffffU) % usable.size()];
   const std::size_t second = usable[(aRandom >> kHalf) % usable.size()];
-  return aOf[second].m_open < aOf[first].m_open ? second : first;
+  return aOf[second].m_work < aOf[first].m_work ? second : first;
 }
 
 std::optional<Placement> PlaceAtHome(std::span<const PlacementCandidate> aOf,
@@ -114,21 +128,24 @@
     return std::nullopt;
   }
   std::vector<std::string> names;
-  double open = 0;
+  double work = 0;
   for (const std::size_t index : usable) {
     names.push_back(aOf[index].m_name);
-    open += aOf[index].m_open;
+    work += aOf[index].m_work;
   }
-  const double mean = open / static_cast<double>(usable.size());
+  const double mean = work / static_cast<double>(usable.size());
   const double most = aOptions.m_overBase + aOptions.m_overMean * mean;
   const base::Digest128 key = base::HashWithSeed({}, aKey);
-  const std::vector<std::size_t> homes = RendezvousHomes(key, names, names.size());
-  for (const std::size_t home : homes) {
-    if (aOf[usable[home]].m_open <= most) {
-      return Placement{ usable[home], usable[homes.front()] };
-    }
+  const std::vector<std::size_t> homes = RendezvousHomes(key, names, aOptions.m_homes);
+  const auto workAt = [&](std::size_t aHome) { return aOf[usable[aHome]].m_work; };
+  if (workAt(homes.front()) <= most) {
+    return Placement{ usable[homes.front()], usable[homes.front()] };
   }
-  return Placement{ usable[homes.front()], usable[homes.front()] };
+  const std::size_t least =
+    *std::min_element(homes.begin(), homes.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return workAt(aLeft) < workAt(aRight);
+    });
+  return Placement{ usable[least], usable[homes.front()] };
 }
 
 } // namespace ferrytray::routing
--- a/src/ferrytray/routing/endpoint_board_test.cpp
+++ b/src/ferrytray/routing/endpoint_board_test.cpp
@@ -45,18 +45,20 @@
 
 TEST(EndpointBoard, CountsOpenRequests)
 {
-  m_board.OnSent("a");
-  m_board.OnSent("a");
-  m_board.OnEnded("a");
+  m_board.OnSent("a", 3);
+  m_board.OnSent("a", 3);
+  m_board.OnEnded("a", 3);
   LONGS_EQUAL(1, m_board.Open("a"));
   LONGS_EQUAL(0, m_board.Open("b"));
+  LONGS_EQUAL(3, m_board.OpenWork("a"));
+  LONGS_EQUAL(0, m_board.OpenWork("b"));
 }
 
 TEST(EndpointBoard, AKeyStaysAtItsHomeWhileThatOneIsNotBusy)
 {
   const auto first = routing::PlaceAtHome(m_four, "key", {});
   LONGS_EQUAL(first->m_home, first->m_chosen);
-  m_four[first->m_home].m_open = 20;
+  m_four[first->m_home].m_work = 20;
   const auto second = routing::PlaceAtHome(m_four, "key", {});
   LONGS_EQUAL(first->m_home, second->m_home);
   CHECK(second->m_chosen != second->m_home);
@@ -77,7 +79,32 @@
 
 TEST(EndpointBoard, TheLessBusyOfTwoIsTaken)
 {
-  m_four[0].m_open = 5;
+  m_four[0].m_work = 5;
   constexpr std::uint64_t kFirstAndSecond = std::uint64_t{ 1 } << 32U;
   LONGS_EQUAL(1, *routing::PlaceAnywhere(m_four, kFirstAndSecond));
 }
+
+TEST(EndpointBoard, ABusyHomesPromptGoesToTheLeastBusyOfItsNextHomes)
+{
+  const auto first = routing::PlaceAtHome(m_four, "key", {});
+  m_four[first->m_home].m_work = 40;
+  std::size_t least = first->m_home;
+  for (std::size_t i = 0; i < m_four.size(); ++i) {
+    if (i != first->m_home) {
+      m_four[i].m_work = static_cast<routing::Work>(10 + i);
+      least = least == first->m_home ? i : least;
+    }
+  }
+  const auto next = routing::PlaceAtHome(m_four, "key", {});
+  LONGS_EQUAL(least, next->m_chosen);
+  LONGS_EQUAL(first->m_home, next->m_home);
+}
+
+TEST_GROUP(WorkOf){};
+
+TEST(WorkOf, ALongPromptWeighsSeveralShortOnes)
+{
+  LONGS_EQUAL(2, routing::WorkOf(0));
+  LONGS_EQUAL(2, routing::WorkOf(300));
+  LONGS_EQUAL(7, routing::WorkOf(17000));
+}
