--- a/include/ferrytray/settings/settings.hpp
+++ b/include/ferrytray/settings/settings.hpp
@@ -105,4 +105,14 @@
 /// @return the settings, or null with aExitCode set
 const Settings* SettingsOrExit(const Parsed& aParsed, int& aExitCode);
 
+/// @brief Runs a program with its settings, unless Build gave something else to print.
+/// @param aRun takes the settings. @return its exit code, or that of what was printed
+template<typename Run>
+int RunWith(const Parsed& aParsed, const Run& aRun)
+{
+  int exitCode = kExitOk;
+  const Settings* settings = SettingsOrExit(aParsed, exitCode);
+  return settings == nullptr ? exitCode : aRun(*settings);
+}
+
 } // namespace ferrytray::settings
--- a/standins/engine_main.cpp
+++ b/standins/engine_main.cpp
@@ -3,6 +3,27 @@
 using namespace ferrytray;
 using settings::SettingKind;
 
+namespace {
+
+standins::EngineOptions OptionsOf(const settings::Settings& aSettings)
+{
+  standins::EngineOptions options;
+  options.m_incarnation = aSettings.Text("incarnation");
+  options.m_model = aSettings.Text("model");
+  options.m_version = aSettings.Text("weight-version");
+  options.m_weightStore = aSettings.Text("weight-store");
+  options.m_tokensPerSecond = aSettings.Number("tokens-per-second");
+  options.m_tokenTime = aSettings.Millis("token-time");
+  options.m_cacheBlocks = aSettings.Count("cache-blocks");
+  options.m_maxBatch = aSettings.Count("max-batch");
+  options.m_swapTime = aSettings.Millis("swap-time");
+  options.m_loadLag = aSettings.Millis("load-lag");
+  options.m_checksFencing = aSettings.Flag("checks-fencing");
+  return options;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
   const auto parsed =
@@ -21,28 +42,9 @@
       .Add(
         { "checks-fencing", "false", "refuse orders with old fencing numbers", SettingKind::Flag })
       .Build(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  telemetry::StartLogging(argv[0]);
-  standins::EngineOptions options;
-  options.m_incarnation = settings->Text("incarnation");
-  options.m_model = settings->Text("model");
-  options.m_version = settings->Text("weight-version");
-  options.m_weightStore = settings->Text("weight-store");
-  options.m_tokensPerSecond = settings->Number("tokens-per-second");
-  options.m_tokenTime = settings->Millis("token-time");
-  options.m_cacheBlocks = settings->Count("cache-blocks");
-  options.m_maxBatch = settings->Count("max-batch");
-  options.m_swapTime = settings->Millis("swap-time");
-  options.m_loadLag = settings->Millis("load-lag");
-  options.m_checksFencing = settings->Flag("checks-fencing");
-  net::Loop loop;
-  standins::Engine engine(loop, options);
-  return standins::Serve(
-    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-      engine.Handle(aRequest, aReply);
+  return settings::RunWith(parsed, [&](const settings::Settings& aSettings) {
+    return standins::RunStandIn(argv[0], aSettings, [&](net::Loop& aLoop) {
+      return std::make_unique<standins::Engine>(aLoop, OptionsOf(aSettings));
     });
+  });
 }
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -3,6 +3,21 @@
 using namespace ferrytray;
 using settings::SettingKind;
 
+namespace {
+
+standins::PlatformOptions OptionsOf(const settings::Settings& aSettings)
+{
+  standins::PlatformOptions options;
+  options.m_retainedRecords = aSettings.Count("retained-records");
+  options.m_appendsPerSecond = aSettings.Number("appends-per-second");
+  options.m_hostListLag = aSettings.Millis("host-list-lag");
+  options.m_weightTime = aSettings.Millis("weight-time");
+  options.m_weightSlots = aSettings.Count("weight-slots");
+  return options;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
   const auto parsed =
@@ -15,22 +30,9 @@
       .Add({ "weight-time", "200", "download of a weight version", SettingKind::Millis })
       .Add({ "weight-slots", "3", "downloads at full speed", SettingKind::Count })
       .Build(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  telemetry::StartLogging(argv[0]);
-  standins::PlatformOptions options;
-  options.m_retainedRecords = settings->Count("retained-records");
-  options.m_appendsPerSecond = settings->Number("appends-per-second");
-  options.m_hostListLag = settings->Millis("host-list-lag");
-  options.m_weightTime = settings->Millis("weight-time");
-  options.m_weightSlots = settings->Count("weight-slots");
-  net::Loop loop;
-  standins::Platform platform(loop, options);
-  return standins::Serve(
-    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-      platform.Handle(aRequest, aReply);
+  return settings::RunWith(parsed, [&](const settings::Settings& aSettings) {
+    return standins::RunStandIn(argv[0], aSettings, [&](net::Loop& aLoop) {
+      return std::make_unique<standins::Platform>(aLoop, OptionsOf(aSettings));
     });
+  });
 }
--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -61,15 +61,9 @@
       .Add({ "listen", "127.0.0.1:0", "IP:PORT" })
       .Add({ "work-time", "1", "how long a call takes", settings::SettingKind::Millis })
       .Build(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  telemetry::StartLogging(argv[0]);
-  net::Loop loop;
-  Service service(loop, settings->Millis("work-time"));
-  return Serve(loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-    service.Handle(aRequest, aReply);
+  return settings::RunWith(parsed, [&](const settings::Settings& aSettings) {
+    return RunStandIn(argv[0], aSettings, [&](net::Loop& aLoop) {
+      return std::make_unique<Service>(aLoop, aSettings.Millis("work-time"));
+    });
   });
 }
--- a/standins/standin.hpp
+++ b/standins/standin.hpp
@@ -75,4 +75,20 @@
   return ferrytray::settings::kExitOk;
 }
 
+/// Runs a stand-in until it is ended.
+/// @param aMake builds it on a loop
+template<typename Make>
+int RunStandIn(const char* aProgram,
+               const ferrytray::settings::Settings& aSettings,
+               const Make& aMake)
+{
+  ferrytray::telemetry::StartLogging(aProgram);
+  ferrytray::net::Loop loop;
+  const auto standIn = aMake(loop);
+  return Serve(
+    loop, aSettings.Text("listen"), [&](ferrytray::net::HttpRequest aRequest, const auto& aReply) {
+      standIn->Handle(std::move(aRequest), aReply);
+    });
+}
+
 } // namespace standins
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -3,6 +3,21 @@
 using namespace ferrytray;
 using settings::SettingKind;
 
+namespace {
+
+standins::StoreOptions OptionsOf(const settings::Settings& aSettings)
+{
+  standins::StoreOptions options;
+  options.m_memoryBlocks = aSettings.Count("memory-blocks");
+  options.m_diskBlocks = aSettings.Count("disk-blocks");
+  options.m_linkBytesPerSecond = aSettings.Number("link-bytes-per-second");
+  options.m_diskBytesPerSecond = aSettings.Number("disk-bytes-per-second");
+  options.m_bytesPerBlock = aSettings.Number("bytes-per-block");
+  return options;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
   const auto parsed =
@@ -15,22 +30,9 @@
       .Add({ "disk-bytes-per-second", "200000000", "speed of its disk", SettingKind::Number })
       .Add({ "bytes-per-block", "1000000", "what a block takes on the link", SettingKind::Number })
       .Build(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  telemetry::StartLogging(argv[0]);
-  standins::StoreOptions options;
-  options.m_memoryBlocks = settings->Count("memory-blocks");
-  options.m_diskBlocks = settings->Count("disk-blocks");
-  options.m_linkBytesPerSecond = settings->Number("link-bytes-per-second");
-  options.m_diskBytesPerSecond = settings->Number("disk-bytes-per-second");
-  options.m_bytesPerBlock = settings->Number("bytes-per-block");
-  net::Loop loop;
-  standins::Store store(loop, options);
-  return standins::Serve(
-    loop, settings->Text("listen"), [&](net::HttpRequest aRequest, const auto& aReply) {
-      store.Handle(aRequest, aReply);
+  return settings::RunWith(parsed, [&](const settings::Settings& aSettings) {
+    return standins::RunStandIn(argv[0], aSettings, [&](net::Loop& aLoop) {
+      return std::make_unique<standins::Store>(aLoop, OptionsOf(aSettings));
     });
+  });
 }
--- a/tools/cli_main.cpp
+++ b/tools/cli_main.cpp
@@ -130,7 +130,5 @@
       .Add({ "wait", "10000", "how long apply waits for every host", SettingKind::Millis })
       .Add({ "json", "false", "print JSON", SettingKind::Flag })
       .Build(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  return settings == nullptr ? exitCode : cli::RunCommand(*settings);
+  return settings::RunWith(parsed, &cli::RunCommand);
 }
--- a/tools/daemon_settings.hpp
+++ b/tools/daemon_settings.hpp
@@ -6,8 +6,10 @@
 #include <string>           // for string
 #include <utility>          // for pair
 
-#include "ferrytray/net/address.hpp"       // for ParseAddress
-#include "ferrytray/settings/settings.hpp" // for Settings
+#include "ferrytray/net/address.hpp"        // for ParseAddress
+#include "ferrytray/net/loop.hpp"           // for Loop
+#include "ferrytray/settings/settings.hpp"  // for Settings
+#include "ferrytray/telemetry/log_line.hpp" // for StartLogging
 
 /// What both daemons read from their settings alike.
 namespace ferrytray::daemon {
@@ -47,4 +49,31 @@
   return aExitCode;
 }
 
+/// Runs a daemon until it was told to end and has left.
+/// @param aOptions a Result of what aCreate takes
+/// @param aCreate builds the daemon on a loop
+/// @param aAnnounce prints its addresses
+/// @param aLeave begins its planned stop and calls back when it may end
+template<typename Options, typename Create, typename Announce, typename Leave>
+int Run(const char* aProgram,
+        const Options& aOptions,
+        const Create& aCreate,
+        const Announce& aAnnounce,
+        const Leave& aLeave)
+{
+  if (!aOptions) {
+    return Refuse(aOptions.error(), settings::kExitBadSettings);
+  }
+  telemetry::StartLogging(aProgram);
+  net::Loop loop;
+  const auto daemon = aCreate(loop, *aOptions);
+  if (!daemon) {
+    return Refuse(daemon.error(), settings::kExitFailed);
+  }
+  aAnnounce(**daemon);
+  loop.OnTerminate([&] { aLeave(**daemon, [&] { loop.Stop(); }); });
+  loop.Run();
+  return settings::kExitOk;
+}
+
 } // namespace ferrytray::daemon
--- a/tools/gate_main.cpp
+++ b/tools/gate_main.cpp
@@ -63,23 +63,14 @@
 int main(int argc, char** argv)
 {
   const auto parsed = ReadSettings(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  const auto options = ToOptions(*settings);
-  if (!options) {
-    return daemon::Refuse(options.error(), settings::kExitBadSettings);
-  }
-  telemetry::StartLogging(argv[0]);
-  net::Loop loop;
-  const auto gate = gate::Gate::Create(loop, *options);
-  if (!gate) {
-    return daemon::Refuse(gate.error(), settings::kExitFailed);
-  }
-  std::cout << "listening " << net::ToString((*gate)->ListenAddress()) << std::endl;
-  loop.OnTerminate([&] { (*gate)->Drain([&] { loop.Stop(); }); });
-  loop.Run();
-  return settings::kExitOk;
+  return settings::RunWith(parsed, [argv](const settings::Settings& aSettings) {
+    return daemon::Run(
+      argv[0],
+      ToOptions(aSettings),
+      gate::Gate::Create,
+      [](const gate::Gate& aGate) {
+        std::cout << "listening " << net::ToString(aGate.ListenAddress()) << std::endl;
+      },
+      [](gate::Gate& aGate, std::function<void()> aDone) { aGate.Drain(std::move(aDone)); });
+  });
 }
--- a/tools/keeper_main.cpp
+++ b/tools/keeper_main.cpp
@@ -67,25 +67,18 @@
 int main(int argc, char** argv)
 {
   const auto parsed = ReadSettings(argc, argv);
-  int exitCode = 0;
-  const auto* settings = settings::SettingsOrExit(parsed, exitCode);
-  if (settings == nullptr) {
-    return exitCode;
-  }
-  const auto options = ToOptions(*settings);
-  if (!options) {
-    return daemon::Refuse(options.error(), settings::kExitBadSettings);
-  }
-  telemetry::StartLogging(argv[0]);
-  net::Loop loop;
-  const auto keeper = keeper::Keeper::Create(loop, *options);
-  if (!keeper) {
-    return daemon::Refuse(keeper.error(), settings::kExitFailed);
-  }
-  std::cout << "listening " << net::ToString((*keeper)->HttpAddress()) << "\n"
-            << "control " << net::ToString((*keeper)->ControlAddress()) << "\n"
-            << "gossip " << net::ToString((*keeper)->GossipAddress()) << std::endl;
-  loop.OnTerminate([&] { (*keeper)->Leave([&] { loop.Stop(); }); });
-  loop.Run();
-  return settings::kExitOk;
+  return settings::RunWith(parsed, [argv](const settings::Settings& aSettings) {
+    return daemon::Run(
+      argv[0],
+      ToOptions(aSettings),
+      keeper::Keeper::Create,
+      [](const keeper::Keeper& aKeeper) {
+        std::cout << "listening " << net::ToString(aKeeper.HttpAddress()) << "\n"
+                  << "control " << net::ToString(aKeeper.ControlAddress()) << "\n"
+                  << "gossip " << net::ToString(aKeeper.GossipAddress()) << std::endl;
+      },
+      [](keeper::Keeper& aKeeper, std::function<void()> aDone) {
+        aKeeper.Leave(std::move(aDone));
+      });
+  });
 }
