--- /dev/null
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -0,0 +1,183 @@
+#include "ferrytray/peers/news_exchange.hpp"
+
+#include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using cache::PartName;
+
+namespace {
+
+const PartName kPart{ "m.1", "p" };
+const std::string kStore = "s:1";
+
+/// One host's side of the exchange, with its own view of the log.
+struct Host
+{
+  Host(net::Loop& aLoop,
+       net::HttpClient& aClient,
+       const std::string& aName,
+       std::uint32_t aCapacity)
+    : m_news(aLoop, aClient, m_log, m_stores, m_others, OptionsOf(aName, aCapacity))
+  {
+    m_stores.try_emplace(kStore, 10'000);
+    m_news.OnDirect([this](bool aDirect) { m_direct = aDirect; });
+    m_news.OwnLoads([this] { return m_own; });
+  }
+
+  static peers::NewsOptions OptionsOf(const std::string& aName, std::uint32_t aCapacity)
+  {
+    peers::NewsOptions options;
+    options.m_listen = { "127.0.0.1", 0 };
+    options.m_name = aName;
+    options.m_zone = "z";
+    options.m_capacity = aCapacity;
+    options.m_topic = "hosts";
+    options.m_roster.m_readers = 1;
+    options.m_askEvery = 5ms;
+    options.m_lookAgain = 5ms;
+    options.m_enrolRetry = 5ms;
+    options.m_answerWithin = 2s; // the test's own loop may be slow
+    return options;
+  }
+
+  bool MayFetch() { return m_stores.at(kStore).MayFetch(kPart, base::MonotonicNow()); }
+
+  support::MemoryRecordLog m_log;
+  cache::Stores m_stores;
+  peers::LoadBoard m_others;
+  peers::EndpointLoads m_own;
+  bool m_direct = false;
+  peers::NewsExchange m_news;
+};
+
+} // namespace
+
+TEST_GROUP(NewsExchange)
+{
+  net::Loop m_loop;
+  std::unique_ptr<net::HttpClient> m_client = net::HttpClient::Create(m_loop);
+  std::unique_ptr<Host> m_reader = std::make_unique<Host>(m_loop, *m_client, "reader", 9);
+  std::unique_ptr<Host> m_follower = std::make_unique<Host>(m_loop, *m_client, "follower", 1);
+
+  void setup() override
+  {
+    CHECK(m_reader->m_news.Start().has_value());
+    CHECK(m_follower->m_news.Start().has_value());
+    // Both write to one log; the fakes are shared by hand.
+    auto& one = m_reader->m_log.m_topics["hosts"];
+    auto& other = m_follower->m_log.m_topics["hosts"];
+    one.push_back(other.front());
+    other.push_back(one.front());
+    one.back().m_offset = other.back().m_offset = 1;
+  }
+  void teardown() override
+  {
+    for (const auto* host : { &m_reader, &m_follower }) {
+      if (*host) {
+        (*host)->m_news.Stop();
+      }
+    }
+    m_client.reset();
+  }
+
+  bool Until(const std::function<bool()>& aCondition)
+  {
+    for (int i = 0; i < 6000 && !aCondition(); ++i) {
+      m_loop.RunFor(5ms);
+    }
+    return aCondition();
+  }
+
+  void ReaderHears(std::uint64_t aEpoch, bool aAdded)
+  {
+    cache::StoreNews news;
+    news.m_epoch = aEpoch;
+    news.m_clockMillis = 1000;
+    news.m_changes = { { kPart, 400, aAdded } };
+    const base::TimePoint now = base::MonotonicNow();
+    m_reader->m_stores.at(kStore).OnNews(news, false, now, now);
+  }
+};
+
+TEST(NewsExchange, TheStrongerHostReadsAndTheOtherFollowsIt)
+{
+  CHECK(Until([&] { return m_reader->m_direct; }));
+  ReaderHears(1, true);
+  CHECK(Until([&] { return m_follower->MayFetch(); }));
+  CHECK_FALSE(m_follower->m_direct);
+  ReaderHears(1, false);
+  CHECK(Until([&] { return !m_follower->MayFetch(); }));
+}
+
+TEST(NewsExchange, EachKnowsTheWorkOfTheOther)
+{
+  m_reader->m_own = { { 1, 5 }, { 2, 1 } };
+  m_follower->m_own = { { 1, 3 } };
+  CHECK(Until([&] { return m_follower->m_others.Others(1) == 5; }));
+  CHECK(Until([&] { return m_reader->m_others.Others(1) == 3; }));
+  m_reader->m_own = {};
+  CHECK(Until([&] { return m_follower->m_others.Others(1) == 0; }));
+}
+
+TEST(NewsExchange, WhenTheReaderIsGoneTheOtherReadsByItself)
+{
+  ReaderHears(1, true);
+  CHECK(Until([&] { return m_follower->MayFetch(); }));
+  m_reader->m_news.Stop();
+  m_reader.reset();
+  CHECK(Until([&] { return m_follower->m_direct; }));
+}
+
+TEST(NewsExchange, AReaderThatStopsSaysSo)
+{
+  CHECK(Until([&] { return m_reader->m_direct; }));
+  m_reader->m_news.Leave();
+  CHECK(Until([&] { return m_follower->m_direct; }));
+}
+
+TEST(NewsExchange, RecordsReachTheFollowerThoughItsOwnPathToTheLogIsCut)
+{
+  const auto follow = [this](Host& aHost, std::string& aTold) {
+    store::FollowOptions options;
+    options.m_topic = "t";
+    options.m_pause = 5ms;
+    options.m_newsFresh = 20s;
+    store::FollowEvents events;
+    events.m_onRecord = [&aTold](const store::Record& aRecord) { aTold += aRecord.m_key; };
+    auto topic =
+      std::make_shared<store::TopicFollower>(m_loop, aHost.m_log, options, std::move(events));
+    topic->Start();
+    aHost.m_news.AddTopic(topic);
+    return topic;
+  };
+  std::string toldReader;
+  std::string toldFollower;
+  const auto one = follow(*m_reader, toldReader);
+  const auto two = follow(*m_follower, toldFollower);
+  CHECK(Until([&] { return m_reader->m_direct && m_follower->m_others.Others(0) == 0; }));
+  m_follower->m_log.m_down = true;
+  m_reader->m_log.AppendKeyed("t", "k", "v", [](const auto&) {});
+  CHECK(Until([&] { return toldFollower == "k"; }));
+  STRCMP_EQUAL("k", toldReader.c_str());
+  one->Stop();
+  two->Stop();
+}
+
+TEST(NewsExchange, AnswersRubbishWithANumberedRefusal)
+{
+  CHECK(Until([&] { return m_reader->m_direct; }));
+  const auto peer = peers::DecodePeer(m_reader->m_log.m_topics["hosts"].front().m_value);
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + peer->m_address + "/news";
+  request.m_body = "rubbish";
+  int status = 0;
+  m_client->Fetch(std::move(request), [&](const net::ClientOutcome& aOutcome, const std::string&) {
+    status = aOutcome.m_status;
+  });
+  CHECK(Until([&] { return status != 0; }));
+  LONGS_EQUAL(400, status);
+}
