--- a/src/ferrytray/store/topic_news_test.cpp
+++ b/src/ferrytray/store/topic_news_test.cpp
@@ -146,3 +146,16 @@
   tail.Add(RecordOf(15, "k", std::string(100, 'v')));
   CHECK_FALSE(tail.Since(15).has_value()); // too large to be passed on
 }
+
+TEST(TopicNews, AHostWhoseOwnReadsFailTellsOthersToReadByThemselves)
+{
+  Hear(NewsOf(6, { RecordOf(5, "a", "2") }));
+  m_log.m_hang = false;
+  m_log.m_batches.push_back(base::Fail(base::ErrorCode::PlatformUnavailable, "down"));
+  m_log.m_batches.push_back(store::Batch{ 6, {} });
+  CHECK_FALSE(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+  m_follower->OnNewsEnded(); // reads, and fails
+  CHECK(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+  m_loop.Run(); // reads again; the fake ends the loop when it has no more answers
+  CHECK_FALSE(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+}
