Parts that a store confirmed freed are gone here, though its news of that are lost

Ruled out: parts saved anew on old weights (no engine ran them). Now the freer takes the store's answer as news; each host that gets the lease may still free them once.

--- a/include/ferrytray/cache/store_contents.hpp
+++ b/include/ferrytray/cache/store_contents.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>  // for int64_t, uint32_t, uint64_t
 #include <map>      // for map
 #include <optional> // for optional
+#include <span>     // for span
 
 #include "ferrytray/base/time.hpp"             // for Duration, TimePoint
 #include "ferrytray/cache/change_history.hpp"  // for ChangeHistory
@@ -49,6 +50,9 @@
   [[nodiscard]] const ContentsCursor& Cursor() const { return m_cursor; }
   /// @brief Digests come from another host from now on.
   void ForgetCursor() { m_cursor = {}; }
+  /// @brief The store confirmed that it freed these. A few of its news never arrive, and what is
+  /// believed to be there would be freed again and again.
+  void OnFreed(std::uint64_t aEpoch, std::span<const PartName> aParts);
   /// @brief This host asked an endpoint to save a part here.
   void OnSaveAsked(const PartName& aPart, std::uint32_t aTokens, base::TimePoint aNow);
 
--- a/src/ferrytray/cache/store_contents.cpp
+++ b/src/ferrytray/cache/store_contents.cpp
@@ -117,6 +117,15 @@
   m_history.Add(aChange);
 }
 
+void StoreContents::OnFreed(std::uint64_t aEpoch, std::span<const PartName> aParts)
+{
+  for (const PartName& part : aParts) {
+    if (aEpoch == m_epoch && m_parts.contains(part)) {
+      Apply({ part, 0, false });
+    }
+  }
+}
+
 void StoreContents::OnSaveAsked(const PartName& aPart, std::uint32_t aTokens, base::TimePoint aNow)
 {
   m_pending[aPart] = { aTokens, aNow + m_options.m_pendingFor };
--- a/src/ferrytray/cache/store_contents_test.cpp
+++ b/src/ferrytray/cache/store_contents_test.cpp
@@ -176,3 +176,12 @@
   });
   CHECK(held);
 }
+
+TEST(StoreContents, WhatThisHostFreedIsGoneThoughTheStoresNewsOfItAreLost)
+{
+  m_contents.OnNews(News(1, { { kPart, 400, true } }), false, kStart, kStart);
+  m_contents.OnFreed(2, std::vector{ kPart });
+  CHECK(m_contents.Parts().contains(kPart)); // of another epoch
+  m_contents.OnFreed(1, std::vector{ kPart });
+  CHECK_FALSE(m_contents.Parts().contains(kPart));
+}
--- a/src/ferrytray/relay/upkeep_duty.cpp
+++ b/src/ferrytray/relay/upkeep_duty.cpp
@@ -38,10 +38,14 @@
 void UpkeepDuty::Act(base::TimePoint)
 {
   for (const cache::FreeParts& parts : std::exchange(m_due, {})) {
-    m_freer.Free(parts, [store = parts.m_store, count = parts.m_parts.size()](bool aDone) {
+    m_freer.Free(parts, [this, parts](bool aDone) {
+      const auto store = m_core.m_stores.find(parts.m_store);
+      if (aDone && store != m_core.m_stores.end()) {
+        store->second.OnFreed(parts.m_epoch, parts.m_parts);
+      }
       telemetry::LogLine("parts_freed")
-        .Add("store", store)
-        .Add("parts", count)
+        .Add("store", parts.m_store)
+        .Add("parts", parts.m_parts.size())
         .Add("why", "no engine runs their weights")
         .Add("outcome", aDone ? "done" : "failed");
     });
