--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -6,15 +6,16 @@
 #include <set>        // for set
 #include <string>     // for string
 
-#include "ferrytray/base/error.hpp"           // for Result
-#include "ferrytray/cache/part_planner.hpp"   // for Stores
-#include "ferrytray/net/http_client.hpp"      // for HttpClient
-#include "ferrytray/net/http_server.hpp"      // for HttpServer
-#include "ferrytray/net/loop.hpp"             // for Loop
-#include "ferrytray/peers/messages.hpp"       // for NewsReply, NewsRequest
-#include "ferrytray/peers/roster.hpp"         // for Roster
-#include "ferrytray/store/record_log.hpp"     // for RecordLog
-#include "ferrytray/store/topic_follower.hpp" // for TopicFollower
+#include "ferrytray/base/error.hpp"            // for Result
+#include "ferrytray/cache/part_planner.hpp"    // for Stores
+#include "ferrytray/net/http_client.hpp"       // for HttpClient
+#include "ferrytray/net/http_server.hpp"       // for HttpServer
+#include "ferrytray/net/loop.hpp"              // for Loop
+#include "ferrytray/peers/fallback_reader.hpp" // for FallbackReader
+#include "ferrytray/peers/messages.hpp"        // for NewsReply, NewsRequest
+#include "ferrytray/peers/roster.hpp"          // for Roster
+#include "ferrytray/store/record_log.hpp"      // for RecordLog
+#include "ferrytray/store/topic_follower.hpp"  // for TopicFollower
 
 namespace ferrytray::peers {
 
@@ -72,6 +73,10 @@
   void AskSource(const Peer& aSource, base::TimePoint aNow);
   /// Exchanges loads with another reader.
   void AskReader(const Peer& aReader, base::TimePoint aNow);
+  /// Asks for the log's records only, while this host has lost the log.
+  void AskFallback(base::TimePoint aNow);
+  void OnFallbackReply(const Peer& aPeer, base::TimePoint aAskedAt, const NewsReply& aReply);
+  [[nodiscard]] std::vector<store::TopicCursor> TopicCursors() const;
   void Ask(const Peer& aPeer, const NewsRequest& aQuestion, base::TimePoint aNow);
   void OnReply(const Peer& aSource,
                base::TimePoint aAskedAt,
@@ -83,6 +88,8 @@
     const std::vector<store::TopicCursor>& aCursors,
     base::TimePoint aNow) const;
   void TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews, base::TimePoint aAskedAt) const;
+  [[nodiscard]] bool AllUsable(const std::vector<store::TopicNews>& aNews,
+                               base::TimePoint aAskedAt) const;
   /// News do not come any more: each topic is read by this host itself.
   void EndNewsOfTopics() const;
 
@@ -101,6 +108,7 @@
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
   std::optional<base::TimePoint> m_wasAskedAt;
+  FallbackReader m_fallback;
   std::set<std::string> m_asking; ///< names of hosts that have not answered yet
   bool m_direct = false;
   bool m_leaving = false;
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -72,6 +72,12 @@
   [[nodiscard]] std::optional<TopicCursor> Cursor() const;
   /// @brief What a host that has followed up to there does not know yet.
   [[nodiscard]] std::optional<TopicNews> NewsSince(Offset aFrom, base::TimePoint aNow);
+  /// @brief Whether the log did not answer this host's last read and nobody passes records on.
+  [[nodiscard]] bool IsAway() const { return m_away; }
+  /// @brief Whether OnNews() would go by these.
+  [[nodiscard]] bool IsUsable(const TopicNews& aNews,
+                              base::TimePoint aAskedAt,
+                              base::TimePoint aNow) const;
   [[nodiscard]] const std::string& Topic() const { return m_options.m_topic; }
   /// @brief News through another host. While they keep coming, this one does not read by itself.
   /// @param aAskedAt when that host was asked
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -1,8 +1,7 @@
 #include "ferrytray/peers/news_exchange.hpp"
 
-#include <algorithm> // for min
-#include <random>    // for random_device
-#include <utility>   // for exchange, move
+#include <random>  // for random_device
+#include <utility> // for exchange, move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -142,8 +141,10 @@
   }
   if (!m_direct) {
     AskSource(*source, now);
+    AskFallback(now);
     return;
   }
+  AskFallback(now);
   for (const Peer& reader : m_roster->OtherReaders(now)) {
     AskReader(reader, now);
   }
@@ -180,11 +181,7 @@
     cursor.m_store = address;
     question.m_cursors.push_back(std::move(cursor));
   }
-  for (const auto& topic : m_topics) {
-    if (const auto cursor = topic->Cursor()) {
-      question.m_topics.push_back(*cursor);
-    }
-  }
+  question.m_topics = TopicCursors();
   question.m_scope = LoadScope::Own;
   question.m_loads = m_ownLoads();
   Ask(aSource, question, aNow);
@@ -237,18 +234,27 @@
       .Add("host", aSource.m_name)
       .Add("why", reply.error().m_message);
     m_roster->OnMissed(aSource.m_name, now);
-    if (aSource.m_name == m_source) {
+    m_fallback.OnAnswer(aSource.m_name, false);
+    if (aSource.m_name == m_source && !m_fallback.Helped()) {
       EndNewsOfTopics();
     }
     return;
   }
   m_roster->OnAnswered(aSource.m_name);
-  m_loads.OnReport(aSource.m_name, LoadScope::Summary, reply->m_loads, now);
-  if (m_direct || aSource.m_name != m_source) {
+  const bool fromSource = !m_direct && aSource.m_name == m_source;
+  if (m_direct || fromSource) {
+    m_loads.OnReport(aSource.m_name, LoadScope::Summary, reply->m_loads, now);
+  }
+  if (!fromSource) {
+    if (aSource.m_name == m_fallback.Name() && !reply->m_topics.empty()) {
+      OnFallbackReply(aSource, aAskedAt, *reply);
+    }
     return; // this host reads by itself meanwhile, or asks another one
   }
   m_sourceIncarnation = reply->m_incarnation;
-  TakeNewsOfTopics(reply->m_topics, aAskedAt);
+  if (!m_fallback.Helped() || AllUsable(reply->m_topics, aAskedAt)) {
+    TakeNewsOfTopics(reply->m_topics, aAskedAt);
+  }
   for (const cache::ContentsDigest& digest : reply->m_stores) {
     const auto known = m_stores.find(digest.m_store);
     if (known != m_stores.end()) {
@@ -257,51 +263,6 @@
   }
 }
 
-std::vector<store::TopicNews> NewsExchange::NewsOfTopics(
-  const std::vector<store::TopicCursor>& aCursors,
-  base::TimePoint aNow) const
-{
-  std::vector<store::TopicNews> all;
-  for (const store::TopicCursor& cursor : aCursors) {
-    for (const auto& topic : m_topics) {
-      if (topic->Topic() != cursor.m_topic) {
-        continue;
-      }
-      if (auto news = topic->NewsSince(cursor.m_next, aNow)) {
-        all.push_back(std::move(*news));
-      }
-    }
-  }
-  // A read that is held open says nothing of the log for long; that of another topic does.
-  base::Duration age = base::Duration::max();
-  for (const store::TopicNews& news : all) {
-    age = std::min(age, news.m_age);
-  }
-  for (store::TopicNews& news : all) {
-    news.m_age = age;
-  }
-  return all;
-}
-
-void NewsExchange::TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews,
-                                    base::TimePoint aAskedAt) const
-{
-  for (const store::TopicNews& news : aNews) {
-    for (const auto& topic : m_topics) {
-      if (topic->Topic() == news.m_topic) {
-        topic->OnNews(news, aAskedAt);
-      }
-    }
-  }
-}
-
-void NewsExchange::EndNewsOfTopics() const
-{
-  for (const auto& topic : m_topics) {
-    topic->OnNewsEnded();
-  }
-}
-
 void NewsExchange::Answer(const net::HttpRequest& aRequest,
                           const std::shared_ptr<net::HttpReply>& aReply)
 {
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -1,5 +1,8 @@
 #include "ferrytray/peers/news_exchange.hpp"
 
+#include <array>  // for array
+#include <vector> // for vector
+
 #include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
 
 #include <CppUTest/TestHarness.h> // for TEST
@@ -19,23 +22,33 @@
   Host(net::Loop& aLoop,
        net::HttpClient& aClient,
        const std::string& aName,
-       std::uint32_t aCapacity)
-    : m_news(aLoop, aClient, m_log, m_stores, m_others, OptionsOf(aName, aCapacity))
+       std::uint32_t aCapacity,
+       const std::string& aZone = "z",
+       std::size_t aReaders = 1)
+    : m_news(aLoop,
+             aClient,
+             m_log,
+             m_stores,
+             m_others,
+             OptionsOf(aName, aCapacity, aZone, aReaders))
   {
-    m_stores.try_emplace(kStore, 10'000);
+    m_stores.try_emplace(kStore, cache::StoreTraits{ 10'000 });
     m_news.OnDirect([this](bool aDirect) { m_direct = aDirect; });
     m_news.OwnLoads([this] { return m_own; });
   }
 
-  static peers::NewsOptions OptionsOf(const std::string& aName, std::uint32_t aCapacity)
+  static peers::NewsOptions OptionsOf(const std::string& aName,
+                                      std::uint32_t aCapacity,
+                                      const std::string& aZone,
+                                      std::size_t aReaders)
   {
     peers::NewsOptions options;
     options.m_listen = { "127.0.0.1", 0 };
     options.m_name = aName;
-    options.m_zone = "z";
+    options.m_zone = aZone;
     options.m_capacity = aCapacity;
     options.m_topic = "hosts";
-    options.m_roster.m_readers = 1;
+    options.m_roster.m_readers = aReaders;
     options.m_askEvery = 5ms;
     options.m_lookAgain = 5ms;
     options.m_enrolRetry = 5ms;
@@ -166,6 +179,50 @@
   two->Stop();
 }
 
+// Load: the log turns some hosts away, among them the reader that others follow, and serves the
+// rest.
+TEST(NewsExchange, AHostWhoseReaderLostTheLogTooHearsOfRecordsFromAnotherReader)
+{
+  const auto make = [&](const char* aName, std::uint32_t aCapacity, const char* aZone) {
+    return std::make_unique<Host>(m_loop, *m_client, aName, aCapacity, aZone, 2);
+  };
+  std::vector<std::unique_ptr<Host>> hosts;
+  hosts.push_back(make("near", 9, "here"));
+  hosts.push_back(make("follower", 1, "here"));
+  hosts.push_back(make("far", 9, "there"));
+  std::vector<store::Record> records;
+  for (const auto& host : hosts) {
+    CHECK(host->m_news.Start().has_value());
+    records.push_back(host->m_log.m_topics["hosts"].front());
+    records.back().m_offset = records.size() - 1;
+  }
+  std::array<std::string, 3> told;
+  std::vector<std::shared_ptr<store::TopicFollower>> topics;
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i]->m_log.m_topics["hosts"] = records;
+    store::FollowOptions options;
+    options.m_topic = "t";
+    options.m_pause = 5ms;
+    options.m_newsFresh = 20s;
+    store::FollowEvents events;
+    events.m_onRecord = [&told, i](const store::Record& aRecord) { told[i] += aRecord.m_key; };
+    topics.push_back(
+      std::make_shared<store::TopicFollower>(m_loop, hosts[i]->m_log, options, std::move(events)));
+    topics.back()->Start();
+    hosts[i]->m_news.AddTopic(topics.back());
+  }
+  CHECK(Until([&] { return hosts[0]->m_direct && hosts[2]->m_direct && !hosts[1]->m_direct; }));
+  hosts[0]->m_log.m_down = true;
+  hosts[1]->m_log.m_down = true;
+  CHECK(Until([&] { return topics[0]->IsAway(); }));
+  hosts[2]->m_log.AppendKeyed("t", "k", "v", [](const auto&) {});
+  CHECK(Until([&] { return told[0] == "k" && told[1] == "k"; }));
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    topics[i]->Stop();
+    hosts[i]->m_news.Stop();
+  }
+}
+
 TEST(NewsExchange, AnswersRubbishWithANumberedRefusal)
 {
   CHECK(Until([&] { return m_reader->m_direct; }));
--- /dev/null
+++ b/src/ferrytray/peers/news_topics.cpp
@@ -0,0 +1,113 @@
+// The log's records through other hosts: what is passed on, and whom a host asks that lost the log.
+#include "ferrytray/peers/news_exchange.hpp"
+
+#include <algorithm> // for all_of, any_of, min
+#include <utility>   // for move
+
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+
+namespace ferrytray::peers {
+
+void NewsExchange::AskFallback(base::TimePoint aNow)
+{
+  const bool lost = std::any_of(
+    m_topics.begin(), m_topics.end(), [](const auto& aTopic) { return aTopic->IsAway(); });
+  const std::string& source = m_direct ? std::string() : m_source;
+  const auto reader = m_fallback.Pick(m_roster->OtherReaders(aNow), source, lost, aNow);
+  if (!reader) {
+    return;
+  }
+  NewsRequest question;
+  question.m_topics = TopicCursors();
+  question.m_scope = LoadScope::Summary;
+  if (m_direct) {
+    question.m_loads = Sum(m_loads.OwnReports(), m_ownLoads());
+  }
+  Ask(*reader, question, aNow);
+}
+
+void NewsExchange::OnFallbackReply(const Peer& aPeer,
+                                   base::TimePoint aAskedAt,
+                                   const NewsReply& aReply)
+{
+  const bool usable = AllUsable(aReply.m_topics, aAskedAt);
+  if (usable && !m_fallback.Helped()) {
+    telemetry::LogLine("asks_host")
+      .Add("host", aPeer.m_name)
+      .Add("address", aPeer.m_address)
+      .Add("why", "the log does not answer here");
+  }
+  m_fallback.OnAnswer(aPeer.m_name, usable);
+  if (usable) {
+    TakeNewsOfTopics(aReply.m_topics, aAskedAt);
+  }
+}
+
+std::vector<store::TopicCursor> NewsExchange::TopicCursors() const
+{
+  std::vector<store::TopicCursor> cursors;
+  for (const auto& topic : m_topics) {
+    if (const auto cursor = topic->Cursor()) {
+      cursors.push_back(*cursor);
+    }
+  }
+  return cursors;
+}
+
+bool NewsExchange::AllUsable(const std::vector<store::TopicNews>& aNews,
+                             base::TimePoint aAskedAt) const
+{
+  const base::TimePoint now = base::MonotonicNow();
+  return std::all_of(aNews.begin(), aNews.end(), [&](const store::TopicNews& aOne) {
+    return std::any_of(m_topics.begin(), m_topics.end(), [&](const auto& aTopic) {
+      return aTopic->Topic() == aOne.m_topic && aTopic->IsUsable(aOne, aAskedAt, now);
+    });
+  });
+}
+
+std::vector<store::TopicNews> NewsExchange::NewsOfTopics(
+  const std::vector<store::TopicCursor>& aCursors,
+  base::TimePoint aNow) const
+{
+  std::vector<store::TopicNews> all;
+  for (const store::TopicCursor& cursor : aCursors) {
+    for (const auto& topic : m_topics) {
+      if (topic->Topic() != cursor.m_topic) {
+        continue;
+      }
+      if (auto news = topic->NewsSince(cursor.m_next, aNow)) {
+        all.push_back(std::move(*news));
+      }
+    }
+  }
+  // A read that is held open says nothing of the log for long; that of another topic does.
+  base::Duration age = base::Duration::max();
+  for (const store::TopicNews& news : all) {
+    age = std::min(age, news.m_age);
+  }
+  for (store::TopicNews& news : all) {
+    news.m_age = age;
+  }
+  return all;
+}
+
+void NewsExchange::TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews,
+                                    base::TimePoint aAskedAt) const
+{
+  for (const store::TopicNews& news : aNews) {
+    for (const auto& topic : m_topics) {
+      if (topic->Topic() == news.m_topic) {
+        topic->OnNews(news, aAskedAt);
+      }
+    }
+  }
+}
+
+void NewsExchange::EndNewsOfTopics() const
+{
+  for (const auto& topic : m_topics) {
+    topic->OnNewsEnded();
+  }
+}
+
+} // namespace ferrytray::peers
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -173,13 +173,20 @@
   return news;
 }
 
+bool TopicFollower::IsUsable(const TopicNews& aNews,
+                             base::TimePoint aAskedAt,
+                             base::TimePoint aNow) const
+{
+  const bool fresh = aNow < aAskedAt - aNews.m_age + m_options.m_newsFresh;
+  const bool gap = !aNews.m_records.empty() && aNews.m_records.front().m_offset > m_next;
+  return m_loaded && !aNews.m_readYourself && fresh && !gap;
+}
+
 void TopicFollower::OnNews(const TopicNews& aNews, base::TimePoint aAskedAt)
 {
   const base::TimePoint now = base::MonotonicNow();
   const base::TimePoint contact = aAskedAt - aNews.m_age;
-  const bool usable = m_loaded && !aNews.m_readYourself && now < contact + m_options.m_newsFresh;
-  const bool gap = !aNews.m_records.empty() && aNews.m_records.front().m_offset > m_next;
-  if (m_stopped || !usable || gap) {
+  if (m_stopped || !IsUsable(aNews, aAskedAt, now)) {
     OnNewsEnded();
     return;
   }
