--- a/include/ferrytray/routing/engine_memory.hpp
+++ b/include/ferrytray/routing/engine_memory.hpp
@@ -20,9 +20,9 @@
   double m_shortPart = 1.0 / 16;
   /// Long prompts begin at an engine while open requests hold less than this part of its memory.
   /// A prompt over it would wait for another one's whole answer, which takes longer than a caller
-  /// wants to wait for its first token, and would push out what running ones hold. Tried 0.8, 0.95
-  /// and 1: mean benefit alike on heavy days, on calm ones 0.02 higher at 0.95 than at 0.8.
-  double m_longFill = 0.95;
+  /// wants to wait for its first token, and would push out what running ones hold. What other hosts
+  /// sent meanwhile is not known yet, hence less than all of it. Tried 0.65, 0.8, 0.95.
+  double m_longFill = 0.8;
   /// The same for short ones. Over 1, since other hosts' work is known late and they run ahead of
   /// long ones that wait.
   double m_shortFill = 1.3;
--- a/include/ferrytray/routing/placement.hpp
+++ b/include/ferrytray/routing/placement.hpp
@@ -42,8 +42,9 @@
   std::size_t m_home = 0;
 };
 
-/// @brief The first home of a key, or one of the next if that one is too busy or full; when those
-/// are full, too, the least busy of all. A choice that is full says that all are.
+/// @brief The first home of a key, or the least busy of its homes if that one is too busy or full.
+/// When it is full, too, the prompt is not sent further off: what is known of others' work is old
+/// by then, and many hosts would choose the same engine at once.
 [[nodiscard]] std::optional<Placement> PlaceAtHome(std::span<const PlacementCandidate> aOf,
                                                    const std::string& aKey,
                                                    const PlacementOptions& aOptions);
--- a/src/ferrytray/routing/placement.cpp
+++ b/src/ferrytray/routing/placement.cpp
@@ -66,14 +66,7 @@
     return workAt(aLeft) < workAt(aRight);
   };
   const std::size_t next = *std::min_element(homes.begin(), homes.end(), lessBusy);
-  if (!aOf[usable[next]].m_full) {
-    return Placement{ usable[next], usable[homes.front()] };
-  }
-  const std::size_t least =
-    *std::min_element(usable.begin(), usable.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return aOf[aLeft].m_work < aOf[aRight].m_work;
-    });
-  return Placement{ least, usable[homes.front()] };
+  return Placement{ usable[next], usable[homes.front()] };
 }
 
 } // namespace ferrytray::routing
