--- a/include/ferrytray/cache/part_planner.hpp
+++ b/include/ferrytray/cache/part_planner.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
-#include <cstdint>  // for int64_t, uint32_t
-#include <map>      // for map
-#include <optional> // for optional
-#include <span>     // for span
-#include <string>   // for string
-#include <vector>   // for vector
+#include <array>       // for array
+#include <cstddef>     // for size_t
+#include <cstdint>     // for int64_t, uint32_t, uint64_t, uint8_t
+#include <map>         // for map
+#include <optional>    // for optional
+#include <span>        // for span
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include "ferrytray/cache/store_contents.hpp" // for StoreContents
 
@@ -18,11 +21,28 @@
   std::uint32_t m_tokens = 0;
 };
 
+/// @brief What becomes of a part, and why it is read again if it is.
+enum class PartFate : std::uint8_t
+{
+  Unshared,  ///< the request's own, or of a prompt with few shared tokens
+  Fetched,   ///< a store has it
+  Saved,     ///< no store has it; it is read and saved
+  OnItsWay,  ///< another request is having it saved
+  NoRoom,    ///< no store has room for it
+  NoContact, ///< what stores hold is not known well enough now
+};
+
+inline constexpr std::size_t kPartFates = 6;
+
+/// @brief The word for it in logs.
+std::string_view ToString(PartFate aFate);
+
 /// @brief Where one part may come from and go to; addresses (IP:PORT), empty for nowhere.
 struct PartMoves
 {
   std::string m_fetchFrom;
   std::string m_saveTo;
+  PartFate m_fate = PartFate::Unshared;
 };
 
 /// @brief The moves of a prompt's parts, in their order.
@@ -31,6 +51,9 @@
   std::vector<PartMoves> m_moves;
   std::optional<std::int64_t> m_fetchUntil; ///< on the endpoints' clock (ms)
   [[nodiscard]] bool Empty() const;
+  /// @brief Tokens by fate, in the order of PartFate.
+  [[nodiscard]] std::array<std::uint64_t, kPartFates> Tokens(
+    std::span<const PlannedPart> aParts) const;
 };
 
 /// @brief All stores by address.
--- a/include/ferrytray/cache/store_contents.hpp
+++ b/include/ferrytray/cache/store_contents.hpp
@@ -63,6 +63,11 @@
   /// @brief This host asked an endpoint to save a part here.
   void OnSaveAsked(const PartName& aPart, std::uint32_t aTokens, base::TimePoint aNow);
 
+  /// @brief Whether what is known of the store is recent enough to go by.
+  [[nodiscard]] bool IsFresh(base::TimePoint aNow) const
+  {
+    return m_heardAt && aNow < *m_heardAt + m_options.m_freshFor;
+  }
   /// @brief Whether the part is whole here and may be fetched now.
   [[nodiscard]] bool MayFetch(const PartName& aPart, base::TimePoint aNow) const;
   /// @brief Whether a save of the part is on its way here, as far as this host knows.
--- a/include/ferrytray/relay/call_planner.hpp
+++ b/include/ferrytray/relay/call_planner.hpp
@@ -3,7 +3,9 @@
 #include <cstdint>  // for uint32_t, uint64_t
 #include <optional> // for optional
 #include <set>      // for set
+#include <span>     // for span
 #include <string>   // for string
+#include <vector>   // for vector
 
 #include "ferrytray/relay/admitted.hpp"       // for Admitted
 #include "ferrytray/relay/caller_request.hpp" // for CallerRequest
@@ -50,7 +52,10 @@
   [[nodiscard]] std::uint32_t RankOf(const Prompt& aPrompt, const std::string& aService) const;
   /// Its weights should have been replaced by now.
   [[nodiscard]] bool TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const;
-  [[nodiscard]] cache::PartPlan PlanParts(const std::string& aScope, const std::string& aHome);
+  [[nodiscard]] std::vector<cache::PlannedPart> PlannedParts() const;
+  [[nodiscard]] cache::PartPlan PlanParts(std::span<const cache::PlannedPart> aParts,
+                                          const std::string& aScope,
+                                          const std::string& aHome);
 
   RelayCore& m_core;
   const CallerRequest& m_request;
--- a/include/ferrytray/relay/endpoint_call.hpp
+++ b/include/ferrytray/relay/endpoint_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>    // for array
 #include <cstdint>  // for uint32_t, uint64_t
 #include <optional> // for optional
 #include <string>   // for string
@@ -20,8 +21,10 @@
   std::string m_account; ///< the client account's name; empty if the route needs none
   std::optional<std::uint64_t> m_resumeAfter;
   std::optional<fleet::WeightVersion> m_weights; ///< an endpoint with others refuses the request
-  std::string m_cacheScope;   ///< cached parts are found only under the same text
-  cache::PartPlan m_parts;    ///< where the prompt's parts come from and go to
+  std::string m_cacheScope; ///< cached parts are found only under the same text
+  cache::PartPlan m_parts;  ///< where the prompt's parts come from and go to
+  /// Prompt tokens by what becomes of their part (cache::PartFate).
+  std::array<std::uint64_t, cache::kPartFates> m_tokensByFate{};
   base::Duration m_maxIdle{}; ///< of a connection that is reused
   bool m_repeatable = false;
   /// Of a prompt: 0 is run first when not all can run at once.
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>     // for uint32_t
+#include <array>       // for array
+#include <cstdint>     // for uint32_t, uint64_t
 #include <memory>      // for shared_ptr
 #include <optional>    // for optional
 #include <set>         // for set
@@ -93,6 +94,8 @@
   std::string m_lastEndpoint;
   routing::Work m_lastWorkThere = 0; ///< for the log: what decided the last send
   bool m_lastAtHome = true;
+  std::array<std::uint64_t, cache::kPartFates> m_lastTokens{}; ///< by cache::PartFate
+  std::optional<base::TimePoint> m_beganAt;                    ///< the answer's first event
   bool m_done = false;
 };
 
--- a/src/ferrytray/cache/part_planner.cpp
+++ b/src/ferrytray/cache/part_planner.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/cache/part_planner.hpp"
 
-#include <algorithm> // for all_of, any_of, sort
+#include <algorithm> // for all_of, any_of, min, sort
 #include <cmath>     // for log
 #include <utility>   // for pair
 
@@ -19,8 +19,43 @@
   return tokens;
 }
 
+bool KnowsAny(const Stores& aStores, base::TimePoint aNow)
+{
+  return std::any_of(aStores.begin(), aStores.end(), [aNow](const auto& aStore) {
+    return aStore.second.IsFresh(aNow);
+  });
+}
+
 } // namespace
 
+std::string_view ToString(PartFate aFate)
+{
+  switch (aFate) {
+    case PartFate::Unshared:
+      return "unshared";
+    case PartFate::Fetched:
+      return "fetched";
+    case PartFate::Saved:
+      return "saved";
+    case PartFate::OnItsWay:
+      return "on_its_way";
+    case PartFate::NoRoom:
+      return "no_room";
+    case PartFate::NoContact:
+      break;
+  }
+  return "no_contact";
+}
+
+std::array<std::uint64_t, kPartFates> PartPlan::Tokens(std::span<const PlannedPart> aParts) const
+{
+  std::array<std::uint64_t, kPartFates> tokens{};
+  for (std::size_t i = 0; i < std::min(aParts.size(), m_moves.size()); ++i) {
+    tokens.at(static_cast<std::size_t>(m_moves[i].m_fate)) += aParts[i].m_tokens;
+  }
+  return tokens;
+}
+
 bool PartPlan::Empty() const
 {
   return std::all_of(m_moves.begin(), m_moves.end(), [](const PartMoves& aMoves) {
@@ -70,6 +105,7 @@
       }
     }
     if (!moves.m_fetchFrom.empty()) {
+      moves.m_fate = PartFate::Fetched;
       continue;
     }
     moves.m_fetchFrom = aPrompt.m_home;
@@ -77,12 +113,15 @@
       return aStore.second.Expects(name);
     });
     if (expected) {
+      moves.m_fate = PartFate::OnItsWay;
       continue;
     }
+    moves.m_fate = KnowsAny(aStores, aNow) ? PartFate::NoRoom : PartFate::NoContact;
     for (const std::string& address : ranked) {
       StoreContents& store = aStores.at(address);
       if (store.MaySave(name, part.m_tokens, aNow)) {
         moves.m_saveTo = address;
+        moves.m_fate = PartFate::Saved;
         store.OnSaveAsked(name, part.m_tokens, aNow);
         break;
       }
--- a/src/ferrytray/cache/store_contents.cpp
+++ b/src/ferrytray/cache/store_contents.cpp
@@ -133,17 +133,15 @@
 
 bool StoreContents::MayFetch(const PartName& aPart, base::TimePoint aNow) const
 {
-  const bool fresh = m_heardAt && aNow < *m_heardAt + m_options.m_freshFor;
-  return fresh && m_clockAhead && m_parts.contains(aPart);
+  return IsFresh(aNow) && m_clockAhead && m_parts.contains(aPart);
 }
 
 bool StoreContents::MaySave(const PartName& aPart,
                             std::uint32_t aTokens,
                             base::TimePoint aNow) const
 {
-  const bool fresh = m_heardAt && aNow < *m_heardAt + m_options.m_freshFor;
   const bool settled = m_epochSince && aNow >= *m_epochSince + m_options.m_settle;
-  if (!fresh || !settled || m_parts.contains(aPart) || m_pending.contains(aPart)) {
+  if (!IsFresh(aNow) || !settled || m_parts.contains(aPart) || m_pending.contains(aPart)) {
     return false;
   }
   std::uint64_t taken = m_used + aTokens;
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -120,7 +120,9 @@
     if (weights != endpoint.m_weights.end()) {
       call.m_weights = weights->second;
       call.m_cacheScope = PromptPlacement::CacheScope(model, weights->second, m_admitted.m_account);
-      call.m_parts = PlanParts(call.m_cacheScope, aTarget.m_home);
+      const std::vector<cache::PlannedPart> parts = PlannedParts();
+      call.m_parts = PlanParts(parts, call.m_cacheScope, aTarget.m_home);
+      call.m_tokensByFate = call.m_parts.Tokens(parts);
     } else {
       // Nobody else finds what was made on weights that this host does not know.
       call.m_cacheScope = "request." + m_request.m_id;
@@ -129,16 +131,23 @@
   return call;
 }
 
-cache::PartPlan CallPlanner::PlanParts(const std::string& aScope, const std::string& aHome)
+std::vector<cache::PlannedPart> CallPlanner::PlannedParts() const
 {
   std::vector<cache::PlannedPart> parts;
   for (const PromptPart& part : m_request.m_prompt->m_parts) {
     parts.push_back({ part.m_id, part.m_tokens });
   }
+  return parts;
+}
+
+cache::PartPlan CallPlanner::PlanParts(std::span<const cache::PlannedPart> aParts,
+                                       const std::string& aScope,
+                                       const std::string& aHome)
+{
   const double within =
     base::Seconds(m_admitted.m_route->m_targetLatency) * m_core.m_options.m_fetchShare;
   return m_core.m_parts.Plan(
-    { parts, aScope, aHome, base::FromSeconds(within) }, m_core.m_stores, base::MonotonicNow());
+    { aParts, aScope, aHome, base::FromSeconds(within) }, m_core.m_stores, base::MonotonicNow());
 }
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -98,6 +98,7 @@
   m_lastEndpoint = endpoint->m_incarnation;
   m_lastWorkThere = target.m_workThere;
   m_lastAtHome = target.m_home.empty();
+  m_lastTokens = call.m_tokensByFate;
   ++m_sends;
   m_core.m_board.OnSent(endpoint->m_incarnation, m_work);
   const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -194,6 +195,7 @@
   }
   if (!m_answerBegan) {
     m_answerBegan = true;
+    m_beganAt = base::MonotonicNow();
     m_core.m_admission[m_service].OnAnswering(*m_admission, base::MonotonicNow());
     if (m_core.m_leaving) {
       m_reply->CloseAfter();
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -95,8 +95,8 @@
   m_core.m_metrics.Count("requests_total{outcome=\"" + std::string(aOutcome) + "\"}");
   m_core.m_metrics.Observe("request_seconds", base::Seconds(took));
   const base::TimePoint contact = m_core.m_lastContact.value_or(m_arrival);
-  telemetry::LogLine("request")
-    .Add("request", m_request.m_id)
+  telemetry::LogLine line("request");
+  line.Add("request", m_request.m_id)
     .Add("route", m_admitted.m_route->m_name)
     .Add("configuration", m_admitted.m_configuration->Get().m_version)
     .Add("endpoint", m_lastEndpoint)
@@ -105,8 +105,16 @@
     .Add("sends", m_sends)
     .Add("took_ms", base::ToMillis(took))
     .Add("contact_age_ms", base::ToMillis(base::MonotonicNow() - contact))
+    .Add("target_ms", base::ToMillis(m_admitted.m_route->m_targetLatency))
     .Add("outcome", aOutcome)
     .Add("why", aWhy.empty() ? "-" : aWhy);
+  if (m_request.m_prompt) {
+    line.Add("began_ms", m_beganAt ? base::ToMillis(*m_beganAt - m_arrival) : -1L)
+      .Add("prompt_tokens", m_request.m_prompt->m_inputTokens);
+    for (std::size_t fate = 0; fate < m_lastTokens.size(); ++fate) {
+      line.Add(cache::ToString(static_cast<cache::PartFate>(fate)), m_lastTokens.at(fate));
+    }
+  }
 }
 
 } // namespace ferrytray::relay
--- a/tools/cli.hpp
+++ b/tools/cli.hpp
@@ -20,6 +20,7 @@
 ExitCode Explain(const settings::Settings& aSettings, const std::string& aRequest);
 /// Reads the platform hosts' logs ("-": standard input) instead of asking a gate.
 ExitCode ExplainFromLogs(const std::string& aRequest, const std::vector<std::string>& aLogs);
+ExitCode SummarizeLogs(const std::vector<std::string>& aLogs);
 ExitCode Drain(const settings::Settings& aSettings, const std::string& aEndpoint);
 
 /// A file read and checked by itself; problems are printed.
--- a/tools/cli_main.cpp
+++ b/tools/cli_main.cpp
@@ -101,6 +101,9 @@
   if (command == "explain" && words.size() == 1) {
     return Explain(aSettings, words.front());
   }
+  if (command == "summarize" && !words.empty()) {
+    return SummarizeLogs(words);
+  }
   if (command == "explain" && words.size() > 1) {
     return ExplainFromLogs(words.front(), { words.begin() + 1, words.end() });
   }
@@ -123,7 +126,7 @@
     settings::SettingsBuilder("ferrytray", "Operates ferrytray.")
       .AllowArguments(
         "validate FILE... | diff FILE... | apply FILE... | status | explain REQUEST [LOG...] "
-        "| drain ENDPOINT")
+        "| summarize LOG... | drain ENDPOINT")
       .Add({ "platform", "http://127.0.0.1:8090", "http://IP:PORT of the platform" })
       .Add({ "keeper-http", "http://127.0.0.1:8081", "http://IP:PORT of a keeper's status" })
       .Add({ "gate-http", "http://127.0.0.1:8080", "http://IP:PORT of a gate" })
--- a/tools/cli_story.cpp
+++ b/tools/cli_story.cpp
@@ -1,9 +1,11 @@
-// explain REQUEST LOG...: one request's story out of log files, without any running program.
+// explain REQUEST LOG... and summarize LOG...: one request's story, or a day's tables, out of
+// log files, without any running program.
 #include <algorithm> // for min
 #include <fstream>   // for ifstream
 #include <iostream>  // for cin, cout, cerr
 
 #include "cli.hpp"
+#include "ferrytray/telemetry/log_summary.hpp"   // for LogSummary
 #include "ferrytray/telemetry/request_story.hpp" // for RequestStory
 
 namespace ferrytray::cli {
@@ -23,38 +25,60 @@
   return prefix.substr(begin, end + 1 - begin) + " in " + aName;
 }
 
-void AddAll(std::istream& aFrom, const std::string& aName, telemetry::RequestStory& aTo)
+/// Calls with each line and the log that it is from; "-" is standard input.
+/// @return false if one cannot be read, which is told
+template<typename Call>
+bool ForEachLine(const std::vector<std::string>& aLogs, const Call& aCall)
 {
-  for (std::string line; std::getline(aFrom, line);) {
-    aTo.Add(LogOf(aName, line), line);
-  }
-}
-
-} // namespace
-
-ExitCode ExplainFromLogs(const std::string& aRequest, const std::vector<std::string>& aLogs)
-{
-  telemetry::RequestStory story(aRequest);
+  const auto all = [&aCall](std::istream& aFrom, const std::string& aName) {
+    for (std::string line; std::getline(aFrom, line);) {
+      aCall(LogOf(aName, line), line);
+    }
+  };
   for (const std::string& name : aLogs) {
     if (name == "-") {
-      AddAll(std::cin, "standard input", story);
+      all(std::cin, "standard input");
       continue;
     }
     std::ifstream file(name);
     if (!file) {
       std::cerr << "error " << static_cast<int>(base::ErrorCode::ConfigUnreadable)
                 << ": cannot read " << name << "\n";
-      return settings::kExitFailed;
+      return false;
     }
-    AddAll(file, name, story);
+    all(file, name);
   }
-  const std::string text = story.Render();
-  if (text.empty()) {
-    std::cerr << "no line of these logs names request " << aRequest << "\n";
+  return true;
+}
+
+ExitCode Print(const std::string& aText, const std::string& aWhenEmpty)
+{
+  if (aText.empty()) {
+    std::cerr << aWhenEmpty << "\n";
     return settings::kExitFailed;
   }
-  std::cout << text;
+  std::cout << aText;
   return settings::kExitOk;
 }
 
+} // namespace
+
+ExitCode ExplainFromLogs(const std::string& aRequest, const std::vector<std::string>& aLogs)
+{
+  telemetry::RequestStory story(aRequest);
+  const bool read = ForEachLine(
+    aLogs, [&](const std::string& aLog, const std::string& aLine) { story.Add(aLog, aLine); });
+  return read ? Print(story.Render(), "no line of these logs names request " + aRequest)
+              : settings::kExitFailed;
+}
+
+ExitCode SummarizeLogs(const std::vector<std::string>& aLogs)
+{
+  telemetry::LogSummary summary;
+  const bool read =
+    ForEachLine(aLogs, [&](const std::string&, const std::string& aLine) { summary.Add(aLine); });
+  return read ? Print(summary.Render(), "no request has ended in these logs")
+              : settings::kExitFailed;
+}
+
 } // namespace ferrytray::cli
