--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -21,7 +21,8 @@
   std::vector<cache::ContentsCursor> m_cursors; ///< of stores that it wants to hear of
   std::vector<store::TopicCursor> m_topics;     ///< that it follows through the other host
   LoadScope m_scope = LoadScope::Own;
-  EndpointLoads m_loads; ///< of this scope
+  EndpointLoads m_loads;  ///< of this scope
+  bool m_lostLog = false; ///< it cannot read the log itself
 };
 
 /// @brief The answer.
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -86,10 +86,12 @@
   void SetDirect(bool aDirect, const char* aWhy);
   [[nodiscard]] std::vector<store::TopicNews> NewsOfTopics(
     const std::vector<store::TopicCursor>& aCursors,
+    store::PassOn aMost,
     base::TimePoint aNow) const;
   void TakeNewsOfTopics(const std::vector<store::TopicNews>& aNews, base::TimePoint aAskedAt) const;
-  [[nodiscard]] bool AllUsable(const std::vector<store::TopicNews>& aNews,
-                               base::TimePoint aAskedAt) const;
+  /// The topic that these are of, if it can go by them; else null.
+  [[nodiscard]] store::TopicFollower* TopicFor(const store::TopicNews& aNews,
+                                               base::TimePoint aAskedAt) const;
   /// News do not come any more: each topic is read by this host itself.
   void EndNewsOfTopics() const;
 
--- a/include/ferrytray/store/record_tail.hpp
+++ b/include/ferrytray/store/record_tail.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>  // for size_t
+#include <cstdint>  // for uint8_t
 #include <deque>    // for deque
 #include <optional> // for optional
 #include <vector>   // for vector
@@ -9,6 +10,13 @@
 
 namespace ferrytray::store {
 
+/// @brief How much is passed on to another host at once.
+enum class PassOn : std::uint8_t
+{
+  Light, ///< it can read large records from the log itself
+  All,   ///< it has lost the log
+};
+
 struct TailOptions
 {
   std::size_t m_records = 512; ///< kept; a busy topic gets some tens a second
@@ -43,7 +51,8 @@
   }
 
   /// @brief The records from an offset on; empty if they are no longer kept or too large.
-  [[nodiscard]] std::optional<std::vector<Record>> Since(Offset aFrom) const;
+  [[nodiscard]] std::optional<std::vector<Record>> Since(Offset aFrom,
+                                                         PassOn aMost = PassOn::Light) const;
   [[nodiscard]] Offset End() const { return m_end; }
 
 private:
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -71,9 +71,13 @@
   /// @brief Up to where records are known; empty until the topic was read once.
   [[nodiscard]] std::optional<TopicCursor> Cursor() const;
   /// @brief What a host that has followed up to there does not know yet.
-  [[nodiscard]] std::optional<TopicNews> NewsSince(Offset aFrom, base::TimePoint aNow);
+  [[nodiscard]] std::optional<TopicNews> NewsSince(Offset aFrom,
+                                                   base::TimePoint aNow,
+                                                   PassOn aMost = PassOn::Light);
   /// @brief Whether the log did not answer this host's last read and nobody passes records on.
   [[nodiscard]] bool IsAway() const { return m_away; }
+  /// @brief Whether another host passes records on, so that this one does not read.
+  [[nodiscard]] bool IsByNews() const { return m_byNews; }
   /// @brief Whether OnNews() would go by these.
   [[nodiscard]] bool IsUsable(const TopicNews& aNews,
                               base::TimePoint aAskedAt,
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -120,7 +120,7 @@
 void serialize(Archive& aArchive, NewsRequest& aRequest)
 {
   aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
-  aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads);
+  aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads, aRequest.m_lostLog);
 }
 
 template<typename Archive>
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -252,9 +252,7 @@
     return; // this host reads by itself meanwhile, or asks another one
   }
   m_sourceIncarnation = reply->m_incarnation;
-  if (!m_fallback.Helped() || AllUsable(reply->m_topics, aAskedAt)) {
-    TakeNewsOfTopics(reply->m_topics, aAskedAt);
-  }
+  TakeNewsOfTopics(reply->m_topics, aAskedAt);
   for (const cache::ContentsDigest& digest : reply->m_stores) {
     const auto known = m_stores.find(digest.m_store);
     if (known != m_stores.end()) {
@@ -280,7 +278,8 @@
   m_loads.OnReport(question->m_sender.m_name, question->m_scope, question->m_loads, now);
   NewsReply reply;
   reply.m_incarnation = m_incarnation;
-  reply.m_topics = NewsOfTopics(question->m_topics, now);
+  reply.m_topics = NewsOfTopics(
+    question->m_topics, question->m_lostLog ? store::PassOn::All : store::PassOn::Light, now);
   reply.m_loads = m_ownLoads();
   if (question->m_scope == LoadScope::Own) {
     m_wasAskedAt = now;
--- a/src/ferrytray/peers/news_topics.cpp
+++ b/src/ferrytray/peers/news_topics.cpp
@@ -1,7 +1,7 @@
 // The log's records through other hosts: what is passed on, and whom a host asks that lost the log.
 #include "ferrytray/peers/news_exchange.hpp"
 
-#include <algorithm> // for all_of, any_of, min
+#include <algorithm> // for any_of, find_if, min
 #include <utility>   // for move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
@@ -19,6 +19,7 @@
   }
   NewsRequest question;
   question.m_topics = TopicCursors();
+  question.m_lostLog = true;
   question.m_scope = LoadScope::Summary;
   if (m_direct) {
     question.m_loads = Sum(m_loads.OwnReports(), m_ownLoads());
@@ -30,17 +31,25 @@
                                    base::TimePoint aAskedAt,
                                    const NewsReply& aReply)
 {
-  const bool usable = AllUsable(aReply.m_topics, aAskedAt);
-  if (usable && !m_fallback.Helped()) {
+  const bool helped = m_fallback.Helped();
+  bool usable = false;
+  for (const store::TopicNews& news : aReply.m_topics) {
+    if (store::TopicFollower* topic = TopicFor(news, aAskedAt)) {
+      // What this host reads itself needs no help.
+      const bool wanted = topic->IsAway() || topic->IsByNews();
+      usable = usable || wanted;
+      if (wanted) {
+        topic->OnNews(news, aAskedAt);
+      }
+    }
+  }
+  m_fallback.OnAnswer(aPeer.m_name, usable);
+  if (usable && !helped) {
     telemetry::LogLine("asks_host")
       .Add("host", aPeer.m_name)
       .Add("address", aPeer.m_address)
       .Add("why", "the log does not answer here");
   }
-  m_fallback.OnAnswer(aPeer.m_name, usable);
-  if (usable) {
-    TakeNewsOfTopics(aReply.m_topics, aAskedAt);
-  }
 }
 
 std::vector<store::TopicCursor> NewsExchange::TopicCursors() const
@@ -54,19 +63,20 @@
   return cursors;
 }
 
-bool NewsExchange::AllUsable(const std::vector<store::TopicNews>& aNews,
-                             base::TimePoint aAskedAt) const
+store::TopicFollower* NewsExchange::TopicFor(const store::TopicNews& aNews,
+                                             base::TimePoint aAskedAt) const
 {
-  const base::TimePoint now = base::MonotonicNow();
-  return std::all_of(aNews.begin(), aNews.end(), [&](const store::TopicNews& aOne) {
-    return std::any_of(m_topics.begin(), m_topics.end(), [&](const auto& aTopic) {
-      return aTopic->Topic() == aOne.m_topic && aTopic->IsUsable(aOne, aAskedAt, now);
-    });
+  const auto found = std::find_if(m_topics.begin(), m_topics.end(), [&](const auto& aTopic) {
+    return aTopic->Topic() == aNews.m_topic;
   });
+  const bool usable =
+    found != m_topics.end() && (*found)->IsUsable(aNews, aAskedAt, base::MonotonicNow());
+  return usable ? found->get() : nullptr;
 }
 
 std::vector<store::TopicNews> NewsExchange::NewsOfTopics(
   const std::vector<store::TopicCursor>& aCursors,
+  store::PassOn aMost,
   base::TimePoint aNow) const
 {
   std::vector<store::TopicNews> all;
@@ -75,7 +85,7 @@
       if (topic->Topic() != cursor.m_topic) {
         continue;
       }
-      if (auto news = topic->NewsSince(cursor.m_next, aNow)) {
+      if (auto news = topic->NewsSince(cursor.m_next, aNow, aMost)) {
         all.push_back(std::move(*news));
       }
     }
@@ -96,7 +106,9 @@
 {
   for (const store::TopicNews& news : aNews) {
     for (const auto& topic : m_topics) {
-      if (topic->Topic() == news.m_topic) {
+      // A reader that lost the log does not end what another one passes on.
+      const bool ofUse = !m_fallback.Helped() || TopicFor(news, aAskedAt) != nullptr;
+      if (topic->Topic() == news.m_topic && ofUse) {
         topic->OnNews(news, aAskedAt);
       }
     }
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// Engines of 70,000 tokens, of which a long prompt takes a sixth.
+constexpr std::uint64_t kEngineMemory = 70'000;
+constexpr std::uint32_t kLongPrompt = 12'000;
+
 /// Plain names; the platform's own are tested beside its adapter.
 class FakeFormat final : public relay::WireFormat
 {
@@ -27,6 +31,9 @@
     if (aRequest.Header("model") == "m") {
       request.m_prompt = relay::Prompt{ "m", 10, 10, { { "p", 10 } } };
     }
+    if (aRequest.Header("model") == "long") {
+      request.m_prompt = relay::Prompt{ "m", kLongPrompt, 10, { { "p", kLongPrompt } } };
+    }
     return request;
   }
   [[nodiscard]] net::ClientRequest WriteCall(const relay::CallerRequest&,
@@ -38,6 +45,7 @@
                           { "after",
                             aCall.m_resumeAfter ? std::to_string(*aCall.m_resumeAfter) : "" },
                           { "scope", aCall.m_cacheScope },
+                          { "rank", aCall.m_rank ? std::to_string(*aCall.m_rank) : "" },
                           { "weights", aCall.m_weights ? std::to_string(*aCall.m_weights) : "" } };
     return request;
   }
@@ -101,6 +109,10 @@
                              RouteOf("/again/", false, true),
                              RouteOf("/stream/", true, false),
                              RouteOf("/resume/", true, true) };
+  fleet::Service service;
+  service.m_name = "s";
+  service.m_engine = fleet::EngineTraits{ 64, kEngineMemory, 18'432, { "m" } };
+  configuration.m_services = { service };
   configuration.m_accounts = { { "lab", { "k" }, false, {} } };
   return std::make_shared<fleet::ConfigurationIndex>(std::move(configuration));
 }
@@ -379,3 +391,46 @@
   ask(10, 50);
   LONGS_EQUAL(1, m_client.m_calls.size());
 }
+
+TEST(Exchange, ALongPromptIsRefusedAtOnceWhenItsEnginesMemoryIsTaken)
+{
+  const auto taken = static_cast<std::uint16_t>(kEngineMemory / routing::kTokensPerWork);
+  m_core.m_otherLoads.OnReport("other",
+                               peers::LoadScope::Own,
+                               { { peers::TagOf("a"), taken }, { peers::TagOf("b"), taken } },
+                               base::MonotonicNow());
+  const auto refused = Ask("/stream/x", "k", "long");
+  LONGS_EQUAL(503, refused->m_status);
+  STRCMP_EQUAL("not_run", refused->Header("run").c_str());
+  STRCMP_EQUAL("yes", refused->Header("come-back").c_str());
+  LONGS_EQUAL(0, m_client.m_calls.size());
+  Ask("/stream/x", "k", "m");
+  LONGS_EQUAL(1, m_client.m_calls.size());
+}
+
+TEST(Exchange, OfEqualPriorityShortPromptsRankBeforeLongOnes)
+{
+  Ask("/stream/x", "k", "m");
+  STRCMP_EQUAL("0", Sent("rank").c_str());
+  Ask("/stream/x", "k", "long");
+  STRCMP_EQUAL("1", Sent("rank").c_str());
+  Ask("/once/x");
+  STRCMP_EQUAL("", Sent("rank").c_str());
+}
+
+// Load: more long prompts come at once than the engines that are left can hold. Those that are sent
+// fit; the others are refused without having cost anything.
+TEST(Exchange, ABurstOfLongPromptsIsSentAsFarAsMemoryGoes)
+{
+  constexpr int kBurst = 40;
+  int refused = 0;
+  std::vector<std::shared_ptr<support::FakeReply>> replies;
+  for (int i = 0; i < kBurst; ++i) {
+    replies.push_back(Ask("/stream/x", "k", "long"));
+    refused += replies.back()->m_status == 503 ? 1 : 0;
+  }
+  const auto sent = static_cast<int>(m_client.m_calls.size());
+  LONGS_EQUAL(kBurst, sent + refused);
+  CHECK(sent >= 2 * 5); // two engines, five prompts each
+  CHECK(static_cast<std::uint64_t>(sent) * kLongPrompt <= 2 * kEngineMemory);
+}
--- a/src/ferrytray/store/record_tail.cpp
+++ b/src/ferrytray/store/record_tail.cpp
@@ -2,7 +2,7 @@
 
 namespace ferrytray::store {
 
-std::optional<std::vector<Record>> RecordTail::Since(Offset aFrom) const
+std::optional<std::vector<Record>> RecordTail::Since(Offset aFrom, PassOn aMost) const
 {
   std::vector<Record> records;
   if (aFrom >= m_end) {
@@ -17,7 +17,7 @@
       continue;
     }
     bytes += record.m_key.size() + record.m_value.size();
-    if (bytes > m_options.m_passedOnBytes) {
+    if (aMost == PassOn::Light && bytes > m_options.m_passedOnBytes) {
       return std::nullopt;
     }
     records.push_back(record);
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -154,7 +154,7 @@
   return m_loaded ? std::optional(TopicCursor{ m_options.m_topic, m_next }) : std::nullopt;
 }
 
-std::optional<TopicNews> TopicFollower::NewsSince(Offset aFrom, base::TimePoint aNow)
+std::optional<TopicNews> TopicFollower::NewsSince(Offset aFrom, base::TimePoint aNow, PassOn aMost)
 {
   m_servedAt = aNow;
   if (!m_loaded || !m_contactAt) {
@@ -165,7 +165,7 @@
   news.m_end = m_tail.End();
   news.m_age = aNow - *m_contactAt;
   news.m_outages = m_outages;
-  std::optional<std::vector<Record>> records = m_tail.Since(aFrom);
+  std::optional<std::vector<Record>> records = m_tail.Since(aFrom, aMost);
   news.m_readYourself = m_away || !records;
   if (!news.m_readYourself) {
     news.m_records = std::move(*records);
@@ -212,6 +212,9 @@
   m_outagesThere.reset();
   if (std::exchange(m_byNews, false) && !m_stopped) {
     m_timer.reset();
+    // What made the other host lose the log may have silenced this one's idle connection to it,
+    // too.
+    m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
     ReadOn();
   }
 }
--- a/src/ferrytray/store/topic_news_test.cpp
+++ b/src/ferrytray/store/topic_news_test.cpp
@@ -129,6 +129,24 @@
   CHECK(m_follower->NewsSince(4, base::MonotonicNow())->m_readYourself);
 }
 
+// Load: the log turns some hosts away and resets or silences connections of others on the way.
+TEST(TopicNews, AfterTheyEndAReadThatNobodyAnswersIsGivenUpSoon)
+{
+  m_log.m_snapshots.push_back(store::Snapshot{ 5, {} });
+  store::FollowOptions options;
+  options.m_topic = "t";
+  options.m_wait = 20s;
+  options.m_waryFor = 10ms; // over by the time that news end
+  const auto follower = std::make_shared<store::TopicFollower>(
+    m_loop, m_log, options, store::FollowEvents{ [](const store::Record&) {}, {}, {}, {}, {} });
+  follower->Start();
+  m_loop.RunFor(30ms);
+  follower->OnNews(NewsOf(5, {}), base::MonotonicNow());
+  follower->OnNewsEnded();
+  CHECK(m_log.m_waits.back() == options.m_waryWait);
+  follower->Stop();
+}
+
 TEST_GROUP(RecordTail){};
 
 TEST(RecordTail, KeepsTheNewestAndSaysWhenTheyDoNotReach)
@@ -145,6 +163,8 @@
   CHECK_FALSE(tail.Since(11).has_value());
   tail.Add(RecordOf(15, "k", std::string(100, 'v')));
   CHECK_FALSE(tail.Since(15).has_value()); // too large to be passed on
+  // A host that has lost the log could not read it elsewhere.
+  LONGS_EQUAL(1, tail.Since(15, store::PassOn::All)->size());
 }
 
 TEST(TopicNews, AHostWhoseOwnReadsFailTellsOthersToReadByThemselves)
