--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -290,8 +290,10 @@
   }
   const int status = aAttempt.m_head ? aAttempt.m_head->m_status : 0;
   const AttemptFacts facts = FactsOf(aEnd, aAttempt);
-  const bool tryAgain =
-    MayTryAgain(facts, m_core.m_options.m_attempts) && m_core.m_retries.TryRepeat(m_service, now);
+  // The shared budget bounds what endpoints get beyond first sends; this one got nothing.
+  const bool arrived = aEnd != AttemptEnd::NotSent;
+  const bool tryAgain = MayTryAgain(facts, m_core.m_options.m_attempts) &&
+                        (!arrived || m_core.m_retries.TryRepeat(m_service, now));
   telemetry::LogLine("attempt_failed")
     .Add("request", m_request.m_id)
     .Add("endpoint", aAttempt.m_endpoint)
--- /dev/null
+++ b/src/ferrytray/relay/exchange_admission_test.cpp
@@ -0,0 +1,72 @@
+// What is sent and what is refused when engines are full or out of reach.
+#include <vector> // for vector
+
+#include "tests/support/exchange_fixture.hpp" // for ExchangeFixture
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using net::WireEnd;
+using support::kEngineMemory;
+using support::kLongPrompt;
+
+TEST_GROUP_BASE(ExchangeAdmission, support::ExchangeFixture){};
+
+// Load: a zone is cut off, and a quarter of all sends end without a connection. Their repeats must
+// not use up the budget, nor be refused when it is spent.
+TEST(ExchangeAdmission, WhatReachedNobodyIsSentElsewhereThoughTheBudgetOfRepeatsIsSpent)
+{
+  while (m_core.m_retries.TryRepeat("s", base::MonotonicNow())) {
+  }
+  const auto reply = Ask("/once/x");
+  m_client.End(WireEnd::NotSent);
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  m_client.Head(503, { { "not-run", "1" } });
+  m_client.End(WireEnd::Complete); // arrived: its repeat would be one of the budget
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  LONGS_EQUAL(503, reply->m_status);
+}
+
+TEST(ExchangeAdmission, ALongPromptIsRefusedAtOnceWhenItsEnginesMemoryIsTaken)
+{
+  const auto taken = static_cast<std::uint16_t>(kEngineMemory / routing::kTokensPerWork);
+  m_core.m_otherLoads.OnReport("other",
+                               peers::LoadScope::Own,
+                               { { peers::TagOf("a"), taken }, { peers::TagOf("b"), taken } },
+                               base::MonotonicNow());
+  const auto refused = Ask("/stream/x", "k", "long");
+  LONGS_EQUAL(503, refused->m_status);
+  STRCMP_EQUAL("not_run", refused->Header("run").c_str());
+  STRCMP_EQUAL("yes", refused->Header("come-back").c_str());
+  LONGS_EQUAL(0, m_client.m_calls.size());
+  Ask("/stream/x", "k", "m");
+  LONGS_EQUAL(1, m_client.m_calls.size());
+}
+
+TEST(ExchangeAdmission, OfEqualPriorityShortPromptsRankBeforeLongOnes)
+{
+  Ask("/stream/x", "k", "m");
+  STRCMP_EQUAL("0", Sent("rank").c_str());
+  Ask("/stream/x", "k", "long");
+  STRCMP_EQUAL("1", Sent("rank").c_str());
+  Ask("/once/x");
+  STRCMP_EQUAL("", Sent("rank").c_str());
+}
+
+// Load: more long prompts come at once than the engines that are left can hold. Those that are sent
+// fit; the others are refused without having cost anything.
+TEST(ExchangeAdmission, ABurstOfLongPromptsIsSentAsFarAsMemoryGoes)
+{
+  constexpr int kBurst = 40;
+  int refused = 0;
+  std::vector<std::shared_ptr<support::FakeReply>> replies;
+  for (int i = 0; i < kBurst; ++i) {
+    replies.push_back(Ask("/stream/x", "k", "long"));
+    refused += replies.back()->m_status == 503 ? 1 : 0;
+  }
+  const auto sent = static_cast<int>(m_client.m_calls.size());
+  LONGS_EQUAL(kBurst, sent + refused);
+  CHECK(sent >= 2 * 5); // two engines, five prompts each
+  CHECK(static_cast<std::uint64_t>(sent) * kLongPrompt <= 2 * kEngineMemory);
+}
--- /dev/null
+++ b/tests/support/exchange_fixture.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <memory>  // for make_shared, shared_ptr
+#include <string>  // for string, to_string
+#include <utility> // for move
+
+#include "ferrytray/relay/exchange.hpp"    // for Exchange, RelayCore
+#include "ferrytray/relay/relay_front.hpp" // for RelayFront
+#include "tests/support/fake_http.hpp"     // for FakeHttpClient, FakeReply
+
+#include <CppUTest/Utest.h> // for Utest
+
+namespace support {
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+// Engines of 70,000 tokens, of which a long prompt takes a sixth.
+inline constexpr std::uint64_t kEngineMemory = 70'000;
+inline constexpr std::uint32_t kLongPrompt = 12'000;
+
+/// Plain names; the platform's own are tested beside its adapter.
+class FakeFormat final : public relay::WireFormat
+{
+public:
+  [[nodiscard]] base::Result<relay::CallerRequest> ReadRequest(
+    net::HttpRequest aRequest) const override
+  {
+    relay::CallerRequest request;
+    request.m_id = std::string(aRequest.Header("id"));
+    request.m_hostName = "h";
+    request.m_path = aRequest.m_path;
+    request.m_key = std::string(aRequest.Header("key"));
+    request.m_deadline = 5s;
+    if (aRequest.Header("model") == "m") {
+      request.m_prompt = relay::Prompt{ "m", 10, 10, { { "p", 10 } } };
+    }
+    if (aRequest.Header("model") == "long") {
+      request.m_prompt = relay::Prompt{ "m", kLongPrompt, 10, { { "p", kLongPrompt } } };
+    }
+    return request;
+  }
+  [[nodiscard]] net::ClientRequest WriteCall(const relay::CallerRequest&,
+                                             const relay::EndpointCall& aCall) const override
+  {
+    net::ClientRequest request;
+    request.m_url = aCall.m_address;
+    request.m_headers = { { "to", aCall.m_incarnation },
+                          { "after",
+                            aCall.m_resumeAfter ? std::to_string(*aCall.m_resumeAfter) : "" },
+                          { "scope", aCall.m_cacheScope },
+                          { "rank", aCall.m_rank ? std::to_string(*aCall.m_rank) : "" },
+                          { "weights", aCall.m_weights ? std::to_string(*aCall.m_weights) : "" } };
+    return request;
+  }
+  [[nodiscard]] relay::ReplyHead ReadHead(int aStatus, const net::Headers& aHeaders) const override
+  {
+    relay::ReplyHead head;
+    head.m_status = aStatus;
+    head.m_forwarded = aHeaders;
+    head.m_signed = true;
+    head.m_requestId = "r1";
+    for (const auto& [name, value] : aHeaders) {
+      head.m_signed = head.m_signed && name != "unsigned";
+      head.m_notRun = head.m_notRun || name == "not-run";
+      head.m_misdirected = head.m_misdirected || name == "misdirected";
+      head.m_requestId = name == "id" ? value : head.m_requestId;
+      head.m_incarnation = name == "incarnation" ? value : head.m_incarnation;
+    }
+    return head;
+  }
+  [[nodiscard]] relay::OwnAnswer WriteFailure(const std::string&,
+                                              const base::Failure& aFailure) const override
+  {
+    const bool unknown = aFailure.m_run == base::RunState::Unknown;
+    return { unknown ? 502 : base::HttpStatus(aFailure.m_code),
+             { { "run", std::string(base::ToString(aFailure.m_run)) },
+               { "come-back", aFailure.m_retryAfter.count() > 0 ? "yes" : "no" } },
+             "" };
+  }
+};
+
+inline fleet::Endpoint EndpointOf(const std::string& aName)
+{
+  fleet::Endpoint endpoint;
+  endpoint.m_incarnation = aName;
+  endpoint.m_service = "s";
+  endpoint.m_address = aName + ":1";
+  endpoint.m_weights = { { "m", 1 } };
+  return endpoint;
+}
+
+inline fleet::Route RouteOf(const std::string& aPrefix, bool aStreaming, bool aRepeatable)
+{
+  fleet::Route route;
+  route.m_name = aPrefix;
+  route.m_hostName = "h";
+  route.m_pathPrefix = aPrefix;
+  route.m_services = { { "s", 1 } };
+  route.m_streaming = aStreaming;
+  route.m_idempotent = aRepeatable;
+  route.m_resumable = aRepeatable;
+  route.m_maxEndpoints = 2;
+  route.m_timeout = 5s;
+  return route;
+}
+
+inline fleet::ConfigurationPtr ConfigurationOf(std::uint64_t aVersion)
+{
+  fleet::Configuration configuration;
+  configuration.m_version = aVersion;
+  configuration.m_routes = { RouteOf("/once/", false, false),
+                             RouteOf("/again/", false, true),
+                             RouteOf("/stream/", true, false),
+                             RouteOf("/resume/", true, true) };
+  fleet::Service service;
+  service.m_name = "s";
+  service.m_engine = fleet::EngineTraits{ 64, kEngineMemory, 18'432, { "m" } };
+  configuration.m_services = { service };
+  configuration.m_accounts = { { "lab", { "k" }, false, {} } };
+  return std::make_shared<fleet::ConfigurationIndex>(std::move(configuration));
+}
+
+/// A host's core with two engines, a and b, and a front to ask.
+struct ExchangeFixture : public Utest
+{
+  net::Loop m_loop;
+  FakeHttpClient m_client;
+  FakeFormat m_format;
+  relay::RelayCore m_core{ m_loop, m_client, m_format, {} };
+  relay::RelayFront m_front{ m_core };
+
+  void setup() override
+  {
+    const base::TimePoint now = base::MonotonicNow();
+    m_core.m_configuration = ConfigurationOf(1);
+    m_core.m_lastContact = now;
+    m_core.m_directory.Upsert(EndpointOf("a"), now);
+    m_core.m_directory.Upsert(EndpointOf("b"), now);
+    for (int i = 0; i < 100; ++i) {
+      m_core.m_retries.OnFirstSend("s", now);
+    }
+  }
+
+  std::shared_ptr<FakeReply> Ask(const std::string& aPath,
+                                 const std::string& aKey = "k",
+                                 const std::string& aModel = "")
+  {
+    net::HttpRequest request;
+    request.m_path = aPath;
+    request.m_headers = { { "id", "r1" }, { "key", aKey }, { "model", aModel } };
+    auto reply = std::make_shared<FakeReply>();
+    m_front.Handle(std::move(request), reply);
+    return reply;
+  }
+
+  std::string Sent(const char* aHeader) const
+  {
+    for (const auto& [name, value] : m_client.m_calls.back().m_request.m_headers) {
+      if (name == aHeader) {
+        return value;
+      }
+    }
+    return "";
+  }
+};
+
+} // namespace support
