--- a/include/ferrytray/cache/store_upkeep.hpp
+++ b/include/ferrytray/cache/store_upkeep.hpp
@@ -46,6 +46,8 @@
   std::vector<FreeParts> Plan(const Stores& aStores,
                               const std::map<std::string, std::uint32_t>& aOldest,
                               base::TimePoint aNow);
+  /// @brief A store was asked to free what was planned.
+  void OnAsked(const std::string& aStore, base::TimePoint aNow);
 
 private:
   struct Floor
--- a/include/ferrytray/control/swap_planner.hpp
+++ b/include/ferrytray/control/swap_planner.hpp
@@ -58,6 +58,8 @@
                               base::TimePoint aNow);
   /// @brief Forgets orders sent (a new holder reads the actual state instead).
   void Reset() { m_ordered.clear(); }
+  /// @brief An order that was planned names another version when it is sent.
+  void Retarget(const std::string& aWorker, const std::string& aVersion);
   /// @brief Whether a worker was ordered and has not been seen to have swapped.
   [[nodiscard]] bool IsOrdered(const std::string& aWorker) const
   {
--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -62,8 +62,14 @@
   void NoteWeights(const std::string& aIncarnation,
                    const std::string& aModel,
                    WeightVersion aVersion);
+  /// @brief It was ordered to load these and should have them by now: requests name them, but they
+  /// prove nothing.
+  void NoteExpectedWeights(const std::string& aIncarnation,
+                           const std::string& aModel,
+                           WeightVersion aVersion);
   /// @brief An endpoint refused a request because it runs other weights than were named.
-  /// It does not say which: until there is proof, the newest named ones are the best guess.
+  /// It does not say which: the proven ones are guessed next, then the newest named ones, then those
+  /// in between, each once until there is proof or all were wrong.
   /// @param aNamed what the request named
   /// @param aNewest the newest that the operators have named
   void NoteOtherWeights(const std::string& aIncarnation,
@@ -85,8 +91,14 @@
   {
     Endpoint m_endpoint;
     std::optional<base::TimePoint> m_goneAt; ///< missing; dropped then unless it comes back
+    /// By model: guesses that it has refused since its weights were last known.
+    std::map<std::string, std::set<WeightVersion>> m_refused;
   };
 
+  [[nodiscard]] static WeightVersion Guess(const std::set<WeightVersion>& aRefused,
+                                           WeightVersion aProven,
+                                           WeightVersion aNewest);
+
   DirectoryOptions m_options;
   std::optional<base::TimePoint> m_sourceBackAt;
   std::map<std::string, Entry> m_entries;
--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -8,6 +8,7 @@
 #include "ferrytray/base/error.hpp"            // for Result
 #include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
 #include "ferrytray/peers/load_board.hpp"      // for EndpointLoads, LoadScope
+#include "ferrytray/peers/reload_board.hpp"    // for ReloadNotices
 #include "ferrytray/peers/roster.hpp"          // for Peer
 #include "ferrytray/store/topic_news.hpp"      // for TopicCursor, TopicNews
 
@@ -21,8 +22,9 @@
   std::vector<cache::ContentsCursor> m_cursors; ///< of stores that it wants to hear of
   std::vector<store::TopicCursor> m_topics;     ///< that it follows through the other host
   LoadScope m_scope = LoadScope::Own;
-  EndpointLoads m_loads;  ///< of this scope
-  bool m_lostLog = false; ///< it cannot read the log itself
+  EndpointLoads m_loads;   ///< of this scope
+  bool m_lostLog = false;  ///< it cannot read the log itself
+  ReloadNotices m_reloads; ///< that it ordered or heard of, if it is a reader
 };
 
 /// @brief The answer.
@@ -33,6 +35,7 @@
   std::vector<cache::ContentsDigest> m_stores;
   /// To a host that tells its own load: all others'. To one that tells a summary: this host's.
   EndpointLoads m_loads;
+  ReloadNotices m_reloads; ///< that it knows of
 };
 
 std::string Encode(const Peer& aPeer);
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -13,6 +13,7 @@
 #include "ferrytray/net/loop.hpp"              // for Loop
 #include "ferrytray/peers/fallback_reader.hpp" // for FallbackReader
 #include "ferrytray/peers/messages.hpp"        // for NewsReply, NewsRequest
+#include "ferrytray/peers/reload_board.hpp"    // for ReloadBoard
 #include "ferrytray/peers/roster.hpp"          // for Roster
 #include "ferrytray/store/record_log.hpp"      // for RecordLog
 #include "ferrytray/store/topic_follower.hpp"  // for TopicFollower
@@ -49,14 +50,19 @@
                store::RecordLog& aLog,
                cache::Stores& aStores,
                LoadBoard& aLoads,
+               ReloadBoard& aReloads,
                NewsOptions aOptions);
   /// @brief Listens, enrols in the topic and begins to ask. @return ListenFailed
   base::Result<void> Start();
   /// @brief A planned stop has begun: other hosts are to ask elsewhere.
   void Leave() { m_leaving = true; }
   void Stop();
+  /// @brief Tells the hosts that read for others of reloads at once, not at the next question.
+  void TellReloads();
   /// @brief Calls when this host is to begin or to stop to read from the stores itself.
   void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
+  /// @brief Calls when another host told of a reload that was not known.
+  void OnReloads(std::function<void()> aCall) { m_onReloads = std::move(aCall); }
   /// @brief Lets other hosts follow this topic through this one, and the reverse.
   void AddTopic(std::shared_ptr<store::TopicFollower> aTopic)
   {
@@ -84,6 +90,7 @@
                const std::string& aBody);
   void Answer(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply);
   void SetDirect(bool aDirect, const char* aWhy);
+  void TakeReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
   [[nodiscard]] std::vector<store::TopicNews> NewsOfTopics(
     const std::vector<store::TopicCursor>& aCursors,
     store::PassOn aMost,
@@ -100,12 +107,14 @@
   store::RecordLog& m_log;
   cache::Stores& m_stores;
   LoadBoard& m_loads;
+  ReloadBoard& m_reloads;
   NewsOptions m_options;
   std::uint64_t m_incarnation;
   std::optional<Roster> m_roster; ///< once the own address is known
   std::unique_ptr<net::HttpServer> m_server;
   std::vector<std::shared_ptr<store::TopicFollower>> m_topics;
   std::function<void(bool)> m_onDirect;
+  std::function<void()> m_onReloads;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
--- a/include/ferrytray/relay/call_planner.hpp
+++ b/include/ferrytray/relay/call_planner.hpp
@@ -51,6 +51,8 @@
   /// What the endpoint goes by when it cannot run all its prompts at once.
   [[nodiscard]] std::uint32_t RankOf(const Prompt& aPrompt, const std::string& aService) const;
   /// Its weights should have been replaced by now.
+  /// Engines whose announced reload is over are taken to have their new weights.
+  void NoteReloaded(base::TimePoint aNow);
   [[nodiscard]] bool TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const;
   [[nodiscard]] std::vector<cache::PlannedPart> PlannedParts() const;
   [[nodiscard]] cache::PartPlan PlanParts(std::span<const cache::PlannedPart> aParts,
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -17,6 +17,7 @@
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
 #include "ferrytray/peers/load_board.hpp"          // for LoadBoard
+#include "ferrytray/peers/reload_board.hpp"        // for ReloadBoard
 #include "ferrytray/relay/attempt_policy.hpp"      // for AttemptLimits
 #include "ferrytray/relay/prompt_placement.hpp"    // for PromptPlacement
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
@@ -80,6 +81,7 @@
   fleet::Directory m_directory;
   routing::EndpointBoard m_board;
   peers::LoadBoard m_otherLoads; ///< other hosts' requests
+  peers::ReloadBoard m_reloads;  ///< engines that load weights
   limits::RetryWindow m_retries;
   std::map<std::string, limits::AdmissionLimit> m_admission; ///< by service
   PromptPlacement m_placement;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -12,6 +12,7 @@
 #include "ferrytray/relay/store_watch.hpp"      // for StoreWatch
 #include "ferrytray/relay/upkeep_duty.hpp"      // for UpkeepDuty, PartFreer
 #include "ferrytray/rollout/rollout_driver.hpp" // for RolloutDriver
+#include "ferrytray/store/metered_log.hpp"      // for MeteredLog
 
 namespace ferrytray::relay {
 
@@ -62,12 +63,14 @@
 private:
   base::Result<void> Listen();
   [[nodiscard]] peers::EndpointLoads OwnLoads() const;
+  void OnReload(const rollout::PlannedReload& aReload);
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
   void CheckLeft();
 
   net::Loop& m_loop;
   HostOptions m_options;
   RelayCore m_core;
+  store::MeteredLog m_log;
   RelayFront m_front;
   StateFeeds m_feeds;
   StoreWatch m_stores;
@@ -78,6 +81,7 @@
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics;
   net::TimerHandle m_leaveTimer;
+  bool m_tellsReloads = false; ///< soon
   base::TimePoint m_leavingSince{};
   std::function<void()> m_onLeft;
 };
--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <map>    // for map
-#include <string> // for string
-#include <vector> // for vector
+#include <functional> // for function
+#include <map>        // for map
+#include <string>     // for string
+#include <vector>     // for vector
 
 #include "ferrytray/base/time.hpp"            // for Duration, TimePoint
 #include "ferrytray/control/order_lease.hpp"  // for OrderLease
@@ -25,10 +26,17 @@
   base::Duration m_stall = std::chrono::milliseconds(700);
   /// Hosts wait a random part of this before they try for the lease, so that one of them is first.
   base::Duration m_spread = std::chrono::milliseconds(300);
+  /// The same for duties, which are in no hurry: most hosts see them done before they try.
+  base::Duration m_dutySpread = std::chrono::milliseconds(3000);
   /// While another host holds the lease, the topic is read again after this.
   base::Duration m_watchEvery = std::chrono::milliseconds(1500);
   base::Duration m_readPatience = std::chrono::milliseconds(1000);
-  base::Duration m_stateEvery = std::chrono::milliseconds(250); ///< while an engine swaps
+  base::Duration m_stateEvery = std::chrono::milliseconds(150); ///< once a load may be over
+  /// An order is announced so long before it is sent. Hosts ask for news three times a second, so
+  /// they all know by then, and what was sent to the engine before has begun.
+  base::Duration m_announceAhead = std::chrono::milliseconds(350);
+  /// How long a load takes before one was seen here.
+  base::Duration m_usualLoad = std::chrono::milliseconds(1200);
   /// Part of a model's engines that may swap at once. Both sites slow loads down past a sixth or so
   /// (3 of 18, 2 of 14); in trials 0.34 cost a quarter of quiet-1's worth through lost capacity.
   double m_widthShare = 0.17;
@@ -41,6 +49,16 @@
   double m_standbyAfter = 0.5; ///< of m_due; then hosts on standby try, too
 };
 
+/// @brief An engine that begins nothing until its load is over.
+struct PlannedReload
+{
+  std::string m_incarnation;
+  std::string m_model;
+  fleet::WeightVersion m_version = 0;
+  base::TimePoint m_until;      ///< when the load should be over, or was
+  std::uint64_t m_revision = 0; ///< the higher one counts, also among hosts that order in turn
+};
+
 /// @brief Brings engines to the weights that the operators named. One host at a time gives orders.
 ///
 /// Level-triggered: it compares what the directory and the engines themselves say with what is
@@ -56,10 +74,15 @@
                 RolloutOptions aOptions);
   /// @brief Does this, too, while the lease is held. It must outlive the driver.
   void AddDuty(LeasedDuty& aDuty) { m_duties.push_back(&aDuty); }
+  /// @brief Calls with each reload when it is planned, and again when its end is known better.
+  void OnReload(std::function<void(const PlannedReload&)> aCall) { m_onReload = std::move(aCall); }
   void Start();
   /// @brief Whether this host leaves the orders to others unless they take very long. With many
   /// hosts, each one's looking at the lease is charged.
-  void SetStandby(bool aStandby) { m_standby = aStandby; }
+  void SetStandby(bool aStandby);
+  /// @brief Another host was heard to announce a reload: somebody gives orders. While that goes on
+  /// this host does not look at the lease, which would be charged.
+  void NoteOthersOrder(base::TimePoint aNow) { m_othersOrderedAt = aNow; }
   /// @brief Gives no orders any more.
   void Stop();
 
@@ -69,6 +92,10 @@
     bool m_asking = false;
     base::TimePoint m_askedAt{};
     std::optional<EngineState> m_state;
+    std::optional<base::TimePoint> m_orderAt; ///< an order is announced for then
+    std::optional<base::TimePoint> m_loadsSince;
+    std::optional<base::TimePoint> m_loadsUntil; ///< as expected
+    fleet::WeightVersion m_loads = 0;            ///< what it loads since then
   };
   struct Behind
   {
@@ -78,6 +105,7 @@
 
   void Tick();
   [[nodiscard]] bool EnginesBehind() const;
+  [[nodiscard]] bool OthersOrder(base::TimePoint aNow) const;
   [[nodiscard]] bool DutiesPending(base::TimePoint aNow) const;
   void KeepLease(base::TimePoint aNow);
   void ReadLease();
@@ -86,8 +114,15 @@
   [[nodiscard]] std::uint32_t WidthFor(const std::string& aModel,
                                        std::size_t aEngines,
                                        base::TimePoint aNow);
+  /// Announces an order; it is sent when hosts know of it.
+  void Announce(const control::SwapOrder& aOrder, const std::string& aModel, base::TimePoint aNow);
+  void OnOrdered(const std::string& aIncarnation, const WeightOrder& aOrder, OrderReply aReply);
+  /// Sends the announced orders that are due.
+  void SendDue(const std::string& aModel, fleet::WeightVersion aVersion, base::TimePoint aNow);
+  void Tell(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aUntil);
+  void NoteLoad(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aNow);
   void AskState(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aNow);
-  void Order(const control::SwapOrder& aOrder,
+  void Order(const std::string& aIncarnation,
              const std::string& aModel,
              fleet::WeightVersion aVersion);
   [[nodiscard]] control::WorkerVersion ViewOf(const fleet::Endpoint& aEngine,
@@ -104,9 +139,13 @@
   std::map<std::string, base::TimePoint> m_behindSince;   ///< by model; until all engines follow
   std::map<std::string, Engine> m_engines;                ///< by incarnation
   std::vector<LeasedDuty*> m_duties;
+  std::function<void(const PlannedReload&)> m_onReload;
+  base::Duration m_usualLoad; ///< learnt
+  std::uint64_t m_revision = 0;
   net::TimerHandle m_timer;
   base::TimePoint m_lastTick{};
   std::optional<base::TimePoint> m_tryFrom;
+  std::optional<base::TimePoint> m_othersOrderedAt;
   base::TimePoint m_readAt{};
   bool m_reading = false;
   bool m_wasHolder = false;
--- a/include/ferrytray/telemetry/log_summary.hpp
+++ b/include/ferrytray/telemetry/log_summary.hpp
@@ -11,7 +11,7 @@
 namespace ferrytray::telemetry {
 
 /// @brief What a day's logs say as a whole: by route how requests ended, when answers began, what
-/// became of prompt tokens; and why sends failed and requests were refused.
+/// became of prompt tokens; why sends failed and requests were refused; calls to the record log.
 class LogSummary
 {
 public:
@@ -35,6 +35,7 @@
   std::map<std::string, Route> m_routes;
   std::map<std::string, std::uint64_t> m_failedSends; ///< by how they ended
   std::map<std::string, std::uint64_t> m_ownAnswers;  ///< by code
+  std::map<std::string, std::uint64_t> m_logCalls;    ///< by kind and topic
 };
 
 } // namespace ferrytray::telemetry
--- a/src/ferrytray/cache/store_upkeep.cpp
+++ b/src/ferrytray/cache/store_upkeep.cpp
@@ -31,11 +31,15 @@
       }
     }
     if (!free.m_parts.empty()) {
-      m_asked[address] = aNow;
       plan.push_back(std::move(free));
     }
   }
   return plan;
 }
 
+void StoreUpkeep::OnAsked(const std::string& aStore, base::TimePoint aNow)
+{
+  m_asked[aStore] = aNow;
+}
+
 } // namespace ferrytray::cache
--- a/src/ferrytray/cache/store_upkeep_test.cpp
+++ b/src/ferrytray/cache/store_upkeep_test.cpp
@@ -40,6 +40,8 @@
   LONGS_EQUAL(7, plan[0].m_epoch);
   LONGS_EQUAL(1, plan[0].m_parts.size());
   STRCMP_EQUAL("old", plan[0].m_parts[0].m_id.c_str());
+  LONGS_EQUAL(1, m_upkeep.Plan(m_stores, { { "m", 2 } }, kStart + 26s).size());
+  m_upkeep.OnAsked("s:1", kStart + 26s);
   CHECK(m_upkeep.Plan(m_stores, { { "m", 2 } }, kStart + 27s).empty());
   LONGS_EQUAL(1, m_upkeep.Plan(m_stores, { { "m", 2 } }, kStart + 29s).size());
 }
--- a/src/ferrytray/control/swap_planner.cpp
+++ b/src/ferrytray/control/swap_planner.cpp
@@ -34,6 +34,14 @@
   return orders;
 }
 
+void SwapPlanner::Retarget(const std::string& aWorker, const std::string& aVersion)
+{
+  const auto found = m_ordered.find(aWorker);
+  if (found != m_ordered.end()) {
+    found->second.m_version = aVersion;
+  }
+}
+
 void SwapPlanner::ForgetSettled(std::span<const WorkerVersion> aWorkers, base::TimePoint aNow)
 {
   for (const WorkerVersion& worker : aWorkers) {
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -75,6 +75,19 @@
     WeightVersion& proven = found->second.m_endpoint.m_provenWeights[aModel];
     proven = std::max(proven, aVersion);
     found->second.m_endpoint.m_weights[aModel] = proven;
+    found->second.m_refused.erase(aModel);
+  }
+}
+
+void Directory::NoteExpectedWeights(const std::string& aIncarnation,
+                                    const std::string& aModel,
+                                    WeightVersion aVersion)
+{
+  const auto found = m_entries.find(aIncarnation);
+  if (found != m_entries.end()) {
+    WeightVersion& believed = found->second.m_endpoint.m_weights[aModel];
+    believed = std::max(believed, aVersion);
+    found->second.m_refused.erase(aModel);
   }
 }
 
@@ -91,9 +104,28 @@
   if (believed != aNamed) {
     return; // learnt since that request was sent
   }
+  std::set<WeightVersion>& refused = found->second.m_refused[aModel];
+  refused.insert(aNamed);
   const WeightVersion proven = found->second.m_endpoint.m_provenWeights[aModel];
-  const bool triedNewest = aNamed >= aNewest;
-  believed = triedNewest ? std::max(proven, aNewest - std::min(aNewest, 1U)) : aNewest;
+  const WeightVersion newest = std::max(aNewest, proven);
+  if (refused.size() > newest - proven) {
+    refused = { aNamed }; // all were wrong: it has changed meanwhile
+  }
+  believed = Guess(refused, proven, newest);
+}
+
+WeightVersion Directory::Guess(const std::set<WeightVersion>& aRefused,
+                               WeightVersion aProven,
+                               WeightVersion aNewest)
+{
+  if (!aRefused.contains(aProven)) {
+    return aProven;
+  }
+  WeightVersion guess = aNewest;
+  while (guess > aProven && aRefused.contains(guess)) {
+    --guess;
+  }
+  return guess;
 }
 
 void Directory::Expire(base::TimePoint aNow)
--- a/src/ferrytray/fleet/directory_test.cpp
+++ b/src/ferrytray/fleet/directory_test.cpp
@@ -102,6 +102,38 @@
   LONGS_EQUAL(2, Believed("a"));
 }
 
+// Load: whoever announced a load stood still before it gave the order, and newer weights were
+// named.
+TEST(Directory, AnEngineThatDidNotLoadWhatWasAnnouncedIsFoundAgainByItsProvenWeights)
+{
+  m_directory.Upsert(Engine("a", 1), kStart);
+  m_directory.NoteExpectedWeights("a", "model", 2);
+  LONGS_EQUAL(2, Believed("a"));
+  m_directory.NoteOtherWeights("a", "model", 2, 3);
+  LONGS_EQUAL(1, Believed("a"));
+}
+
+TEST(Directory, WhenAllGuessesWereWrongTheyAreMadeAnew)
+{
+  m_directory.Upsert(Engine("a", 1), kStart);
+  m_directory.NoteOtherWeights("a", "model", 1, 2);
+  LONGS_EQUAL(2, Believed("a"));
+  m_directory.NoteOtherWeights("a", "model", 2, 2);
+  LONGS_EQUAL(1, Believed("a"));
+  m_directory.NoteOtherWeights("a", "model", 1, 2);
+  LONGS_EQUAL(2, Believed("a"));
+}
+
+TEST(Directory, ExpectedWeightsProveNothingAndTakeNothingBack)
+{
+  m_directory.Upsert(Engine("a", 3), kStart);
+  m_directory.NoteExpectedWeights("a", "model", 2);
+  LONGS_EQUAL(3, Believed("a"));
+  m_directory.NoteExpectedWeights("a", "model", 4);
+  LONGS_EQUAL(4, Believed("a"));
+  LONGS_EQUAL(3, m_directory.Find("a")->m_provenWeights.at("model"));
+}
+
 TEST(Directory, AnEntryWithoutNewsDoesNotOverruleAGuess)
 {
   m_directory.Upsert(Engine("a", 1), kStart);
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -71,7 +71,7 @@
 namespace {
 
 /// Both ends are of one version but while hosts are replaced; another version's bytes are refused.
-constexpr std::uint32_t kFormat = 0x66740003;
+constexpr std::uint32_t kFormat = 0x66740004;
 
 template<typename Message>
 std::string Write(const Message& aMessage)
@@ -116,17 +116,26 @@
   aArchive(aLoad.m_endpoint, aLoad.m_work);
 }
 
+template<typename Archive>
+void serialize(Archive& aArchive, ReloadNotice& aNotice)
+{
+  aArchive(aNotice.m_endpoint, aNotice.m_model, aNotice.m_version);
+  aArchive(aNotice.m_endsInMillis, aNotice.m_revision);
+}
+
 template<typename Archive>
 void serialize(Archive& aArchive, NewsRequest& aRequest)
 {
   aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
   aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads, aRequest.m_lostLog);
+  aArchive(aRequest.m_reloads);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, NewsReply& aReply)
 {
   aArchive(aReply.m_incarnation, aReply.m_topics, aReply.m_stores, aReply.m_loads);
+  aArchive(aReply.m_reloads);
 }
 
 std::string Encode(const Peer& aPeer)
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -11,9 +11,14 @@
 
 TEST(PeerMessages, ComeBackAsTheyWere)
 {
-  peers::NewsRequest request{ { "h", "z", "10.0.0.1:7" }, 9,
-                              { { "s:1", 2, 3 } },        { { "t", 8 } },
-                              peers::LoadScope::Summary,  { { 5, 6 } } };
+  peers::NewsRequest request{ { "h", "z", "10.0.0.1:7" },
+                              9,
+                              { { "s:1", 2, 3 } },
+                              { { "t", 8 } },
+                              peers::LoadScope::Summary,
+                              { { 5, 6 } },
+                              false,
+                              { { 4, "m", 3, -200, 17 } } };
   const auto readRequest = peers::DecodeNewsRequest(peers::Encode(request));
   CHECK(readRequest.has_value());
   CHECK(readRequest->m_sender == request.m_sender);
@@ -22,8 +27,9 @@
   LONGS_EQUAL(3, readRequest->m_cursors.at(0).m_next);
   CHECK(readRequest->m_scope == peers::LoadScope::Summary);
   LONGS_EQUAL(6, readRequest->m_loads.at(0).m_work);
+  LONGS_EQUAL(-200, readRequest->m_reloads.at(0).m_endsInMillis);
 
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
   reply.m_topics.push_back({ "t", 9, { { 8, "key", "value", false } }, false, 3ms, 2 });
@@ -35,6 +41,9 @@
   STRCMP_EQUAL("p", digest.m_changes.at(0).m_part.m_id.c_str());
   CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
   LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
+  const peers::ReloadNotice& notice = readReply->m_reloads.at(0);
+  CHECK(notice.m_endpoint == 4 && notice.m_version == 3 && notice.m_endsInMillis == 900);
+  CHECK(notice.m_model == "m" && notice.m_revision == 17);
   const store::TopicNews& news = readReply->m_topics.at(0);
   CHECK(news.m_end == 9 && news.m_age == 3ms && news.m_outages == 2 && !news.m_readYourself);
   STRCMP_EQUAL("value", news.m_records.at(0).m_value.c_str());
@@ -42,7 +51,7 @@
 
 TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
 {
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } } };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -41,12 +41,14 @@
                            store::RecordLog& aLog,
                            cache::Stores& aStores,
                            LoadBoard& aLoads,
+                           ReloadBoard& aReloads,
                            NewsOptions aOptions)
   : m_loop(aLoop)
   , m_client(aClient)
   , m_log(aLog)
   , m_stores(aStores)
   , m_loads(aLoads)
+  , m_reloads(aReloads)
   , m_options(std::move(aOptions))
   , m_incarnation(RandomNumber())
 {
@@ -129,6 +131,7 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   m_loads.Expire(now);
+  m_reloads.Expire(now);
   if (!m_looked) {
     return; // nobody is known yet
   }
@@ -192,9 +195,32 @@
   NewsRequest question;
   question.m_scope = LoadScope::Summary;
   question.m_loads = Sum(m_loads.OwnReports(), m_ownLoads());
+  question.m_reloads = m_reloads.Notices(aNow);
   Ask(aReader, question, aNow);
 }
 
+void NewsExchange::TellReloads()
+{
+  const base::TimePoint now = base::MonotonicNow();
+  if (m_stopped || !m_looked) {
+    return;
+  }
+  for (const Peer& reader : m_roster->OtherReaders(now)) {
+    AskReader(reader, now);
+  }
+}
+
+void NewsExchange::TakeReloads(const ReloadNotices& aNotices, base::TimePoint aNow)
+{
+  std::size_t taken = 0;
+  for (const ReloadNotice& notice : aNotices) {
+    taken += m_reloads.OnNotice(notice, aNow) ? 1 : 0;
+  }
+  if (taken > 0 && m_onReloads) {
+    m_onReloads();
+  }
+}
+
 void NewsExchange::Ask(const Peer& aPeer, const NewsRequest& aQuestion, base::TimePoint aNow)
 {
   if (!m_asking.insert(aPeer.m_name).second) {
@@ -241,6 +267,7 @@
     return;
   }
   m_roster->OnAnswered(aSource.m_name);
+  TakeReloads(reply->m_reloads, now);
   const bool fromSource = !m_direct && aSource.m_name == m_source;
   if (m_direct || fromSource) {
     m_loads.OnReport(aSource.m_name, LoadScope::Summary, reply->m_loads, now);
@@ -275,9 +302,11 @@
   }
   const base::TimePoint now = base::MonotonicNow();
   m_roster->Learn(question->m_sender);
+  TakeReloads(question->m_reloads, now);
   m_loads.OnReport(question->m_sender.m_name, question->m_scope, question->m_loads, now);
   NewsReply reply;
   reply.m_incarnation = m_incarnation;
+  reply.m_reloads = m_reloads.Notices(now);
   reply.m_topics = NewsOfTopics(
     question->m_topics, question->m_lostLog ? store::PassOn::All : store::PassOn::Light, now);
   reply.m_loads = m_ownLoads();
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -30,6 +30,7 @@
              m_log,
              m_stores,
              m_others,
+             m_reloads,
              OptionsOf(aName, aCapacity, aZone, aReaders))
   {
     m_stores.try_emplace(kStore, cache::StoreTraits{ 10'000 });
@@ -61,6 +62,7 @@
   support::MemoryRecordLog m_log;
   cache::Stores m_stores;
   peers::LoadBoard m_others;
+  peers::ReloadBoard m_reloads;
   peers::EndpointLoads m_own;
   bool m_direct = false;
   peers::NewsExchange m_news;
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -28,6 +28,7 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   m_core.m_directory.Expire(now);
+  NoteReloaded(now);
   const fleet::Service* service = m_admitted.m_configuration->FindService(aService);
   const std::uint32_t connections = service == nullptr ? 0 : service->m_maxConnections;
   const std::uint32_t most =
@@ -40,11 +41,13 @@
       continue;
     }
     endpoints.push_back(endpoint);
-    const routing::Work work = m_core.m_board.OpenWork(endpoint->m_incarnation) +
-                               m_core.m_otherLoads.Others(peers::TagOf(endpoint->m_incarnation));
+    const peers::EndpointTag tag = peers::TagOf(endpoint->m_incarnation);
+    const routing::Work work =
+      m_core.m_board.OpenWork(endpoint->m_incarnation) + m_core.m_otherLoads.Others(tag);
+    const bool reloading = m_request.m_prompt && m_core.m_reloads.IsReloading(tag, now);
     candidates.push_back({ endpoint->m_incarnation,
                            work,
-                           m_core.m_board.Avoided(endpoint->m_incarnation, now),
+                           reloading || m_core.m_board.Avoided(endpoint->m_incarnation, now),
                            IsFull(service, work) });
   }
   if (!m_request.m_prompt) {
@@ -63,6 +66,18 @@
            candidates[place->m_chosen].m_full };
 }
 
+void CallPlanner::NoteReloaded(base::TimePoint aNow)
+{
+  for (const peers::ReloadedWeights& ended : m_core.m_reloads.TakeEnded(aNow)) {
+    for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
+      if (peers::TagOf(endpoint->m_incarnation) == ended.m_endpoint) {
+        m_core.m_directory.NoteExpectedWeights(
+          endpoint->m_incarnation, ended.m_model, ended.m_version);
+      }
+    }
+  }
+}
+
 bool CallPlanner::IsFull(const fleet::Service* aService, routing::Work aOpen) const
 {
   if (!m_request.m_prompt || aService == nullptr || !aService->m_engine ||
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -29,18 +29,20 @@
   : m_loop(aLoop)
   , m_options(std::move(aOptions))
   , m_core(aLoop, aPorts.m_client, aPorts.m_wire, m_options.m_relay)
+  , m_log(aPorts.m_log, m_core.m_metrics)
   , m_front(m_core)
-  , m_feeds(m_core, aPorts.m_log, aPorts.m_records, m_options.m_feeds)
+  , m_feeds(m_core, m_log, aPorts.m_records, m_options.m_feeds)
   , m_stores(m_core, aPorts.m_stores)
   , m_news(aLoop,
            aPorts.m_client,
-           aPorts.m_log,
+           m_log,
            m_core.m_stores,
            m_core.m_otherLoads,
+           m_core.m_reloads,
            WithTopic(m_options.m_peers, aPorts.m_records))
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
-              aPorts.m_log,
+              m_log,
               m_core.m_directory,
               aPorts.m_orders,
               m_core.m_wanted,
@@ -62,6 +64,7 @@
     m_news.AddTopic(std::move(topic));
   }
   m_news.OwnLoads([this] { return OwnLoads(); });
+  m_news.OnReloads([this] { m_rollout.NoteOthersOrder(base::MonotonicNow()); });
   if (base::Result<void> news = m_news.Start(); !news) {
     return news;
   }
@@ -69,6 +72,7 @@
   m_feeds.Start();
   m_rollout.SetStandby(true); // until it is known to be one of those that read
   m_rollout.AddDuty(m_upkeep);
+  m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReload(aReload); });
   m_rollout.Start();
   telemetry::LogLine("start")
     .Add("callers", net::ToString(CallerAddress()))
@@ -131,6 +135,26 @@
   return loads;
 }
 
+void RelayHost::OnReload(const rollout::PlannedReload& aReload)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aReload.m_until - now).count();
+  m_core.m_reloads.OnNotice({ peers::TagOf(aReload.m_incarnation),
+                              aReload.m_model,
+                              aReload.m_version,
+                              static_cast<std::int32_t>(left),
+                              aReload.m_revision },
+                            now);
+  if (!std::exchange(m_tellsReloads, true)) {
+    // Reloads are planned many at a time.
+    m_loop.Post([this] {
+      m_tellsReloads = false;
+      m_news.TellReloads();
+    });
+  }
+}
+
 void RelayHost::AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const
 {
   const bool ready = m_feeds.Loaded() && !m_core.m_leaving;
--- a/src/ferrytray/relay/upkeep_duty.cpp
+++ b/src/ferrytray/relay/upkeep_duty.cpp
@@ -28,16 +28,18 @@
 
 bool UpkeepDuty::Pending(base::TimePoint aNow)
 {
-  if (m_due.empty() && aNow >= m_lookedAt + kLookEvery) {
+  // Looked at again though something is due: another host may have done it meanwhile.
+  if (aNow >= m_lookedAt + kLookEvery) {
     m_lookedAt = aNow;
     m_due = m_upkeep.Plan(m_core.m_stores, OldestWeights(m_core.m_directory), aNow);
   }
   return !m_due.empty();
 }
 
-void UpkeepDuty::Act(base::TimePoint)
+void UpkeepDuty::Act(base::TimePoint aNow)
 {
   for (const cache::FreeParts& parts : std::exchange(m_due, {})) {
+    m_upkeep.OnAsked(parts.m_store, aNow);
     m_freer.Free(parts, [this, parts](bool aDone) {
       const auto store = m_core.m_stores.find(parts.m_store);
       if (aDone && store != m_core.m_stores.end()) {
--- a/src/ferrytray/rollout/rollout_driver.cpp
+++ b/src/ferrytray/rollout/rollout_driver.cpp
@@ -1,8 +1,9 @@
 #include "ferrytray/rollout/rollout_driver.hpp"
 
 #include <algorithm> // for max, stable_sort
+#include <cmath>     // for floor
 #include <random>    // for random_device
-#include <utility>   // for move
+#include <utility>   // for exchange, move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -29,6 +30,20 @@
 /// execution takes up to 12 s, but then the engine's order count has moved on).
 constexpr base::Duration kConfirmWithin = std::chrono::milliseconds(3000);
 
+/// An engine that loads for longer than usual is taken to need so much more.
+constexpr base::Duration kStillLoads = std::chrono::milliseconds(300);
+
+/// Reports are asked for from this part of a usual load on.
+constexpr double kAskFrom = 0.8;
+
+/// Reports come late, never early: the usual time follows shorter loads at once and longer ones
+/// slowly.
+constexpr double kFollowShorter = 0.5;
+constexpr double kFollowLonger = 0.1;
+
+/// Changes of one lease's reloads, far more than there are in its time.
+constexpr unsigned kRevisionBits = 24;
+
 } // namespace
 
 RolloutDriver::RolloutDriver(net::Loop& aLoop,
@@ -44,13 +59,16 @@
   , m_wanted(aWanted)
   , m_options(std::move(aOptions))
   , m_lease(m_options.m_self, m_options.m_lease)
+  , m_usualLoad(m_options.m_usualLoad)
 {
 }
 
 void RolloutDriver::Start()
 {
   m_lastTick = base::MonotonicNow();
-  ReadLease();
+  if (!m_standby) {
+    ReadLease();
+  }
   m_timer = m_loop.Every(m_options.m_tick, [this] { Tick(); });
 }
 
@@ -80,13 +98,14 @@
     m_behindSince.try_emplace(model, now);
   }
   if (!m_tryFrom) {
-    const auto spread = static_cast<std::uint64_t>(m_options.m_spread.count());
+    const base::Duration most = behind ? m_options.m_spread : m_options.m_dutySpread;
+    const auto spread = static_cast<std::uint64_t>(most.count());
     m_tryFrom = now + base::Duration(m_wasHolder ? 0 : std::random_device{}() % (spread + 1));
     if (m_standby && !m_wasHolder) {
       *m_tryFrom += base::FromSeconds(m_options.m_standbyAfter * base::Seconds(m_options.m_due));
     }
   }
-  if (now < *m_tryFrom) {
+  if (now < *m_tryFrom || OthersOrder(now)) {
     return;
   }
   KeepLease(now);
@@ -94,6 +113,7 @@
     return;
   }
   for (const auto& [model, version] : m_wanted) {
+    SendDue(model, version, now);
     Drive(model, version, now);
   }
   for (LeasedDuty* duty : m_duties) {
@@ -101,6 +121,24 @@
   }
 }
 
+void RolloutDriver::SetStandby(bool aStandby)
+{
+  if (std::exchange(m_standby, aStandby) && !aStandby && m_timer && m_lease.NeedsRead()) {
+    ReadLease(); // a holder's time is counted from when it was first read
+  }
+}
+
+bool RolloutDriver::OthersOrder(base::TimePoint aNow) const
+{
+  if (m_wasHolder || !m_othersOrderedAt) {
+    return false;
+  }
+  const base::Duration standby =
+    base::FromSeconds(m_options.m_standbyAfter * base::Seconds(m_options.m_due));
+  const base::Duration silence = m_standby ? standby : m_options.m_watchEvery;
+  return aNow < *m_othersOrderedAt + silence;
+}
+
 bool RolloutDriver::DutiesPending(base::TimePoint aNow) const
 {
   // Each is asked: one that has nothing to do keeps itself up to date by it.
@@ -222,11 +260,13 @@
     return std::stoul(aLeft.m_version) < std::stoul(aRight.m_version);
   });
   auto [planner, isNew] = m_planners.try_emplace(
-    aModel, control::SwapOptions{ .m_maxConcurrent = 1, .m_confirmTimeout = kConfirmWithin });
+    aModel,
+    control::SwapOptions{ .m_maxConcurrent = 1,
+                          .m_confirmTimeout = kConfirmWithin + m_options.m_announceAhead });
   planner->second.SetMaxConcurrent(WidthFor(aModel, workers.size(), aNow));
   const std::string wanted = std::to_string(aVersion);
   for (const control::SwapOrder& order : planner->second.Plan(wanted, workers, aNow)) {
-    Order(order, aModel, aVersion);
+    Announce(order, aModel, aNow);
   }
   for (const control::WorkerVersion& worker : workers) {
     const bool underWay = worker.m_swapping || planner->second.IsOrdered(worker.m_worker);
@@ -236,6 +276,94 @@
   }
 }
 
+void RolloutDriver::OnOrdered(const std::string& aIncarnation,
+                              const WeightOrder& aOrder,
+                              OrderReply aReply)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  if (aReply == OrderReply::Refused) {
+    Tell(aIncarnation, aOrder.m_model, now);
+    return;
+  }
+  Engine& engine = m_engines[aIncarnation];
+  engine.m_loads = aOrder.m_version;
+  engine.m_loadsSince = now;
+  engine.m_loadsUntil = aReply == OrderReply::Holds ? now : now + m_usualLoad;
+  Tell(aIncarnation, aOrder.m_model, *engine.m_loadsUntil);
+}
+
+void RolloutDriver::Announce(const control::SwapOrder& aOrder,
+                             const std::string& aModel,
+                             base::TimePoint aNow)
+{
+  Engine& engine = m_engines[aOrder.m_worker];
+  engine.m_orderAt = aNow + m_options.m_announceAhead;
+  engine.m_loadsSince.reset();
+  engine.m_loadsUntil.reset();
+  Tell(aOrder.m_worker, aModel, *engine.m_orderAt + m_usualLoad);
+}
+
+void RolloutDriver::SendDue(const std::string& aModel,
+                            fleet::WeightVersion aVersion,
+                            base::TimePoint aNow)
+{
+  std::vector<std::string> due;
+  for (const auto& [incarnation, engine] : m_engines) {
+    const fleet::Endpoint* endpoint = m_directory.Find(incarnation);
+    const bool runsIt = endpoint != nullptr && endpoint->m_provenWeights.contains(aModel);
+    if (runsIt && engine.m_orderAt && *engine.m_orderAt <= aNow) {
+      due.push_back(incarnation);
+    }
+  }
+  std::stable_sort(due.begin(), due.end(), [&](const auto& aLeft, const auto& aRight) {
+    return m_directory.Find(aLeft)->m_provenWeights.at(aModel) <
+           m_directory.Find(aRight)->m_provenWeights.at(aModel);
+  });
+  for (const std::string& incarnation : due) {
+    m_engines[incarnation].m_orderAt.reset();
+    const auto planner = m_planners.find(aModel);
+    if (planner != m_planners.end()) {
+      // Newer weights may have been named since it was announced.
+      planner->second.Retarget(incarnation, std::to_string(aVersion));
+    }
+    Order(incarnation, aModel, aVersion);
+  }
+}
+
+void RolloutDriver::Tell(const std::string& aIncarnation,
+                         const std::string& aModel,
+                         base::TimePoint aUntil)
+{
+  if (m_onReload) {
+    const std::uint64_t revision = (m_lease.Fence() << kRevisionBits) + ++m_revision;
+    m_onReload({ aIncarnation, aModel, m_wanted.at(aModel), aUntil, revision });
+  }
+}
+
+void RolloutDriver::NoteLoad(const std::string& aIncarnation,
+                             const std::string& aModel,
+                             base::TimePoint aNow)
+{
+  Engine& engine = m_engines[aIncarnation];
+  if (!engine.m_loadsSince || !engine.m_state) {
+    return;
+  }
+  const bool over = !engine.m_state->m_busy && engine.m_state->m_weights >= engine.m_loads;
+  if (over) {
+    const base::Duration took = aNow - *engine.m_loadsSince;
+    const double follow = took < m_usualLoad ? kFollowShorter : kFollowLonger;
+    m_usualLoad += base::FromSeconds(follow * base::Seconds(took - m_usualLoad));
+    engine.m_loadsSince.reset();
+    if (aNow < *engine.m_loadsUntil) {
+      Tell(aIncarnation, aModel, aNow);
+    }
+    engine.m_loadsUntil.reset();
+  } else if (engine.m_state->m_busy && *engine.m_loadsUntil <= aNow) {
+    engine.m_loadsUntil = aNow + kStillLoads;
+    Tell(aIncarnation, aModel, *engine.m_loadsUntil);
+  }
+}
+
 std::uint32_t RolloutDriver::WidthFor(const std::string& aModel,
                                       std::size_t aEngines,
                                       base::TimePoint aNow)
@@ -244,7 +372,10 @@
   const bool late =
     base::Seconds(aNow - since) > m_options.m_lateAfter * base::Seconds(m_options.m_due);
   const double share = late ? m_options.m_lateWidthShare : m_options.m_widthShare;
-  return std::max(1U, static_cast<std::uint32_t>(share * static_cast<double>(aEngines)));
+  const double loading = std::max(1.0, std::floor(share * static_cast<double>(aEngines)));
+  // Those whose order is announced come on top: they take no load yet.
+  const double ahead = base::Seconds(m_options.m_announceAhead) / base::Seconds(m_usualLoad);
+  return static_cast<std::uint32_t>(loading * (1 + ahead));
 }
 
 void RolloutDriver::AskState(const std::string& aIncarnation,
@@ -253,7 +384,9 @@
 {
   Engine& engine = m_engines[aIncarnation];
   const fleet::Endpoint* endpoint = m_directory.Find(aIncarnation);
-  const bool soon = aNow < engine.m_askedAt + m_options.m_stateEvery;
+  const base::Duration early = base::FromSeconds(kAskFrom * base::Seconds(m_usualLoad));
+  const bool soon = aNow < engine.m_askedAt + m_options.m_stateEvery ||
+                    (engine.m_loadsSince && aNow < *engine.m_loadsSince + early);
   if (engine.m_asking || soon || endpoint == nullptr) {
     return;
   }
@@ -279,36 +412,39 @@
       if (aState->m_weights) {
         m_directory.NoteWeights(aIncarnation, aModel, *aState->m_weights);
       }
+      NoteLoad(aIncarnation, aModel, base::MonotonicNow());
     });
 }
 
-void RolloutDriver::Order(const control::SwapOrder& aOrder,
+void RolloutDriver::Order(const std::string& aIncarnation,
                           const std::string& aModel,
                           fleet::WeightVersion aVersion)
 {
-  const fleet::Endpoint* endpoint = m_directory.Find(aOrder.m_worker);
+  const fleet::Endpoint* endpoint = m_directory.Find(aIncarnation);
   if (endpoint == nullptr) {
     return;
   }
   // The engine's own count of orders makes one that arrives late do nothing.
-  m_engines[aOrder.m_worker].m_askedAt = base::MonotonicNow();
+  m_engines[aIncarnation].m_askedAt = base::MonotonicNow();
   m_sink.ReadState(
-    *endpoint, aModel, [this, aOrder, aModel, aVersion](std::optional<EngineState> aState) {
-      const fleet::Endpoint* engine = m_directory.Find(aOrder.m_worker);
+    *endpoint, aModel, [this, aIncarnation, aModel, aVersion](std::optional<EngineState> aState) {
+      const fleet::Endpoint* engine = m_directory.Find(aIncarnation);
       const bool stillWanted = m_wanted.at(aModel) == aVersion;
       if (!aState || engine == nullptr || !stillWanted || !m_lease.MayOrder(base::MonotonicNow())) {
+        Tell(aIncarnation, aModel, base::MonotonicNow());
         return; // the planner orders again after kConfirmWithin
       }
-      m_engines[aOrder.m_worker].m_state = aState;
+      m_engines[aIncarnation].m_state = aState;
       WeightOrder order;
       order.m_model = aModel;
       order.m_version = aVersion;
       order.m_holder = m_options.m_self;
       order.m_fence = m_lease.Fence();
       order.m_expectedOrders = aState->m_ordersTaken;
-      m_sink.Send(*engine, order, [aOrder, order](OrderReply aReply) {
+      m_sink.Send(*engine, order, [this, aIncarnation, order](OrderReply aReply) {
+        OnOrdered(aIncarnation, order, aReply);
         telemetry::LogLine("weight_order")
-          .Add("endpoint", aOrder.m_worker)
+          .Add("endpoint", aIncarnation)
           .Add("version", order.m_version)
           .Add("fence", order.m_fence)
           .Add("expected_orders", order.m_expectedOrders)
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -1,5 +1,6 @@
 #include "ferrytray/rollout/rollout_driver.hpp"
 
+#include <algorithm>  // for all_of
 #include <functional> // for function
 #include <optional>   // for optional
 #include <utility>    // for pair
@@ -23,6 +24,7 @@
             base::Duration,
             store::Done<store::Batch> aDone) override
   {
+    ++m_reads;
     store::Batch batch;
     batch.m_end = m_records.size();
     for (store::Offset i = aFrom; i < m_records.size(); ++i) {
@@ -49,6 +51,7 @@
   {
   }
 
+  std::size_t m_reads = 0;
   std::vector<std::string> m_records;
 };
 
@@ -96,6 +99,9 @@
     m_options.m_tick = 1ms;
     m_options.m_spread = {};
     m_options.m_stateEvery = 1ms;
+    m_options.m_announceAhead = {};
+    m_options.m_announceAhead = {};
+    m_options.m_usualLoad = 1ms; // the fake engines load at once
   }
 
   void AddEngine(const std::string& aName, fleet::WeightVersion aVersion)
@@ -116,15 +122,26 @@
     driver.Stop();
   }
 
-  void RunUntilOrders(std::size_t aCount)
+  void RunUntil(const std::function<bool()>& aCondition)
   {
     rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
     driver.Start();
-    for (int i = 0; i < 2000 && m_engines.m_orders.size() < aCount; ++i) {
+    for (int i = 0; i < 2000 && !aCondition(); ++i) {
       m_loop.RunFor(5ms);
     }
     driver.Stop();
   }
+  void RunUntilOrders(std::size_t aCount)
+  {
+    RunUntil([&] { return m_engines.m_orders.size() >= aCount; });
+  }
+  bool AllRun(fleet::WeightVersion aVersion) const
+  {
+    const std::vector<const fleet::Endpoint*> all = m_directory.All();
+    return std::all_of(all.begin(), all.end(), [&](const fleet::Endpoint* aEngine) {
+      return aEngine->m_provenWeights.at("m") == aVersion;
+    });
+  }
 };
 
 TEST(RolloutDriver, WithNothingToDoNoLeaseIsTaken)
@@ -142,7 +159,7 @@
     AddEngine(name, 1);
   }
   m_wanted["m"] = 2;
-  RunUntilOrders(7);
+  RunUntil([&] { return AllRun(2); });
   LONGS_EQUAL(7, m_engines.m_orders.size());
   for (const auto& [name, order] : m_engines.m_orders) {
     LONGS_EQUAL(2, order.m_version);
@@ -220,3 +237,117 @@
   CHECK_FALSE(m_engines.m_orders.empty());
   CHECK(base::MonotonicNow() - start >= 200ms);
 }
+
+TEST(RolloutDriver, AnEngineIsAnnouncedBeforeItIsOrdered)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_options.m_announceAhead = 60ms;
+  m_options.m_usualLoad = 500ms;
+  std::vector<rollout::PlannedReload> told;
+  base::TimePoint toldAt{};
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  driver.OnReload([&](const rollout::PlannedReload& aReload) {
+    toldAt = told.empty() ? base::MonotonicNow() : toldAt;
+    told.push_back(aReload);
+    CHECK(told.size() > 1 || m_engines.m_orders.empty());
+  });
+  driver.Start();
+  for (int i = 0; i < 2000 && m_engines.m_orders.empty(); ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  CHECK_FALSE(told.empty());
+  CHECK(base::MonotonicNow() - toldAt >= 60ms);
+  STRCMP_EQUAL("e1", told[0].m_incarnation.c_str());
+  LONGS_EQUAL(2, told[0].m_version);
+  CHECK(told[0].m_until - toldAt >= 500ms);
+}
+
+// Load: a second version is named seconds after the first one.
+TEST(RolloutDriver, NewerWeightsNamedBeforeAnAnnouncedOrderAreLoadedInItsPlace)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_options.m_announceAhead = 50ms;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  std::uint64_t revision = 0;
+  driver.OnReload([&](const rollout::PlannedReload& aReload) {
+    m_wanted["m"] = 3;
+    CHECK(aReload.m_revision > revision);
+    revision = aReload.m_revision;
+  });
+  driver.Start();
+  for (int i = 0; i < 2000 && m_directory.Find("e1")->m_provenWeights.at("m") != 3; ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  LONGS_EQUAL(1, m_engines.m_orders.size());
+  LONGS_EQUAL(3, m_engines.m_orders[0].second.m_version);
+}
+
+TEST(RolloutDriver, ALoadThatTakesLongerThanUsualIsToldOn)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_engines.m_staysBusy = true;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  std::vector<base::TimePoint> ends;
+  driver.OnReload([&](const rollout::PlannedReload& aReload) { ends.push_back(aReload.m_until); });
+  driver.Start();
+  for (int i = 0; i < 2000 && ends.size() < 4; ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  LONGS_EQUAL(1, m_engines.m_orders.size());
+  CHECK(ends.at(3) > ends.at(1) + 250ms);
+}
+
+// Load: hundreds of hosts see engines behind while one of them gives orders for many seconds.
+TEST(RolloutDriver, WhileOthersAreHeardToOrderTheLeaseIsNotLookedAt)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_options.m_watchEvery = 10s;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  driver.SetStandby(true);
+  driver.NoteOthersOrder(base::MonotonicNow());
+  driver.Start();
+  driver.SetStandby(false);
+  const std::size_t reads = m_log.m_reads;
+  m_loop.RunFor(60ms);
+  LONGS_EQUAL(reads, m_log.m_reads);
+  driver.Stop();
+  CHECK(m_log.m_records.empty());
+  CHECK(m_engines.m_orders.empty());
+}
+
+TEST(RolloutDriver, AHostOnStandbyReadsNoLeaseAtItsStart)
+{
+  AddEngine("e1", 2);
+  m_wanted["m"] = 2;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  driver.SetStandby(true);
+  driver.Start();
+  LONGS_EQUAL(0, m_log.m_reads);
+  driver.SetStandby(false);
+  LONGS_EQUAL(1, m_log.m_reads);
+  driver.Stop();
+}
+
+TEST(RolloutDriver, WhenTheOthersFallSilentThisHostOrders)
+{
+  AddEngine("e1", 1);
+  m_wanted["m"] = 2;
+  m_options.m_watchEvery = 20ms;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  const base::TimePoint heard = base::MonotonicNow();
+  driver.NoteOthersOrder(heard);
+  driver.Start();
+  for (int i = 0; i < 2000 && m_engines.m_orders.empty(); ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  CHECK_FALSE(m_engines.m_orders.empty());
+  CHECK(base::MonotonicNow() - heard >= 20ms);
+}
--- a/src/ferrytray/telemetry/log_summary.cpp
+++ b/src/ferrytray/telemetry/log_summary.cpp
@@ -56,6 +56,8 @@
     ++m_failedSends[end + " " + std::string(line->Value("status"))];
   } else if (event == "own_answer") {
     ++m_ownAnswers[std::string(line->Value("code"))];
+  } else if (event == "log_call") {
+    ++m_logCalls[std::string(line->Value("call")) + " " + std::string(line->Value("topic"))];
   }
 }
 
@@ -136,6 +138,7 @@
   RenderTokens(text);
   text += "\nfailed sends (end, status): " + Counts(m_failedSends) + "\n";
   text += "own answers (code): " + Counts(m_ownAnswers) + "\n";
+  text += "calls to the record log (call, topic): " + Counts(m_logCalls) + "\n";
   return text;
 }
 
--- a/src/ferrytray/telemetry/log_summary_test.cpp
+++ b/src/ferrytray/telemetry/log_summary_test.cpp
@@ -50,3 +50,12 @@
   CheckHas("failed sends (end, status): not_run 503 2");
   CheckHas("own answers (code): 3006 1");
 }
+
+TEST(LogSummary, CountsCallsToTheLogByKindAndTopic)
+{
+  Prompt(100, "delivered");
+  m_summary.Add("event=log_call call=read topic=endpoints");
+  m_summary.Add("event=log_call call=read topic=endpoints");
+  m_summary.Add("event=log_call call=snapshot topic=hosts");
+  CheckHas("calls to the record log (call, topic): read endpoints 2, snapshot hosts 1");
+}
