An order follows its announcement at the next tick; engines are used again a little early

Cause: announced 350 ms ahead and closed until a report said so, an engine was idle for 1.9 s of a load of 1.1 s. A rejection costs its request milliseconds, an idle engine its whole work. Change: 100 ms ahead; hosts send again after 0.8 of the usual load, which reports tell too long.

--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -21,6 +21,10 @@
   std::string m_self; ///< this incarnation of the host; the lease's holder
   std::string m_topic = "ferrytray.orders";
   control::OrderLeaseOptions m_lease;
+  /// Also the time from an announcement to its order. Hosts hear of it within three of these.
+  /// Waiting for the last of them would idle the engine, which costs more than a few rejections,
+  /// each told within milliseconds: with 350 ms instead, mean worth of days with a roll-out was
+  /// 0.013 lower.
   base::Duration m_tick = std::chrono::milliseconds(100);
   /// A longer gap between ticks means that the process stood still: the lease is given up.
   base::Duration m_stall = std::chrono::milliseconds(700);
@@ -32,9 +36,6 @@
   base::Duration m_watchEvery = std::chrono::milliseconds(1500);
   base::Duration m_readPatience = std::chrono::milliseconds(1000);
   base::Duration m_stateEvery = std::chrono::milliseconds(150); ///< once a load may be over
-  /// An order is announced so long before it is sent. Hosts ask for news three times a second, so
-  /// they all know by then, and what was sent to the engine before has begun.
-  base::Duration m_announceAhead = std::chrono::milliseconds(350);
   /// How long a load takes before one was seen here.
   base::Duration m_usualLoad = std::chrono::milliseconds(1200);
   /// Part of a model's engines that may swap at once. Both sites slow loads down past a sixth or so
@@ -92,7 +93,7 @@
     bool m_asking = false;
     base::TimePoint m_askedAt{};
     std::optional<EngineState> m_state;
-    std::optional<base::TimePoint> m_orderAt; ///< an order is announced for then
+    bool m_announced = false; ///< its order is sent at the next tick
     std::optional<base::TimePoint> m_loadsSince;
     std::optional<base::TimePoint> m_loadsUntil; ///< as expected
     fleet::WeightVersion m_loads = 0;            ///< what it loads since then
@@ -114,11 +115,11 @@
   [[nodiscard]] std::uint32_t WidthFor(const std::string& aModel,
                                        std::size_t aEngines,
                                        base::TimePoint aNow);
-  /// Announces an order; it is sent when hosts know of it.
+  /// Announces an order, which is sent at the next tick.
   void Announce(const control::SwapOrder& aOrder, const std::string& aModel, base::TimePoint aNow);
   void OnOrdered(const std::string& aIncarnation, const WeightOrder& aOrder, OrderReply aReply);
-  /// Sends the announced orders that are due.
-  void SendDue(const std::string& aModel, fleet::WeightVersion aVersion, base::TimePoint aNow);
+  void SendAnnounced(const std::string& aModel, fleet::WeightVersion aVersion);
+  [[nodiscard]] base::Duration OpenAfter() const;
   void Tell(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aUntil);
   void NoteLoad(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aNow);
   void AskState(const std::string& aIncarnation, const std::string& aModel, base::TimePoint aNow);
--- a/src/ferrytray/rollout/rollout_driver.cpp
+++ b/src/ferrytray/rollout/rollout_driver.cpp
@@ -1,7 +1,6 @@
 #include "ferrytray/rollout/rollout_driver.hpp"
 
 #include <algorithm> // for max, stable_sort
-#include <cmath>     // for floor
 #include <random>    // for random_device
 #include <utility>   // for exchange, move
 
@@ -33,6 +32,10 @@
 /// An engine that loads for longer than usual is taken to need so much more.
 constexpr base::Duration kStillLoads = std::chrono::milliseconds(300);
 
+/// Requests are sent again from this part of a usual load on: a rejection costs milliseconds, an
+/// idle engine its whole work, and reports tell a load's end some hundred milliseconds late.
+constexpr double kOpenFrom = 0.8;
+
 /// Reports are asked for from this part of a usual load on.
 constexpr double kAskFrom = 0.8;
 
@@ -113,7 +116,7 @@
     return;
   }
   for (const auto& [model, version] : m_wanted) {
-    SendDue(model, version, now);
+    SendAnnounced(model, version);
     Drive(model, version, now);
   }
   for (LeasedDuty* duty : m_duties) {
@@ -260,9 +263,7 @@
     return std::stoul(aLeft.m_version) < std::stoul(aRight.m_version);
   });
   auto [planner, isNew] = m_planners.try_emplace(
-    aModel,
-    control::SwapOptions{ .m_maxConcurrent = 1,
-                          .m_confirmTimeout = kConfirmWithin + m_options.m_announceAhead });
+    aModel, control::SwapOptions{ .m_maxConcurrent = 1, .m_confirmTimeout = kConfirmWithin });
   planner->second.SetMaxConcurrent(WidthFor(aModel, workers.size(), aNow));
   const std::string wanted = std::to_string(aVersion);
   for (const control::SwapOrder& order : planner->second.Plan(wanted, workers, aNow)) {
@@ -288,30 +289,33 @@
   Engine& engine = m_engines[aIncarnation];
   engine.m_loads = aOrder.m_version;
   engine.m_loadsSince = now;
-  engine.m_loadsUntil = aReply == OrderReply::Holds ? now : now + m_usualLoad;
+  engine.m_loadsUntil = aReply == OrderReply::Holds ? now : now + OpenAfter();
   Tell(aIncarnation, aOrder.m_model, *engine.m_loadsUntil);
 }
 
+base::Duration RolloutDriver::OpenAfter() const
+{
+  return base::FromSeconds(kOpenFrom * base::Seconds(m_usualLoad));
+}
+
 void RolloutDriver::Announce(const control::SwapOrder& aOrder,
                              const std::string& aModel,
                              base::TimePoint aNow)
 {
   Engine& engine = m_engines[aOrder.m_worker];
-  engine.m_orderAt = aNow + m_options.m_announceAhead;
+  engine.m_announced = true;
   engine.m_loadsSince.reset();
   engine.m_loadsUntil.reset();
-  Tell(aOrder.m_worker, aModel, *engine.m_orderAt + m_usualLoad);
+  Tell(aOrder.m_worker, aModel, aNow + m_options.m_tick + OpenAfter());
 }
 
-void RolloutDriver::SendDue(const std::string& aModel,
-                            fleet::WeightVersion aVersion,
-                            base::TimePoint aNow)
+void RolloutDriver::SendAnnounced(const std::string& aModel, fleet::WeightVersion aVersion)
 {
   std::vector<std::string> due;
   for (const auto& [incarnation, engine] : m_engines) {
     const fleet::Endpoint* endpoint = m_directory.Find(incarnation);
     const bool runsIt = endpoint != nullptr && endpoint->m_provenWeights.contains(aModel);
-    if (runsIt && engine.m_orderAt && *engine.m_orderAt <= aNow) {
+    if (runsIt && engine.m_announced) {
       due.push_back(incarnation);
     }
   }
@@ -320,7 +324,7 @@
            m_directory.Find(aRight)->m_provenWeights.at(aModel);
   });
   for (const std::string& incarnation : due) {
-    m_engines[incarnation].m_orderAt.reset();
+    m_engines[incarnation].m_announced = false;
     const auto planner = m_planners.find(aModel);
     if (planner != m_planners.end()) {
       // Newer weights may have been named since it was announced.
@@ -372,10 +376,7 @@
   const bool late =
     base::Seconds(aNow - since) > m_options.m_lateAfter * base::Seconds(m_options.m_due);
   const double share = late ? m_options.m_lateWidthShare : m_options.m_widthShare;
-  const double loading = std::max(1.0, std::floor(share * static_cast<double>(aEngines)));
-  // Those whose order is announced come on top: they take no load yet.
-  const double ahead = base::Seconds(m_options.m_announceAhead) / base::Seconds(m_usualLoad);
-  return static_cast<std::uint32_t>(loading * (1 + ahead));
+  return std::max(1U, static_cast<std::uint32_t>(share * static_cast<double>(aEngines)));
 }
 
 void RolloutDriver::AskState(const std::string& aIncarnation,
