A host that follows another gets both topics whole from it; hosts that are listed do not enrol again

Change: look first, enrol only if the own record is not there (restarts), look once more 0.5 s later; then the host's reader passes both topics on whole (TopicNews::m_whole); after 1 s without, or when the log turns the host away, it reads by itself as before. Readers tell who reads in the zone, so followers look at the hosts no more. Safe by age and by fallback stand as they were: whole topics carry the same age and are refused when too old.

--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -35,7 +35,8 @@
   std::vector<cache::ContentsDigest> m_stores;
   /// To a host that tells its own load: all others'. To one that tells a summary: this host's.
   EndpointLoads m_loads;
-  ReloadNotices m_reloads; ///< that it knows of
+  ReloadNotices m_reloads;     ///< that it knows of
+  std::vector<Peer> m_readers; ///< hosts of the asking one's zone that read for others
 };
 
 std::string Encode(const Peer& aPeer);
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -34,10 +34,16 @@
   base::Duration m_connectWithin = std::chrono::milliseconds(300);
   /// A host that is asked reads from the stores until it was not asked for so long.
   base::Duration m_readFor = std::chrono::seconds(4);
-  /// Hosts that start together find each other by the second look at the topic; each is charged.
+  /// After this host enrolled. Hosts that start together do so within some hundred milliseconds,
+  /// and the strongest of them are to be known; each look is charged.
+  base::Duration m_lookFirst = std::chrono::milliseconds(500);
+  /// Hosts that read look again, in case others enrolled since.
   base::Duration m_lookAgain = std::chrono::seconds(2);
   base::Duration m_lookEvery = std::chrono::seconds(60);
   base::Duration m_enrolRetry = std::chrono::milliseconds(700);
+  /// After the hosts are known, another one is given so long to pass the topics on whole: time for
+  /// three questions. Otherwise every host would read them, all at once when all of them start.
+  base::Duration m_wholeWithin = std::chrono::milliseconds(1000);
 };
 
 /// @brief What hosts tell each other: new records of the log and what KV stores hold, so that few
@@ -52,7 +58,8 @@
                LoadBoard& aLoads,
                ReloadBoard& aReloads,
                NewsOptions aOptions);
-  /// @brief Listens, enrols in the topic and begins to ask. @return ListenFailed
+  /// @brief Listens, reads the topic of hosts, enrols there unless it is listed, begins to ask.
+  /// @return ListenFailed
   base::Result<void> Start();
   /// @brief A planned stop has begun: other hosts are to ask elsewhere.
   void Leave() { m_leaving = true; }
@@ -63,7 +70,8 @@
   void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
   /// @brief Calls when another host told of a reload that was not known.
   void OnReloads(std::function<void()> aCall) { m_onReloads = std::move(aCall); }
-  /// @brief Lets other hosts follow this topic through this one, and the reverse.
+  /// @brief Lets other hosts follow this topic through this one, and the reverse; starts it when no
+  /// other host passes it on. Before Start().
   void AddTopic(std::shared_ptr<store::TopicFollower> aTopic)
   {
     m_topics.push_back(std::move(aTopic));
@@ -72,8 +80,12 @@
   void OwnLoads(std::function<EndpointLoads()> aCall) { m_ownLoads = std::move(aCall); }
 
 private:
-  void Enrol();
   void Look();
+  void OnHosts(const base::Result<store::Snapshot>& aResult);
+  void Enrol();
+  void LookLater(base::Duration aDelay);
+  /// Topics that nobody has passed on are read by this host itself.
+  void StartTopics();
   void Tick();
   /// Asks for the contents of the stores and for all loads.
   void AskSource(const Peer& aSource, base::TimePoint aNow);
@@ -124,9 +136,10 @@
   bool m_direct = false;
   bool m_leaving = false;
   bool m_stopped = false;
-  bool m_looked = false; ///< the topic was read once
+  bool m_enrolled = false;           ///< in this process
+  bool m_looked = false;             ///< it knows the hosts and they can know it
+  base::TimePoint m_startTopicsAt{}; ///< then topics are read that nobody passed on
   net::TimerHandle m_tick;
-  net::TimerHandle m_enrolTimer;
   net::TimerHandle m_lookTimer;
 };
 
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -53,6 +53,8 @@
   [[nodiscard]] std::optional<Peer> Source(base::TimePoint aNow) const;
   /// @brief Of a host that reads from the stores: the others that do.
   [[nodiscard]] std::vector<Peer> OtherReaders(base::TimePoint aNow) const;
+  /// @brief Those that read for the hosts of a zone.
+  [[nodiscard]] std::vector<Peer> ReadersOf(const std::string& aZone, base::TimePoint aNow) const;
   [[nodiscard]] const Peer& Self() const { return m_self; }
   [[nodiscard]] std::size_t Hosts() const { return m_peers.size() + 1; }
 
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -36,10 +36,9 @@
              store::RecordLog& aLog,
              const RecordFormat& aFormat,
              const FeedOptions& aOptions);
-  void Start();
   void Stop();
 
-  /// @brief The topics that are followed.
+  /// @brief The topics that are followed, once they are started.
   [[nodiscard]] std::vector<std::shared_ptr<store::TopicFollower>> Topics() const
   {
     return { m_operators, m_endpoints };
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -63,15 +63,16 @@
 {
 public:
   TopicFollower(net::Loop& aLoop, RecordLog& aLog, FollowOptions aOptions, FollowEvents aEvents);
+  /// @brief Reads the topic, unless that was begun or another host has passed it on.
   void Start();
   void Stop();
   /// @brief The log was seen to have failed or to be slow: the read under way is not relied on any
   /// more.
   void Renew();
-  /// @brief Up to where records are known; empty until the topic was read once.
-  [[nodiscard]] std::optional<TopicCursor> Cursor() const;
+  /// @brief Up to where records are known.
+  [[nodiscard]] TopicCursor Cursor() const;
   /// @brief What a host that has followed up to there does not know yet.
-  [[nodiscard]] std::optional<TopicNews> NewsSince(Offset aFrom,
+  [[nodiscard]] std::optional<TopicNews> NewsSince(const TopicCursor& aFrom,
                                                    base::TimePoint aNow,
                                                    PassOn aMost = PassOn::Light);
   /// @brief Whether the log did not answer this host's last read and nobody passes records on.
@@ -97,6 +98,8 @@
   void OnBatch(std::uint64_t aRead, base::Result<Batch> aResult);
   [[nodiscard]] base::Duration WaitNow() const;
   void Tell(const Record& aRecord);
+  void TellWhole(const std::vector<Record>& aRecords, Offset aEnd);
+  [[nodiscard]] TopicNews Whole() const;
   void Contact(base::TimePoint aAt, bool aWasAway);
   [[nodiscard]] base::Duration PauseNow() const;
   void Away(const base::Failure& aFailure);
@@ -108,6 +111,7 @@
   FollowEvents m_events;
   Offset m_next = 0;
   bool m_loaded = false;
+  bool m_loading = false; ///< a snapshot is being read
   bool m_away = false;
   bool m_stopped = false;
   std::uint64_t m_read = 0; ///< number of the newest read; answers to others are dropped
@@ -122,7 +126,7 @@
   std::uint64_t m_outages = 0;                      ///< times that it came back
   std::optional<std::uint64_t> m_outagesThere;      ///< the same at the host that passes news on
   std::optional<base::TimePoint> m_servedAt;        ///< when another host last asked this one
-  std::unordered_map<std::string, Offset> m_newest; ///< offset last told, by key
+  std::unordered_map<std::string, Record> m_newest; ///< last told, by key
   net::TimerHandle m_timer;
 };
 
--- a/include/ferrytray/store/topic_news.hpp
+++ b/include/ferrytray/store/topic_news.hpp
@@ -14,6 +14,7 @@
 {
   std::string m_topic;
   Offset m_next = 0;
+  bool m_nothing = false; ///< it has not read the topic yet
 };
 
 /// @brief What one host tells another of a topic that it reads.
@@ -22,6 +23,7 @@
   std::string m_topic;
   Offset m_end = 0;              ///< the topic's end when it was last read
   std::vector<Record> m_records; ///< all from the cursor to the end
+  bool m_whole = false;          ///< instead: the newest record of each key
   /// The records are not here: no longer kept, or too many. Who asked has to read by itself.
   bool m_readYourself = false;
   base::Duration m_age{};      ///< since the log last answered
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -48,7 +48,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, TopicCursor& aCursor)
 {
-  aArchive(aCursor.m_topic, aCursor.m_next);
+  aArchive(aCursor.m_topic, aCursor.m_next, aCursor.m_nothing);
 }
 
 template<typename Archive>
@@ -61,7 +61,7 @@
 void serialize(Archive& aArchive, TopicNews& aNews)
 {
   aArchive(aNews.m_topic, aNews.m_end, aNews.m_records, aNews.m_readYourself);
-  aArchive(aNews.m_age, aNews.m_outages);
+  aArchive(aNews.m_age, aNews.m_outages, aNews.m_whole);
 }
 
 } // namespace ferrytray::store
@@ -135,7 +135,7 @@
 void serialize(Archive& aArchive, NewsReply& aReply)
 {
   aArchive(aReply.m_incarnation, aReply.m_topics, aReply.m_stores, aReply.m_loads);
-  aArchive(aReply.m_reloads);
+  aArchive(aReply.m_reloads, aReply.m_readers);
 }
 
 std::string Encode(const Peer& aPeer)
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -29,10 +29,11 @@
   LONGS_EQUAL(6, readRequest->m_loads.at(0).m_work);
   LONGS_EQUAL(-200, readRequest->m_reloads.at(0).m_endsInMillis);
 
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {} };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
-  reply.m_topics.push_back({ "t", 9, { { 8, "key", "value", false } }, false, 3ms, 2 });
+  reply.m_topics.push_back({ "t", 9, { { 8, "key", "value", false } }, true, false, 3ms, 2 });
+  reply.m_readers.push_back({ "h", "z", "10.0.0.1:7", 3 });
   const auto readReply = peers::DecodeNewsReply(peers::Encode(reply));
   CHECK(readReply.has_value());
   const cache::ContentsDigest& digest = readReply->m_stores.at(0);
@@ -47,11 +48,13 @@
   const store::TopicNews& news = readReply->m_topics.at(0);
   CHECK(news.m_end == 9 && news.m_age == 3ms && news.m_outages == 2 && !news.m_readYourself);
   STRCMP_EQUAL("value", news.m_records.at(0).m_value.c_str());
+  CHECK(news.m_whole);
+  LONGS_EQUAL(3, readReply->m_readers.at(0).m_capacity);
 }
 
 TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
 {
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } } };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {} };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -73,7 +73,7 @@
                          net::ToString(m_server->ListenAddress()),
                          m_options.m_capacity },
                    m_options.m_roster);
-  Enrol();
+  Look();
   m_tick = m_loop.Every(m_options.m_askEvery, [this] { Tick(); });
   return {};
 }
@@ -82,10 +82,48 @@
 {
   m_stopped = true;
   m_tick.reset();
-  m_enrolTimer.reset();
   m_lookTimer.reset();
 }
 
+void NewsExchange::Look()
+{
+  m_log.ReadSnapshot(m_options.m_topic, [this](const base::Result<store::Snapshot>& aResult) {
+    if (!m_stopped) {
+      OnHosts(aResult);
+    }
+  });
+}
+
+void NewsExchange::OnHosts(const base::Result<store::Snapshot>& aResult)
+{
+  if (!aResult) {
+    telemetry::LogLine("hosts").Add("outcome", "failed").Add("why", aResult.error().m_message);
+    StartTopics();
+    // Those that an earlier look found may be asked though the log has gone away since.
+    m_looked = m_looked || m_roster->Hosts() > 1;
+    LookLater(m_options.m_lookAgain);
+    return;
+  }
+  bool listed = m_enrolled;
+  for (const store::Record& record : aResult->m_records) {
+    if (const auto peer = FromRecord(record)) {
+      m_roster->Learn(*peer);
+      listed = listed || *peer == m_roster->Self();
+    }
+  }
+  telemetry::LogLine("hosts").Add("known", m_roster->Hosts()).Add("listed", listed ? "yes" : "no");
+  if (!listed) {
+    Enrol();
+    return;
+  }
+  const bool first = !std::exchange(m_looked, true);
+  LookLater(first ? m_options.m_lookAgain : m_options.m_lookEvery);
+  if (first) {
+    m_startTopicsAt = base::MonotonicNow() + m_options.m_wholeWithin;
+    Tick();
+  }
+}
+
 void NewsExchange::Enrol()
 {
   m_log.AppendKeyed(m_options.m_topic,
@@ -95,38 +133,36 @@
                       if (m_stopped) {
                         return;
                       }
+                      m_enrolled = aResult.has_value();
                       if (!aResult) {
                         telemetry::LogLine("enrolled")
                           .Add("outcome", "failed")
                           .Add("why", aResult.error().m_message);
-                        m_enrolTimer = m_loop.After(m_options.m_enrolRetry, [this] { Enrol(); });
-                        return;
+                        StartTopics();
                       }
-                      Look();
+                      LookLater(m_enrolled ? m_options.m_lookFirst : m_options.m_enrolRetry);
                     });
 }
 
-void NewsExchange::Look()
+void NewsExchange::LookLater(base::Duration aDelay)
 {
-  m_log.ReadSnapshot(m_options.m_topic, [this](const base::Result<store::Snapshot>& aResult) {
-    if (m_stopped) {
-      return;
-    }
-    const bool first = !m_looked;
-    if (aResult) {
-      m_looked = true;
-      for (const store::Record& record : aResult->m_records) {
-        if (const auto peer = FromRecord(record)) {
-          m_roster->Learn(*peer);
-        }
-      }
-      telemetry::LogLine("hosts").Add("known", m_roster->Hosts());
+  m_lookTimer = m_loop.After(aDelay, [this] {
+    // A host that follows another one hears from that one who reads.
+    if (m_direct || !m_looked) {
+      Look();
+    } else {
+      LookLater(m_options.m_lookAgain);
     }
-    m_lookTimer =
-      m_loop.After(first ? m_options.m_lookAgain : m_options.m_lookEvery, [this] { Look(); });
   });
 }
 
+void NewsExchange::StartTopics()
+{
+  for (const auto& topic : m_topics) {
+    topic->Start();
+  }
+}
+
 void NewsExchange::Tick()
 {
   const base::TimePoint now = base::MonotonicNow();
@@ -142,6 +178,9 @@
   } else {
     SetDirect(true, "reader by rank");
   }
+  if (m_direct || now >= m_startTopicsAt) {
+    StartTopics();
+  }
   if (!m_direct) {
     AskSource(*source, now);
     AskFallback(now);
@@ -268,6 +307,9 @@
   }
   m_roster->OnAnswered(aSource.m_name);
   TakeReloads(reply->m_reloads, now);
+  for (const Peer& reader : reply->m_readers) {
+    m_roster->Learn(reader);
+  }
   const bool fromSource = !m_direct && aSource.m_name == m_source;
   if (m_direct || fromSource) {
     m_loads.OnReport(aSource.m_name, LoadScope::Summary, reply->m_loads, now);
@@ -314,6 +356,7 @@
     m_wasAskedAt = now;
     SetDirect(true, "asked by others");
     reply.m_loads = Sum(reply.m_loads, m_loads.AllBut(question->m_sender.m_name));
+    reply.m_readers = m_roster->ReadersOf(question->m_sender.m_zone, now);
   } else {
     reply.m_loads = Sum(reply.m_loads, m_loads.OwnReports());
   }
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/peers/news_exchange.hpp"
 
-#include <array>  // for array
-#include <vector> // for vector
+#include <algorithm> // for all_of
+#include <array>     // for array
+#include <vector>    // for vector
 
 #include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
 
@@ -51,6 +52,7 @@
     options.m_topic = "hosts";
     options.m_roster.m_readers = aReaders;
     options.m_askEvery = 5ms;
+    options.m_lookFirst = 5ms;
     options.m_lookAgain = 5ms;
     options.m_enrolRetry = 5ms;
     options.m_answerWithin = 2s; // the test's own loop may be slow
@@ -106,6 +108,24 @@
     return aCondition();
   }
 
+  std::shared_ptr<store::TopicFollower> FollowWith(
+    peers::NewsExchange & aNews, store::RecordLog & aLog, std::string & aTold)
+  {
+    store::FollowOptions options;
+    options.m_topic = "t";
+    options.m_pause = 5ms;
+    options.m_newsFresh = 20s;
+    store::FollowEvents events;
+    events.m_onRecord = [&aTold](const store::Record& aRecord) { aTold += aRecord.m_key; };
+    auto topic = std::make_shared<store::TopicFollower>(m_loop, aLog, options, std::move(events));
+    aNews.AddTopic(topic);
+    return topic;
+  }
+  std::shared_ptr<store::TopicFollower> Follow(Host & aHost, std::string & aTold)
+  {
+    return FollowWith(aHost.m_news, aHost.m_log, aTold);
+  }
+
   void ReaderHears(std::uint64_t aEpoch, bool aAdded)
   {
     cache::StoreNews news;
@@ -153,26 +173,115 @@
   CHECK(Until([&] { return m_follower->m_direct; }));
 }
 
+TEST(NewsExchange, AReloadThatTheReaderHearsOfReachesTheFollower)
+{
+  CHECK(Until([&] { return m_reader->m_direct && m_follower->m_others.Others(0) == 0; }));
+  m_reader->m_reloads.OnNotice({ 7, "m", 2, 60'000, 1 }, base::MonotonicNow());
+  bool heard = false;
+  m_follower->m_news.OnReloads([&] { heard = true; });
+  CHECK(Until([&] { return heard; }));
+  CHECK(m_follower->m_reloads.IsReloading(7, base::MonotonicNow()));
+}
+
+TEST(NewsExchange, AFollowerGetsATopicWholeAndReadsNothingOfIt)
+{
+  m_reader->m_log.AppendKeyed("t", "a", "1", [](const auto&) {});
+  m_reader->m_log.AppendKeyed("t", "b", "1", [](const auto&) {});
+  m_reader->m_log.AppendKeyed("t", "a", "2", [](const auto&) {});
+  std::string toldReader;
+  std::string toldFollower;
+  const auto one = Follow(*m_reader, toldReader);
+  const auto two = Follow(*m_follower, toldFollower);
+  CHECK(Until([&] { return !toldFollower.empty(); }));
+  STRCMP_EQUAL("ba", toldFollower.c_str()); // in the order of the newest records
+  LONGS_EQUAL(0, m_follower->m_log.m_readsOf["t"]);
+  m_reader->m_log.AppendKeyed("t", "c", "1", [](const auto&) {});
+  CHECK(Until([&] { return toldFollower == "bac"; }));
+  one->Stop();
+  two->Stop();
+}
+
+TEST(NewsExchange, ATopicThatNobodyPassesOnIsReadByTheHostItself)
+{
+  m_follower->m_log.AppendKeyed("t", "a", "1", [](const auto&) {});
+  std::string told;
+  const auto topic = Follow(*m_follower, told); // the reader does not follow it
+  CHECK(Until([&] { return told == "a"; }));
+  topic->Stop();
+}
+
+TEST(NewsExchange, AHostWhoseRecordIsThereDoesNotEnrolAgain)
+{
+  CHECK(Until([&] { return m_reader->m_direct; }));
+  const auto enrolled = m_reader->m_log.m_topics["hosts"];
+  Host again(m_loop, *m_client, "reader", 9);
+  store::Record own = enrolled.front();
+  // Its address is the one that it had before.
+  again.m_log.m_topics["hosts"] = { own };
+  m_reader->m_news.Stop();
+  const std::string address = peers::DecodePeer(own.m_value)->m_address;
+  m_reader.reset();
+  peers::NewsOptions options = Host::OptionsOf("reader", 9, "z", 1);
+  options.m_listen = net::ParseAddress(address).value();
+  peers::NewsExchange news(
+    m_loop, *m_client, again.m_log, again.m_stores, again.m_others, again.m_reloads, options);
+  news.OwnLoads([] { return peers::EndpointLoads{}; });
+  CHECK(news.Start().has_value());
+  CHECK(Until([&] { return again.m_log.m_reads > 0; }));
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(1, again.m_log.m_topics["hosts"].size());
+  news.Stop();
+}
+
+// Load: hundreds of hosts start at once. What each asks of the log does not grow with their number.
+TEST(NewsExchange, OfManyHostsThatStartTogetherOnlyTheReadersReadTheTopics)
+{
+  constexpr std::size_t kHosts = 60;
+  support::MemoryRecordLog log;
+  log.AppendKeyed("t", "a", "1", [](const auto&) {});
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<std::shared_ptr<store::TopicFollower>> topics;
+  std::vector<std::string> told(kHosts);
+  std::vector<std::unique_ptr<peers::NewsExchange>> exchanges;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    hosts.push_back(std::make_unique<Host>(m_loop, *m_client, name, i == 0 ? 9 : 1));
+    peers::NewsOptions options = Host::OptionsOf(name, i == 0 ? 9 : 1, "z", 1);
+    options.m_lookFirst = 300ms;
+    options.m_wholeWithin = 60s;
+    Host& host = *hosts.back();
+    exchanges.push_back(std::make_unique<peers::NewsExchange>(
+      m_loop, *m_client, log, host.m_stores, host.m_others, host.m_reloads, options));
+    exchanges.back()->OwnLoads([] { return peers::EndpointLoads{}; });
+    topics.push_back(FollowWith(*exchanges.back(), log, told[i]));
+  }
+  for (const auto& exchange : exchanges) {
+    CHECK(exchange->Start().has_value());
+  }
+  CHECK(Until([&] {
+    return std::all_of(
+      told.begin(), told.end(), [](const std::string& aTold) { return aTold == "a"; });
+  }));
+  LONGS_EQUAL(1, log.m_snapshotsOf["t"]);
+  LONGS_EQUAL(kHosts, log.m_topics["hosts"].size());
+  // Two looks of each host, and a few more of the one that reads.
+  CHECK(log.m_snapshotsOf["hosts"] < 3 * kHosts);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    topics[i]->Stop();
+    exchanges[i]->Stop();
+  }
+}
+
 TEST(NewsExchange, RecordsReachTheFollowerThoughItsOwnPathToTheLogIsCut)
 {
-  const auto follow = [this](Host& aHost, std::string& aTold) {
-    store::FollowOptions options;
-    options.m_topic = "t";
-    options.m_pause = 5ms;
-    options.m_newsFresh = 20s;
-    store::FollowEvents events;
-    events.m_onRecord = [&aTold](const store::Record& aRecord) { aTold += aRecord.m_key; };
-    auto topic =
-      std::make_shared<store::TopicFollower>(m_loop, aHost.m_log, options, std::move(events));
-    topic->Start();
-    aHost.m_news.AddTopic(topic);
-    return topic;
-  };
   std::string toldReader;
   std::string toldFollower;
-  const auto one = follow(*m_reader, toldReader);
-  const auto two = follow(*m_follower, toldFollower);
-  CHECK(Until([&] { return m_reader->m_direct && m_follower->m_others.Others(0) == 0; }));
+  const auto one = Follow(*m_reader, toldReader);
+  const auto two = Follow(*m_follower, toldFollower);
+  one->Start();
+  two->Start();
+  m_reader->m_own = { { 1, 5 } };
+  CHECK(Until([&] { return m_follower->m_others.Others(1) == 5; }));
   m_follower->m_log.m_down = true;
   m_reader->m_log.AppendKeyed("t", "k", "v", [](const auto&) {});
   CHECK(Until([&] { return toldFollower == "k"; }));
--- a/src/ferrytray/peers/news_topics.cpp
+++ b/src/ferrytray/peers/news_topics.cpp
@@ -56,9 +56,7 @@
 {
   std::vector<store::TopicCursor> cursors;
   for (const auto& topic : m_topics) {
-    if (const auto cursor = topic->Cursor()) {
-      cursors.push_back(*cursor);
-    }
+    cursors.push_back(topic->Cursor());
   }
   return cursors;
 }
@@ -85,7 +83,7 @@
       if (topic->Topic() != cursor.m_topic) {
         continue;
       }
-      if (auto news = topic->NewsSince(cursor.m_next, aNow, aMost)) {
+      if (auto news = topic->NewsSince(cursor, aNow, aMost)) {
         all.push_back(std::move(*news));
       }
     }
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -103,6 +103,15 @@
   return *readers.front();
 }
 
+std::vector<Peer> Roster::ReadersOf(const std::string& aZone, base::TimePoint aNow) const
+{
+  std::vector<Peer> readers;
+  for (const Peer* reader : ReadersFor(aZone, aNow)) {
+    readers.push_back(*reader);
+  }
+  return readers;
+}
+
 std::vector<Peer> Roster::OtherReaders(base::TimePoint aNow) const
 {
   std::set<const Peer*> readers;
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -240,3 +240,40 @@
   ask(10, 50);
   LONGS_EQUAL(1, m_client.m_calls.size());
 }
+
+// Load: weights are rolled out; an engine rejects whatever reaches it while it loads.
+TEST(Exchange, APromptDoesNotGoToAnEngineThatLoadsWeights)
+{
+  for (const char* closed : { "a", "b" }) {
+    m_core.m_reloads = peers::ReloadBoard();
+    m_core.m_reloads.OnNotice({ peers::TagOf(closed), "m", 2, 1500, 1 }, base::MonotonicNow());
+    Ask("/stream/x", "k", "m");
+    CHECK(Sent("to") != closed);
+  }
+}
+
+TEST(Exchange, AfterItsLoadAnEngineIsAskedForItsNewWeightsAtOnce)
+{
+  m_core.m_directory.MarkGone("b");
+  m_core.m_reloads.OnNotice({ peers::TagOf("a"), "m", 2, 0, 1 }, base::MonotonicNow());
+  Ask("/stream/x", "k", "m");
+  STRCMP_EQUAL("a", Sent("to").c_str());
+  STRCMP_EQUAL("2", Sent("weights").c_str());
+}
+
+TEST(Exchange, WhenAllEnginesLoadAPromptIsTriedNonetheless)
+{
+  for (const char* engine : { "a", "b" }) {
+    m_core.m_reloads.OnNotice({ peers::TagOf(engine), "m", 2, 1500, 1 }, base::MonotonicNow());
+  }
+  Ask("/stream/x", "k", "m");
+  LONGS_EQUAL(1, m_client.m_calls.size());
+}
+
+TEST(Exchange, PlainRequestsKnowNoReloads)
+{
+  m_core.m_directory.MarkGone("b");
+  m_core.m_reloads.OnNotice({ peers::TagOf("a"), "m", 2, 1500, 1 }, base::MonotonicNow());
+  Ask("/once/x");
+  STRCMP_EQUAL("a", Sent("to").c_str());
+}
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -65,11 +65,10 @@
   }
   m_news.OwnLoads([this] { return OwnLoads(); });
   m_news.OnReloads([this] { m_rollout.NoteOthersOrder(base::MonotonicNow()); });
+  m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
   if (base::Result<void> news = m_news.Start(); !news) {
     return news;
   }
-  m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
-  m_feeds.Start();
   m_rollout.SetStandby(true); // until it is known to be one of those that read
   m_rollout.AddDuty(m_upkeep);
   m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReload(aReload); });
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -57,12 +57,6 @@
     aCore.m_loop, aLog, std::move(endpoints), std::move(onEndpoints));
 }
 
-void StateFeeds::Start()
-{
-  m_operators->Start();
-  m_endpoints->Start();
-}
-
 void StateFeeds::Stop()
 {
   m_operators->Stop();
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/store/topic_follower.hpp"
 
-#include <algorithm> // for max, min
-#include <utility>   // for move
+#include <algorithm> // for max, min, sort
+#include <span>      // for span
+#include <utility>   // for exchange, move
 
 namespace ferrytray::store {
 
@@ -20,7 +21,9 @@
 
 void TopicFollower::Start()
 {
-  LoadSnapshot();
+  if (!m_loaded && !m_loading && !m_away && !m_stopped) {
+    LoadSnapshot();
+  }
 }
 
 void TopicFollower::Stop()
@@ -32,6 +35,7 @@
 void TopicFollower::LoadSnapshot()
 {
   m_readAt = base::MonotonicNow();
+  m_loading = true;
   m_log.ReadSnapshot(m_options.m_topic,
                      [self = shared_from_this()](base::Result<Snapshot> aResult) {
                        self->OnSnapshot(std::move(aResult));
@@ -40,7 +44,8 @@
 
 void TopicFollower::OnSnapshot(base::Result<Snapshot> aResult)
 {
-  if (m_stopped) {
+  m_loading = false;
+  if (m_stopped || (m_loaded && m_byNews)) {
     return;
   }
   if (!aResult) {
@@ -48,18 +53,8 @@
     return;
   }
   Contact(m_readAt, std::exchange(m_away, false));
-  std::set<std::string> keys;
-  for (const Record& record : aResult->m_records) {
-    keys.insert(record.m_key);
-    Tell(record);
-  }
-  m_next = aResult->m_end;
-  m_tail.Restart(m_next);
-  m_loaded = true;
+  TellWhole(aResult->m_records, aResult->m_end);
   m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
-  if (m_events.m_onSnapshot) {
-    m_events.m_onSnapshot(keys);
-  }
   Later(m_options.m_wait.count() > 0 ? base::Duration::zero() : PauseNow(), &TopicFollower::ReadOn);
 }
 
@@ -121,14 +116,30 @@
 
 void TopicFollower::Tell(const Record& aRecord)
 {
-  const auto [found, isNew] = m_newest.try_emplace(aRecord.m_key, aRecord.m_offset);
-  if (!isNew && found->second >= aRecord.m_offset) {
+  const auto [found, isNew] = m_newest.try_emplace(aRecord.m_key, aRecord);
+  if (!isNew && found->second.m_offset >= aRecord.m_offset) {
     return;
   }
-  found->second = aRecord.m_offset;
+  found->second = aRecord;
   m_events.m_onRecord(aRecord);
 }
 
+void TopicFollower::TellWhole(const std::vector<Record>& aRecords, Offset aEnd)
+{
+  std::set<std::string> keys;
+  for (const Record& record : aRecords) {
+    keys.insert(record.m_key);
+    Tell(record);
+  }
+  m_next = aEnd;
+  m_tail.Restart(m_next);
+  m_loaded = true;
+  std::erase_if(m_newest, [&](const auto& aPair) { return !keys.contains(aPair.first); });
+  if (m_events.m_onSnapshot) {
+    m_events.m_onSnapshot(keys);
+  }
+}
+
 void TopicFollower::Contact(base::TimePoint aAt, bool aWasAway)
 {
   m_retry = m_options.m_retryFirst;
@@ -149,25 +160,43 @@
   return serving ? std::min(m_options.m_servingPause, m_options.m_pause) : m_options.m_pause;
 }
 
-std::optional<TopicCursor> TopicFollower::Cursor() const
+TopicCursor TopicFollower::Cursor() const
+{
+  return { m_options.m_topic, m_next, !m_loaded };
+}
+
+TopicNews TopicFollower::Whole() const
 {
-  return m_loaded ? std::optional(TopicCursor{ m_options.m_topic, m_next }) : std::nullopt;
+  TopicNews news;
+  news.m_whole = true;
+  for (const auto& [key, record] : m_newest) {
+    if (!record.m_removed) {
+      news.m_records.push_back(record);
+    }
+  }
+  const auto isOlder = [](const Record& aLeft, const Record& aRight) {
+    return aLeft.m_offset < aRight.m_offset;
+  };
+  std::sort(news.m_records.begin(), news.m_records.end(), isOlder);
+  return news;
 }
 
-std::optional<TopicNews> TopicFollower::NewsSince(Offset aFrom, base::TimePoint aNow, PassOn aMost)
+std::optional<TopicNews> TopicFollower::NewsSince(const TopicCursor& aFrom,
+                                                  base::TimePoint aNow,
+                                                  PassOn aMost)
 {
   m_servedAt = aNow;
   if (!m_loaded || !m_contactAt) {
     return std::nullopt;
   }
-  TopicNews news;
+  std::optional<std::vector<Record>> records = m_tail.Since(aFrom.m_next, aMost);
+  TopicNews news = aFrom.m_nothing && !m_away ? Whole() : TopicNews{};
   news.m_topic = m_options.m_topic;
   news.m_end = m_tail.End();
   news.m_age = aNow - *m_contactAt;
   news.m_outages = m_outages;
-  std::optional<std::vector<Record>> records = m_tail.Since(aFrom, aMost);
-  news.m_readYourself = m_away || !records;
-  if (!news.m_readYourself) {
+  news.m_readYourself = m_away || (!news.m_whole && !records);
+  if (!news.m_whole && !news.m_readYourself) {
     news.m_records = std::move(*records);
   }
   return news;
@@ -179,7 +208,8 @@
 {
   const bool fresh = aNow < aAskedAt - aNews.m_age + m_options.m_newsFresh;
   const bool gap = !aNews.m_records.empty() && aNews.m_records.front().m_offset > m_next;
-  return m_loaded && !aNews.m_readYourself && fresh && !gap;
+  const bool fits = aNews.m_whole || (m_loaded && !gap);
+  return fits && !aNews.m_readYourself && fresh;
 }
 
 void TopicFollower::OnNews(const TopicNews& aNews, base::TimePoint aAskedAt)
@@ -197,7 +227,12 @@
   const bool cameBack = m_outagesThere && *m_outagesThere != aNews.m_outages;
   m_outagesThere = aNews.m_outages;
   Contact(contact, std::exchange(m_away, false) || cameBack);
-  for (const Record& record : aNews.m_records) {
+  if (aNews.m_whole && !m_loaded) {
+    TellWhole(aNews.m_records, aNews.m_end);
+  }
+  const std::span<const Record> further =
+    aNews.m_whole ? std::span<const Record>() : aNews.m_records;
+  for (const Record& record : further) {
     if (record.m_offset >= m_next) {
       m_tail.Add(record);
       Tell(record);
--- a/src/ferrytray/store/topic_news_test.cpp
+++ b/src/ferrytray/store/topic_news_test.cpp
@@ -66,7 +66,7 @@
   Hear(NewsOf(7, { RecordOf(5, "a", "2"), RecordOf(6, "b", "1") }));
   Hear(NewsOf(8, { RecordOf(6, "b", "1"), RecordOf(7, "c", "1") }));
   STRCMP_EQUAL("a=2 b=1 c=1 ", m_told.c_str());
-  LONGS_EQUAL(8, m_follower->Cursor()->m_next);
+  LONGS_EQUAL(8, m_follower->Cursor().m_next);
   m_loop.RunFor(20ms);
   CHECK(m_log.m_readFrom.empty());
 }
@@ -96,7 +96,7 @@
   Hear(old);
   Hear(NewsOf(9, { RecordOf(8, "a", "3") }));
   STRCMP_EQUAL("", m_told.c_str());
-  LONGS_EQUAL(5, m_follower->Cursor()->m_next);
+  LONGS_EQUAL(5, m_follower->Cursor().m_next);
 }
 
 TEST(TopicNews, AnOutageThatTheOtherHostSawIsTold)
@@ -123,10 +123,10 @@
 TEST(TopicNews, APassedOnRecordIsPassedOnAgain)
 {
   Hear(NewsOf(6, { RecordOf(5, "a", "2") }));
-  const auto news = m_follower->NewsSince(5, base::MonotonicNow());
+  const auto news = m_follower->NewsSince({ "t", 5 }, base::MonotonicNow());
   CHECK(news.has_value() && !news->m_readYourself);
   LONGS_EQUAL(1, news->m_records.size());
-  CHECK(m_follower->NewsSince(4, base::MonotonicNow())->m_readYourself);
+  CHECK(m_follower->NewsSince({ "t", 4 }, base::MonotonicNow())->m_readYourself);
 }
 
 // Load: the log turns some hosts away and resets or silences connections of others on the way.
@@ -173,9 +173,9 @@
   m_log.m_hang = false;
   m_log.m_batches.push_back(base::Fail(base::ErrorCode::PlatformUnavailable, "down"));
   m_log.m_batches.push_back(store::Batch{ 6, {} });
-  CHECK_FALSE(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+  CHECK_FALSE(m_follower->NewsSince({ "t", 6 }, base::MonotonicNow())->m_readYourself);
   m_follower->OnNewsEnded(); // reads, and fails
-  CHECK(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+  CHECK(m_follower->NewsSince({ "t", 6 }, base::MonotonicNow())->m_readYourself);
   m_loop.Run(); // reads again; the fake ends the loop when it has no more answers
-  CHECK_FALSE(m_follower->NewsSince(6, base::MonotonicNow())->m_readYourself);
+  CHECK_FALSE(m_follower->NewsSince({ "t", 6 }, base::MonotonicNow())->m_readYourself);
 }
--- a/tests/support/memory_record_log.hpp
+++ b/tests/support/memory_record_log.hpp
@@ -18,6 +18,8 @@
                     ferrytray::store::Done<ferrytray::store::Snapshot> aDone) override
   {
     ++m_reads;
+    ++m_readsOf[aTopic];
+    ++m_snapshotsOf[aTopic];
     if (m_down) {
       aDone(Down());
       return;
@@ -41,6 +43,7 @@
             ferrytray::store::Done<ferrytray::store::Batch> aDone) override
   {
     ++m_reads;
+    ++m_readsOf[aTopic];
     if (m_down) {
       aDone(Down());
       return;
@@ -78,6 +81,8 @@
 
   bool m_down = false;
   std::size_t m_reads = 0;
+  std::map<std::string, std::size_t> m_readsOf; ///< by topic, snapshots included
+  std::map<std::string, std::size_t> m_snapshotsOf;
   std::map<std::string, Topic> m_topics;
 
 private:
