One host a zone gives out long prompts, by how long they would wait at each engine to be read

Ruled out: fetches (late where read, too), repeats (1 send), the home (late alike at home and elsewhere), memory (no difference by work there). Change: the host that is first by rank in an engine's zone gives that zone's engines their long prompts (relay::PromptDispatcher, routing::PrefillQueues); the zone is named by hashing the prompt's shared part, so equal parts meet; with few engines all are one group. No lease, no vote; no answer within 40 ms: the prompt goes to its home as before, and that host is not asked for 1 s.

--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -6,17 +6,18 @@
 #include <set>        // for set
 #include <string>     // for string
 
-#include "ferrytray/base/error.hpp"            // for Result
-#include "ferrytray/cache/part_planner.hpp"    // for Stores
-#include "ferrytray/net/http_client.hpp"       // for HttpClient
-#include "ferrytray/net/http_server.hpp"       // for HttpServer
-#include "ferrytray/net/loop.hpp"              // for Loop
-#include "ferrytray/peers/fallback_reader.hpp" // for FallbackReader
-#include "ferrytray/peers/messages.hpp"        // for NewsReply, NewsRequest
-#include "ferrytray/peers/reload_board.hpp"    // for ReloadBoard
-#include "ferrytray/peers/roster.hpp"          // for Roster
-#include "ferrytray/store/record_log.hpp"      // for RecordLog
-#include "ferrytray/store/topic_follower.hpp"  // for TopicFollower
+#include "ferrytray/base/error.hpp"               // for Result
+#include "ferrytray/cache/part_planner.hpp"       // for Stores
+#include "ferrytray/net/http_client.hpp"          // for HttpClient
+#include "ferrytray/net/http_server.hpp"          // for HttpServer
+#include "ferrytray/net/loop.hpp"                 // for Loop
+#include "ferrytray/peers/fallback_reader.hpp"    // for FallbackReader
+#include "ferrytray/peers/messages.hpp"           // for NewsReply, NewsRequest
+#include "ferrytray/peers/placement_messages.hpp" // for PlacementReply, PlacementRequest
+#include "ferrytray/peers/reload_board.hpp"       // for ReloadBoard
+#include "ferrytray/peers/roster.hpp"             // for Roster
+#include "ferrytray/store/record_log.hpp"         // for RecordLog
+#include "ferrytray/store/topic_follower.hpp"     // for TopicFollower
 
 namespace ferrytray::peers {
 
@@ -41,6 +42,9 @@
   base::Duration m_lookAgain = std::chrono::seconds(2);
   base::Duration m_lookEvery = std::chrono::seconds(60);
   base::Duration m_enrolRetry = std::chrono::milliseconds(700);
+  /// For an answer to a question of placement. It takes a millisecond; waiting for long would cost
+  /// the prompt what the answer gains it, some hundred milliseconds at a busy engine.
+  base::Duration m_placementWithin = std::chrono::milliseconds(40);
   /// After the hosts are known, another one is given so long to pass the topics on whole: time for
   /// three questions. Otherwise every host would read them, all at once when all of them start.
   base::Duration m_wholeWithin = std::chrono::milliseconds(1000);
@@ -51,6 +55,8 @@
 class NewsExchange
 {
 public:
+  static constexpr std::string_view kPlacementPath = "/placement";
+
   NewsExchange(net::Loop& aLoop,
                net::HttpClient& aClient,
                store::RecordLog& aLog,
@@ -76,6 +82,21 @@
   {
     m_topics.push_back(std::move(aTopic));
   }
+  /// @brief Answers hosts that ask which engine a prompt is to go to.
+  void OnPlacement(std::function<PlacementReply(const PlacementRequest&)> aCall)
+  {
+    m_onPlacement = std::move(aCall);
+  }
+  /// @brief Who gives out the prompts of a zone's engines, or of all; empty while hosts are
+  /// unknown.
+  [[nodiscard]] std::optional<Peer> Placer(const std::string& aZone, base::TimePoint aNow) const;
+  /// @brief Whether that is this host.
+  [[nodiscard]] bool IsSelf(const Peer& aPeer) const { return aPeer == m_roster->Self(); }
+  /// @brief Asks a host which engine a prompt is to go to.
+  /// @param aDone called once; empty if there was no answer in time
+  void AskPlacement(const Peer& aPeer,
+                    const PlacementRequest& aRequest,
+                    std::function<void(std::optional<PlacementReply>)> aDone);
   /// @brief Asks for what this host has open at endpoints.
   void OwnLoads(std::function<EndpointLoads()> aCall) { m_ownLoads = std::move(aCall); }
 
@@ -89,6 +110,8 @@
   void Tick();
   /// Asks for the contents of the stores and for all loads.
   void AskSource(const Peer& aSource, base::TimePoint aNow);
+  void AnswerPlacement(const net::HttpRequest& aRequest,
+                       const std::shared_ptr<net::HttpReply>& aReply) const;
   /// Exchanges loads with another reader.
   void AskReader(const Peer& aReader, base::TimePoint aNow);
   /// Asks for the log's records only, while this host has lost the log.
@@ -127,6 +150,7 @@
   std::vector<std::shared_ptr<store::TopicFollower>> m_topics;
   std::function<void(bool)> m_onDirect;
   std::function<void()> m_onReloads;
+  std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
--- /dev/null
+++ b/include/ferrytray/peers/placement_messages.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>     // for uint32_t
+#include <string>      // for string
+#include <string_view> // for string_view
+
+#include "ferrytray/base/error.hpp" // for Result
+
+namespace ferrytray::peers {
+
+/// @brief One host asks the one that gives out the long prompts of a zone's engines for an engine.
+struct PlacementRequest
+{
+  std::string m_service;
+  std::string m_model;
+  std::string m_zone;             ///< of the engines to choose from; empty: all
+  std::string m_key;              ///< of the prompt's long shared part
+  std::uint32_t m_tokens = 0;     ///< of the whole prompt
+  std::uint32_t m_readTokens = 0; ///< that no store holds
+  std::uint32_t m_ownTokens = 0;  ///< shared with no other request
+  /// A prompt that found nothing waiting: tokens read, and the time until it began; 0 for none.
+  std::uint32_t m_seenTokens = 0;
+  std::uint32_t m_seenMillis = 0;
+};
+
+/// @brief The answer; incarnations, empty for none.
+struct PlacementReply
+{
+  std::string m_engine;
+  std::string m_holder; ///< another engine that read the shared part lately
+  bool m_free = false;  ///< nothing waits at the engine
+};
+
+std::string Encode(const PlacementRequest& aRequest);
+std::string Encode(const PlacementReply& aReply);
+/// @return PeerMalformed when the bytes are anything else
+base::Result<PlacementRequest> DecodePlacementRequest(std::string_view aBytes);
+base::Result<PlacementReply> DecodePlacementReply(std::string_view aBytes);
+
+} // namespace ferrytray::peers
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -55,6 +55,8 @@
   [[nodiscard]] std::vector<Peer> OtherReaders(base::TimePoint aNow) const;
   /// @brief Those that read for the hosts of a zone.
   [[nodiscard]] std::vector<Peer> ReadersOf(const std::string& aZone, base::TimePoint aNow) const;
+  /// @brief The first by rank of a zone's hosts, or of all if the zone is empty; may be this one.
+  [[nodiscard]] Peer First(const std::string& aZone, base::TimePoint aNow) const;
   [[nodiscard]] const Peer& Self() const { return m_self; }
   [[nodiscard]] std::size_t Hosts() const { return m_peers.size() + 1; }
 
--- /dev/null
+++ b/include/ferrytray/relay/assignment.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint> // for uint32_t
+#include <string>  // for string
+
+namespace ferrytray::relay {
+
+/// @brief The engine that a long prompt was given to.
+struct Assignment
+{
+  std::string m_engine; ///< incarnation; empty: none, the host chooses by itself
+  std::string m_holder; ///< another engine that read its shared part lately, or empty
+  std::uint32_t m_readTokens = 0;
+  bool m_free = false; ///< nothing waits at that engine
+};
+
+} // namespace ferrytray::relay
--- a/include/ferrytray/relay/call_planner.hpp
+++ b/include/ferrytray/relay/call_planner.hpp
@@ -8,6 +8,7 @@
 #include <vector>   // for vector
 
 #include "ferrytray/relay/admitted.hpp"       // for Admitted
+#include "ferrytray/relay/assignment.hpp"     // for Assignment
 #include "ferrytray/relay/caller_request.hpp" // for CallerRequest
 #include "ferrytray/relay/endpoint_call.hpp"  // for EndpointCall
 #include "ferrytray/relay/relay_core.hpp"     // for RelayCore
@@ -38,7 +39,12 @@
   /// @brief One of the route's services, by their weights.
   [[nodiscard]] const std::string& PickService();
   /// @param aTried incarnations that are not to be asked again
-  [[nodiscard]] Target PickTarget(const std::string& aService, const std::set<std::string>& aTried);
+  /// @param aAssigned the engine that the prompt was given to, if any
+  [[nodiscard]] Target PickTarget(const std::string& aService,
+                                  const std::set<std::string>& aTried,
+                                  const Assignment& aAssigned);
+  /// @brief Whether the request has a prompt that the service's engines read for long.
+  [[nodiscard]] bool IsLong(const std::string& aService) const;
   /// @param aLeft until the answer is due
   /// @param aResumeAfter the caller has a stream's events up to here
   [[nodiscard]] EndpointCall CallTo(const Target& aTarget,
@@ -46,14 +52,8 @@
                                     std::optional<std::uint64_t> aResumeAfter);
 
 private:
-  /// Whether a prompt would wait for memory behind this much open work.
-  [[nodiscard]] bool IsFull(const fleet::Service* aService, routing::Work aOpen) const;
   /// What the endpoint goes by when it cannot run all its prompts at once.
-  [[nodiscard]] std::uint32_t RankOf(const Prompt& aPrompt, const std::string& aService) const;
-  /// Its weights should have been replaced by now.
-  /// Engines whose announced reload is over are taken to have their new weights.
-  void NoteReloaded(base::TimePoint aNow);
-  [[nodiscard]] bool TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const;
+  [[nodiscard]] std::uint32_t RankOf(const std::string& aService) const;
   [[nodiscard]] std::vector<cache::PlannedPart> PlannedParts() const;
   [[nodiscard]] cache::PartPlan PlanParts(std::span<const cache::PlannedPart> aParts,
                                           const std::string& aScope,
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -85,6 +85,7 @@
   std::string m_service;
   std::optional<std::uint64_t> m_admission; ///< its number at the service's limit
   routing::Work m_work;                     ///< of one send
+  Assignment m_assigned;                    ///< of a long prompt
   std::set<std::string> m_tried;
   std::uint32_t m_sends = 0;
   std::uint32_t m_ranOn = 0;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -26,6 +26,8 @@
 
 namespace ferrytray::relay {
 
+class PromptDispatcher;
+
 struct RelayOptions
 {
   std::string m_zone; ///< this host's availability zone
@@ -85,6 +87,7 @@
   limits::RetryWindow m_retries;
   std::map<std::string, limits::AdmissionLimit> m_admission; ///< by service
   PromptPlacement m_placement;
+  PromptDispatcher* m_dispatcher = nullptr; ///< null: each host chooses engines by itself
   cache::Stores m_stores;
   cache::PartPlanner m_parts;
   telemetry::Metrics m_metrics;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -3,16 +3,17 @@
 #include <functional> // for function
 #include <memory>     // for unique_ptr
 
-#include "ferrytray/base/error.hpp"             // for Result
-#include "ferrytray/net/http_server.hpp"        // for HttpServer
-#include "ferrytray/peers/news_exchange.hpp"    // for NewsExchange
-#include "ferrytray/relay/relay_core.hpp"       // for RelayCore
-#include "ferrytray/relay/relay_front.hpp"      // for RelayFront
-#include "ferrytray/relay/state_feeds.hpp"      // for StateFeeds
-#include "ferrytray/relay/store_watch.hpp"      // for StoreWatch
-#include "ferrytray/relay/upkeep_duty.hpp"      // for UpkeepDuty, PartFreer
-#include "ferrytray/rollout/rollout_driver.hpp" // for RolloutDriver
-#include "ferrytray/store/metered_log.hpp"      // for MeteredLog
+#include "ferrytray/base/error.hpp"              // for Result
+#include "ferrytray/net/http_server.hpp"         // for HttpServer
+#include "ferrytray/peers/news_exchange.hpp"     // for NewsExchange
+#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
+#include "ferrytray/relay/relay_core.hpp"        // for RelayCore
+#include "ferrytray/relay/relay_front.hpp"       // for RelayFront
+#include "ferrytray/relay/state_feeds.hpp"       // for StateFeeds
+#include "ferrytray/relay/store_watch.hpp"       // for StoreWatch
+#include "ferrytray/relay/upkeep_duty.hpp"       // for UpkeepDuty, PartFreer
+#include "ferrytray/rollout/rollout_driver.hpp"  // for RolloutDriver
+#include "ferrytray/store/metered_log.hpp"       // for MeteredLog
 
 namespace ferrytray::relay {
 
@@ -75,6 +76,7 @@
   StateFeeds m_feeds;
   StoreWatch m_stores;
   peers::NewsExchange m_news;
+  PromptDispatcher m_dispatcher;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
--- /dev/null
+++ b/include/ferrytray/routing/prefill_queues.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstddef>       // for size_t
+#include <cstdint>       // for uint32_t
+#include <optional>      // for optional
+#include <span>          // for span
+#include <string>        // for string
+#include <unordered_map> // for unordered_map
+
+#include "ferrytray/base/time.hpp" // for Duration, TimePoint
+
+namespace ferrytray::routing {
+
+struct PrefillOptions
+{
+  /// Prompt tokens that an engine reads in a millisecond, before one was seen to. The slowest kind
+  /// of engine in use; a figure that is too low spreads prompts evenly, one too high at random.
+  double m_tokensPerMilli = 40;
+  /// Each observed reading moves the figure by this part.
+  double m_follow = 0.02;
+  /// A prompt may wait so much longer at its home than elsewhere: a fetch of its parts, which the
+  /// home may hold, takes about as long.
+  base::Duration m_homeWorth = std::chrono::milliseconds(40);
+  /// For so long after an engine was given a part to read no store has it: saved and told of.
+  base::Duration m_readFor = std::chrono::milliseconds(1500);
+  /// An engine's queue is taken to be no longer; a wrong figure wears off in this time.
+  base::Duration m_longest = std::chrono::milliseconds(3000);
+  /// Engines and parts remembered; older ones are dropped beyond.
+  std::size_t m_most = 8192;
+};
+
+/// @brief A prompt to be given to an engine.
+struct PrefillJob
+{
+  std::string m_key;              ///< of its long shared part
+  std::uint32_t m_readTokens = 0; ///< to be read: all but what stores hold
+  std::uint32_t m_ownTokens = 0;  ///< shared with no other request
+};
+
+/// @brief Where a prompt goes.
+struct PrefillChoice
+{
+  std::size_t m_engine = 0; ///< index into the candidates
+  std::string m_holder;     ///< another candidate that read the shared part lately, or empty
+  bool m_free = false;      ///< nothing waits there
+};
+
+/// @brief How long prompts wait at engines before they are read, kept by whoever gives the prompts
+/// out: exact as of now, where what hosts tell each other is some hundred milliseconds old, longer
+/// than a prompt takes to be read. Pure.
+class PrefillQueues
+{
+public:
+  explicit PrefillQueues(PrefillOptions aOptions = {})
+    : m_options(aOptions)
+    , m_tokensPerMilli(aOptions.m_tokensPerMilli)
+  {
+  }
+
+  /// @brief Gives a prompt to the candidate where it begins first, or to its home or to whoever
+  /// reads its part already if it begins there little later.
+  /// @param aEngines incarnations; @return empty without candidates
+  std::optional<PrefillChoice> Give(const PrefillJob& aJob,
+                                    std::span<const std::string> aEngines,
+                                    base::TimePoint aNow);
+  /// @brief A prompt that found no queue began after so long.
+  void OnRead(std::uint32_t aTokens, base::Duration aTook);
+  /// @brief Until a prompt that is given to this engine now would begin to be read.
+  [[nodiscard]] base::Duration WaitAt(const std::string& aEngine, base::TimePoint aNow) const;
+
+private:
+  struct LastRead
+  {
+    std::string m_engine;
+    base::TimePoint m_at;
+  };
+
+  [[nodiscard]] base::Duration TimeFor(std::uint32_t aTokens) const;
+  void Bound(base::TimePoint aNow);
+
+  PrefillOptions m_options;
+  double m_tokensPerMilli;
+  std::unordered_map<std::string, base::TimePoint> m_busyUntil; ///< by engine
+  std::unordered_map<std::string, LastRead> m_lastRead;         ///< by key
+};
+
+} // namespace ferrytray::routing
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -1,13 +1,6 @@
 #include "ferrytray/peers/messages.hpp"
 
-#include <sstream> // for ostringstream
-
-#include <cereal/archives/binary.hpp> // for BinaryOutputArchive
-#include <cereal/types/chrono.hpp>    // for duration
-#include <cereal/types/string.hpp>    // for string
-#include <cereal/types/vector.hpp>    // for vector
-
-#include "ferrytray/net/bounded_archive.hpp" // for BoundedInputArchive
+#include "ferrytray/peers/archive.hpp" // for ReadMessage, WriteMessage
 
 namespace ferrytray::cache {
 
@@ -68,42 +61,6 @@
 
 namespace ferrytray::peers {
 
-namespace {
-
-/// Both ends are of one version but while hosts are replaced; another version's bytes are refused.
-constexpr std::uint32_t kFormat = 0x66740004;
-
-template<typename Message>
-std::string Write(const Message& aMessage)
-{
-  std::ostringstream bytes;
-  {
-    cereal::BinaryOutputArchive archive(bytes);
-    archive(kFormat, aMessage);
-  }
-  return bytes.str();
-}
-
-template<typename Message>
-base::Result<Message> Read(std::string_view aBytes)
-{
-  try {
-    net::BoundedInputArchive archive(aBytes);
-    std::uint32_t format = 0;
-    Message message;
-    archive(format);
-    if (format != kFormat) {
-      return base::Fail(base::ErrorCode::PeerMalformed, "another format");
-    }
-    archive(message);
-    return message;
-  } catch (const std::exception& error) {
-    return base::Fail(base::ErrorCode::PeerMalformed, error.what());
-  }
-}
-
-} // namespace
-
 template<typename Archive>
 void serialize(Archive& aArchive, Peer& aPeer)
 {
@@ -140,32 +97,32 @@
 
 std::string Encode(const Peer& aPeer)
 {
-  return Write(aPeer);
+  return WriteMessage(aPeer);
 }
 
 std::string Encode(const NewsRequest& aRequest)
 {
-  return Write(aRequest);
+  return WriteMessage(aRequest);
 }
 
 std::string Encode(const NewsReply& aReply)
 {
-  return Write(aReply);
+  return WriteMessage(aReply);
 }
 
 base::Result<Peer> DecodePeer(std::string_view aBytes)
 {
-  return Read<Peer>(aBytes);
+  return ReadMessage<Peer>(aBytes);
 }
 
 base::Result<NewsRequest> DecodeNewsRequest(std::string_view aBytes)
 {
-  return Read<NewsRequest>(aBytes);
+  return ReadMessage<NewsRequest>(aBytes);
 }
 
 base::Result<NewsReply> DecodeNewsReply(std::string_view aBytes)
 {
-  return Read<NewsReply>(aBytes);
+  return ReadMessage<NewsReply>(aBytes);
 }
 
 } // namespace ferrytray::peers
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -1,4 +1,5 @@
 #include "ferrytray/peers/messages.hpp"
+#include "ferrytray/peers/placement_messages.hpp"
 
 #include <rapidcheck.h> // for check, gen
 
@@ -69,3 +70,25 @@
   });
   CHECK(held);
 }
+
+TEST(PeerMessages, QuestionsOfPlacementComeBackAsTheyWere)
+{
+  const peers::PlacementRequest request{ "s", "m", "z", "k", 5, 4, 3, 2, 1 };
+  const auto read = peers::DecodePlacementRequest(peers::Encode(request));
+  CHECK(read && read->m_service == "s" && read->m_model == "m" && read->m_zone == "z");
+  CHECK(read->m_key == "k" && read->m_tokens == 5 && read->m_readTokens == 4);
+  CHECK(read->m_ownTokens == 3 && read->m_seenTokens == 2 && read->m_seenMillis == 1);
+  const auto reply =
+    peers::DecodePlacementReply(peers::Encode(peers::PlacementReply{ "a", "b", true }));
+  CHECK(reply && reply->m_engine == "a" && reply->m_holder == "b" && reply->m_free);
+}
+
+TEST(PeerMessages, DamagedQuestionsOfPlacementAreRefusedWithANumber)
+{
+  const std::string whole =
+    peers::Encode(peers::PlacementRequest{ "s", "m", "z", "k", 5, 4, 3, 2, 1 });
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const auto read = peers::DecodePlacementRequest(std::string_view(whole).substr(0, size));
+    CHECK(!read && read.error().m_code == base::ErrorCode::PeerMalformed);
+  }
+}
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -333,6 +333,10 @@
 void NewsExchange::Answer(const net::HttpRequest& aRequest,
                           const std::shared_ptr<net::HttpReply>& aReply)
 {
+  if (aRequest.m_path == kPlacementPath) {
+    AnswerPlacement(aRequest, aReply);
+    return;
+  }
   base::Result<NewsRequest> question = DecodeNewsRequest(aRequest.m_body);
   if (!question) {
     aReply->Send(kBadRequest, {}, question.error().m_message);
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -349,3 +349,36 @@
   CHECK(Until([&] { return status != 0; }));
   LONGS_EQUAL(400, status);
 }
+
+TEST(NewsExchange, AQuestionOfPlacementIsAnsweredAndABadOneIsRefused)
+{
+  CHECK(Until([&] { return m_reader->m_direct; }));
+  const std::optional<peers::Peer> host = m_reader->m_news.Placer("z", base::MonotonicNow());
+  CHECK(host && m_reader->m_news.IsSelf(*host));
+  m_reader->m_news.OnPlacement([](const peers::PlacementRequest& aRequest) {
+    return peers::PlacementReply{ aRequest.m_key + "!", "", true };
+  });
+  std::string engine;
+  peers::PlacementRequest question;
+  question.m_key = "k";
+  bool answered = false;
+  for (int i = 0; i < 100 && engine.empty(); ++i) { // the test's own loop may be slow
+    answered = false;
+    m_follower->m_news.AskPlacement(*host, question, [&](const auto& aReply) {
+      answered = true;
+      engine = aReply ? aReply->m_engine : "";
+    });
+    CHECK(Until([&] { return answered; }));
+  }
+  STRCMP_EQUAL("k!", engine.c_str());
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = "http://" + host->m_address + std::string(peers::NewsExchange::kPlacementPath);
+  request.m_body = "rubbish";
+  int status = 0;
+  m_client->Fetch(std::move(request), [&](const net::ClientOutcome& aOutcome, const std::string&) {
+    status = aOutcome.m_status;
+  });
+  CHECK(Until([&] { return status != 0; }));
+  LONGS_EQUAL(400, status);
+}
--- /dev/null
+++ b/src/ferrytray/peers/placement_messages.cpp
@@ -0,0 +1,41 @@
+#include "ferrytray/peers/placement_messages.hpp"
+
+#include "ferrytray/peers/archive.hpp" // for ReadMessage, WriteMessage
+
+namespace ferrytray::peers {
+
+template<typename Archive>
+void serialize(Archive& aArchive, PlacementRequest& aRequest)
+{
+  aArchive(aRequest.m_service, aRequest.m_model, aRequest.m_zone, aRequest.m_key);
+  aArchive(aRequest.m_tokens, aRequest.m_readTokens, aRequest.m_ownTokens);
+  aArchive(aRequest.m_seenTokens, aRequest.m_seenMillis);
+}
+
+template<typename Archive>
+void serialize(Archive& aArchive, PlacementReply& aReply)
+{
+  aArchive(aReply.m_engine, aReply.m_holder, aReply.m_free);
+}
+
+std::string Encode(const PlacementRequest& aRequest)
+{
+  return WriteMessage(aRequest);
+}
+
+std::string Encode(const PlacementReply& aReply)
+{
+  return WriteMessage(aReply);
+}
+
+base::Result<PlacementRequest> DecodePlacementRequest(std::string_view aBytes)
+{
+  return ReadMessage<PlacementRequest>(aBytes);
+}
+
+base::Result<PlacementReply> DecodePlacementReply(std::string_view aBytes)
+{
+  return ReadMessage<PlacementReply>(aBytes);
+}
+
+} // namespace ferrytray::peers
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -18,6 +18,15 @@
   });
 }
 
+/// The strongest first; all hosts compute the same order.
+void SortByRank(std::vector<const Peer*>& aPeers)
+{
+  SortByHash(aPeers, kReaderRank);
+  std::stable_sort(aPeers.begin(), aPeers.end(), [](const Peer* aLeft, const Peer* aRight) {
+    return aLeft->m_capacity > aRight->m_capacity;
+  });
+}
+
 } // namespace
 
 void Roster::Learn(const Peer& aPeer)
@@ -84,10 +93,7 @@
   const bool byZone = zones <= m_options.m_readers;
   const std::size_t most = byZone ? m_options.m_readers / zones : m_options.m_readers;
   std::erase_if(readers, [&](const Peer* aPeer) { return byZone && aPeer->m_zone != aZone; });
-  SortByHash(readers, kReaderRank);
-  std::stable_sort(readers.begin(), readers.end(), [](const Peer* aLeft, const Peer* aRight) {
-    return aLeft->m_capacity > aRight->m_capacity;
-  });
+  SortByRank(readers);
   readers.resize(std::min(readers.size(), most));
   return readers;
 }
@@ -103,6 +109,17 @@
   return *readers.front();
 }
 
+Peer Roster::First(const std::string& aZone, base::TimePoint aNow) const
+{
+  std::vector<const Peer*> hosts = Reachable(aNow);
+  std::erase_if(hosts, [&](const Peer* aPeer) { return !aZone.empty() && aPeer->m_zone != aZone; });
+  if (hosts.empty()) {
+    return m_self;
+  }
+  SortByRank(hosts);
+  return *hosts.front();
+}
+
 std::vector<Peer> Roster::ReadersOf(const std::string& aZone, base::TimePoint aNow) const
 {
   std::vector<Peer> readers;
--- a/src/ferrytray/peers/roster_test.cpp
+++ b/src/ferrytray/peers/roster_test.cpp
@@ -106,3 +106,21 @@
   roster.Learn({ "host-1", "zone-0", "moved:2" });
   LONGS_EQUAL(2, roster.Hosts());
 }
+
+TEST(Roster, AllHostsAgreeOnTheFirstOfAZoneAndOfAll)
+{
+  const std::vector<Roster> rosters = RostersOf(40, 4);
+  for (const char* zone : { "zone-0", "zone-3", "" }) {
+    const Peer first = rosters.front().First(zone, kNow);
+    for (const Roster& roster : rosters) {
+      CHECK(roster.First(zone, kNow) == first);
+    }
+    CHECK(*zone == '\0' || first.m_zone == zone);
+  }
+}
+
+TEST(Roster, AZoneWithoutHostsHasThisOneForFirst)
+{
+  const std::vector<Roster> rosters = RostersOf(3, 1);
+  CHECK(rosters[1].First("elsewhere", kNow) == rosters[1].Self());
+}
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -1,9 +1,9 @@
 #include "ferrytray/relay/call_planner.hpp"
 
-#include <algorithm> // for max
-#include <vector>    // for vector
+#include <vector> // for vector
 
-#include "ferrytray/routing/engine_memory.hpp" // for HasRoom, SizeOf
+#include "ferrytray/relay/candidates.hpp"      // for CandidatesFor
+#include "ferrytray/routing/engine_memory.hpp" // for SizeOf
 
 namespace ferrytray::relay {
 
@@ -24,95 +24,57 @@
   return shares.front().m_service;
 }
 
-Target CallPlanner::PickTarget(const std::string& aService, const std::set<std::string>& aTried)
+Target CallPlanner::PickTarget(const std::string& aService,
+                               const std::set<std::string>& aTried,
+                               const Assignment& aAssigned)
 {
-  const base::TimePoint now = base::MonotonicNow();
-  m_core.m_directory.Expire(now);
-  NoteReloaded(now);
   const fleet::Service* service = m_admitted.m_configuration->FindService(aService);
-  const std::uint32_t connections = service == nullptr ? 0 : service->m_maxConnections;
-  const std::uint32_t most =
-    connections == 0 ? UINT32_MAX : std::max(1U, connections / m_core.m_options.m_hostsSharing);
-  std::vector<const fleet::Endpoint*> endpoints;
-  std::vector<routing::PlacementCandidate> candidates;
-  for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(aService)) {
-    const std::uint32_t open = m_core.m_board.Open(endpoint->m_incarnation);
-    if (aTried.contains(endpoint->m_incarnation) || open >= most || TooOld(*endpoint, now)) {
-      continue;
-    }
-    endpoints.push_back(endpoint);
-    const peers::EndpointTag tag = peers::TagOf(endpoint->m_incarnation);
-    const routing::Work work =
-      m_core.m_board.OpenWork(endpoint->m_incarnation) + m_core.m_otherLoads.Others(tag);
-    const bool reloading = m_request.m_prompt && m_core.m_reloads.IsReloading(tag, now);
-    candidates.push_back({ endpoint->m_incarnation,
-                           work,
-                           reloading || m_core.m_board.Avoided(endpoint->m_incarnation, now),
-                           IsFull(service, work) });
+  std::optional<PromptNeeds> needs;
+  if (m_request.m_prompt) {
+    needs = PromptNeeds{ m_request.m_prompt->m_model, m_request.m_prompt->m_inputTokens };
   }
+  const Candidates candidates =
+    CandidatesFor(m_core, aService, service, needs, aTried, base::MonotonicNow());
+  const std::vector<const fleet::Endpoint*>& endpoints = candidates.m_endpoints;
+  const std::vector<routing::PlacementCandidate>& places = candidates.m_places;
   if (!m_request.m_prompt) {
-    const auto chosen = routing::PlaceAnywhere(candidates, m_core.m_random());
-    return chosen ? Target{ endpoints[*chosen], "", candidates[*chosen].m_work, false } : Target{};
+    const auto chosen = routing::PlaceAnywhere(places, m_core.m_random());
+    return chosen ? Target{ endpoints[*chosen], "", places[*chosen].m_work, false } : Target{};
   }
-  const auto place =
-    m_core.m_placement.Place(*m_request.m_prompt, m_admitted.m_account, candidates);
+  for (std::size_t i = 0; i < places.size(); ++i) {
+    if (places[i].m_name == aAssigned.m_engine && !places[i].m_avoided) {
+      const fleet::Endpoint* holder = m_core.m_directory.Find(aAssigned.m_holder);
+      return { endpoints[i], holder == nullptr ? "" : holder->m_address, places[i].m_work, false };
+    }
+  }
+  const auto place = m_core.m_placement.Place(*m_request.m_prompt, m_admitted.m_account, places);
   if (!place) {
     return {};
   }
   const bool elsewhere = place->m_home != place->m_chosen;
   return { endpoints[place->m_chosen],
            elsewhere ? endpoints[place->m_home]->m_address : "",
-           candidates[place->m_chosen].m_work,
-           candidates[place->m_chosen].m_full };
-}
-
-void CallPlanner::NoteReloaded(base::TimePoint aNow)
-{
-  for (const peers::ReloadedWeights& ended : m_core.m_reloads.TakeEnded(aNow)) {
-    for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
-      if (peers::TagOf(endpoint->m_incarnation) == ended.m_endpoint) {
-        m_core.m_directory.NoteExpectedWeights(
-          endpoint->m_incarnation, ended.m_model, ended.m_version);
-      }
-    }
-  }
+           places[place->m_chosen].m_work,
+           places[place->m_chosen].m_full };
 }
 
-bool CallPlanner::IsFull(const fleet::Service* aService, routing::Work aOpen) const
+bool CallPlanner::IsLong(const std::string& aService) const
 {
-  if (!m_request.m_prompt || aService == nullptr || !aService->m_engine ||
-      aService->m_engine->m_kvTokens == 0) {
-    return false;
-  }
-  const std::uint64_t memory = aService->m_engine->m_kvTokens;
-  const routing::PromptSize size = routing::SizeOf(m_request.m_prompt->m_inputTokens, memory);
-  return !routing::HasRoom(size, aOpen, memory);
+  const fleet::Service* service = m_admitted.m_configuration->FindService(aService);
+  return m_request.m_prompt && service != nullptr && service->m_engine &&
+         routing::SizeOf(m_request.m_prompt->m_inputTokens, service->m_engine->m_kvTokens) ==
+           routing::PromptSize::Long;
 }
 
-std::uint32_t CallPlanner::RankOf(const Prompt& aPrompt, const std::string& aService) const
+std::uint32_t CallPlanner::RankOf(const std::string& aService) const
 {
   const fleet::ClientAccount* account = m_admitted.m_account;
   const std::uint32_t priority = account != nullptr && account->m_priority
                                    ? *account->m_priority
                                    : m_admitted.m_route->m_priority;
-  const fleet::Service* service = m_admitted.m_configuration->FindService(aService);
-  const bool isLong = service != nullptr && service->m_engine &&
-                      routing::SizeOf(aPrompt.m_inputTokens, service->m_engine->m_kvTokens) ==
-                        routing::PromptSize::Long;
   // Of equal priority, short prompts go first: they cost the long ones tens of milliseconds, the
   // other way round it would be seconds.
-  return 2 * priority + (isLong ? 1 : 0);
-}
-
-bool CallPlanner::TooOld(const fleet::Endpoint& aEndpoint, base::TimePoint aNow) const
-{
-  if (!m_request.m_prompt) {
-    return false;
-  }
-  const std::string& model = m_request.m_prompt->m_model;
-  const auto weights = aEndpoint.m_weights.find(model);
-  return weights != aEndpoint.m_weights.end() &&
-         weights->second < m_core.m_named.Oldest(model, aNow);
+  return 2 * priority + (IsLong(aService) ? 1 : 0);
 }
 
 EndpointCall CallPlanner::CallTo(const Target& aTarget,
@@ -129,7 +91,7 @@
   call.m_repeatable = m_admitted.m_route->Repeatable();
   call.m_maxIdle = m_core.m_board.MaxIdle(endpoint.m_incarnation);
   if (m_request.m_prompt) {
-    call.m_rank = RankOf(*m_request.m_prompt, endpoint.m_service);
+    call.m_rank = RankOf(endpoint.m_service);
     const std::string& model = m_request.m_prompt->m_model;
     const auto weights = endpoint.m_weights.find(model);
     if (weights != endpoint.m_weights.end()) {
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -3,7 +3,8 @@
 #include <algorithm> // for max, min
 #include <utility>   // for move
 
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
+#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
 
@@ -55,7 +56,20 @@
     return;
   }
   m_core.m_retries.OnFirstSend(m_service, m_arrival);
-  Send();
+  if (m_core.m_dispatcher == nullptr || !m_planner.IsLong(m_service)) {
+    Send();
+    return;
+  }
+  m_core.m_dispatcher->Ask(*m_request.m_prompt,
+                           m_admitted.m_account,
+                           m_service,
+                           [weak = weak_from_this()](Assignment aAssigned) {
+                             const auto self = weak.lock();
+                             if (self && !self->m_done) {
+                               self->m_assigned = std::move(aAssigned);
+                               self->Send();
+                             }
+                           });
 }
 
 base::Duration Exchange::Left() const
@@ -65,7 +79,7 @@
 
 void Exchange::Send()
 {
-  const Target target = m_planner.PickTarget(m_service, m_tried);
+  const Target target = m_planner.PickTarget(m_service, m_tried, m_assigned);
   const fleet::Endpoint* endpoint = target.m_endpoint;
   if (endpoint == nullptr) {
     if (m_answerBegan) {
@@ -196,6 +210,9 @@
   if (!m_answerBegan) {
     m_answerBegan = true;
     m_beganAt = base::MonotonicNow();
+    if (m_assigned.m_free && m_sends == 1 && m_attempt->m_endpoint == m_assigned.m_engine) {
+      m_core.m_dispatcher->OnBegan(m_assigned.m_readTokens, *m_beganAt - m_attempt->m_sentAt);
+    }
     m_core.m_admission[m_service].OnAnswering(*m_admission, base::MonotonicNow());
     if (m_core.m_leaving) {
       m_reply->CloseAfter();
--- /dev/null
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -0,0 +1,151 @@
+#include "ferrytray/relay/prompt_dispatcher.hpp"
+
+#include <vector> // for vector
+
+#include "tests/support/exchange_fixture.hpp"  // for ExchangeFixture
+#include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using net::WireEnd;
+using support::kLongPrompt;
+
+/// A host that gives out prompts itself, or asks a stronger one whose answers the test gives.
+TEST_GROUP_BASE(PromptDispatcher, support::ExchangeFixture)
+{
+  support::MemoryRecordLog m_log;
+  std::optional<peers::NewsExchange> m_exchange;
+  std::optional<relay::PromptDispatcher> m_dispatcher;
+
+  void teardown() override
+  {
+    m_exchange->Stop();
+  }
+
+  void Begin(std::uint32_t aCapacity)
+  {
+    peers::NewsOptions options;
+    options.m_listen = { "127.0.0.1", 0 };
+    options.m_name = "self";
+    options.m_zone = "z";
+    options.m_capacity = aCapacity;
+    options.m_topic = "hosts";
+    options.m_lookFirst = 1ms;
+    options.m_askEvery = 1h; // nothing but placement is asked
+    m_log.AppendKeyed("hosts",
+                      "strong",
+                      peers::Encode(peers::Peer{ "strong", "z", "10.0.0.1:7", 5 }),
+                      [](const auto&) {});
+    m_exchange.emplace(
+      m_loop, m_client, m_log, m_core.m_stores, m_core.m_otherLoads, m_core.m_reloads, options);
+    m_exchange->OwnLoads([] { return peers::EndpointLoads{}; });
+    m_dispatcher.emplace(m_core, *m_exchange);
+    CHECK(m_exchange->Start().has_value());
+    for (int i = 0; i < 1000 && !m_exchange->Placer("", base::MonotonicNow()); ++i) {
+      m_loop.RunFor(1ms);
+    }
+    m_client.m_calls.clear();
+    m_core.m_dispatcher = &*m_dispatcher;
+  }
+
+  peers::PlacementRequest QuestionOf(const char* aKey)
+  {
+    return { "s", "m", "", aKey, kLongPrompt, kLongPrompt, kLongPrompt, 0, 0 };
+  }
+};
+
+// Load: long prompts that arrive together, more of them with one home than it can read in time.
+TEST(PromptDispatcher, PromptsThatArriveTogetherGoToDifferentEngines)
+{
+  Begin(9);
+  Ask("/stream/x", "k", "long");
+  const std::string first = Sent("to");
+  Ask("/stream/x", "k", "long");
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  CHECK(first != Sent("to"));
+}
+
+TEST(PromptDispatcher, AnEngineThatLoadsWeightsIsGivenNothing)
+{
+  Begin(9);
+  m_core.m_reloads.OnNotice({ peers::TagOf("a"), "m", 2, 1500, 1 }, base::MonotonicNow());
+  for (const char* key : { "k1", "k2", "k3", "k4" }) {
+    STRCMP_EQUAL("b", m_dispatcher->Give(QuestionOf(key)).m_engine.c_str());
+  }
+}
+
+TEST(PromptDispatcher, OfAZoneOnlyItsOwnEnginesAreGiven)
+{
+  Begin(9);
+  fleet::Endpoint far = support::EndpointOf("c");
+  far.m_zone = "far";
+  m_core.m_directory.Upsert(far, base::MonotonicNow());
+  peers::PlacementRequest question = QuestionOf("k");
+  question.m_zone = "far";
+  for (int i = 0; i < 3; ++i) {
+    STRCMP_EQUAL("c", m_dispatcher->Give(question).m_engine.c_str());
+  }
+  question.m_zone = "nowhere";
+  CHECK(m_dispatcher->Give(question).m_engine.empty());
+  question.m_service = "unknown";
+  CHECK(m_dispatcher->Give(question).m_engine.empty());
+}
+
+TEST(PromptDispatcher, TheStrongerHostIsAskedAndItsAnswerIsFollowed)
+{
+  Begin(1);
+  for (const char* engine : { "a", "b" }) {
+    Ask("/stream/x", "k", "long");
+    STRCMP_EQUAL("http://10.0.0.1:7/placement", m_client.m_calls.back().m_request.m_url.c_str());
+    m_client.Head(200, {});
+    m_client.Data(peers::Encode(peers::PlacementReply{ engine, "", true }));
+    m_client.End(WireEnd::Complete);
+    STRCMP_EQUAL(engine, Sent("to").c_str());
+  }
+}
+
+TEST(PromptDispatcher, WithoutAnAnswerAPromptGoesToItsHomeAndTheHostIsLeftAloneForAWhile)
+{
+  Begin(1);
+  Ask("/stream/x", "k", "long");
+  m_client.End(WireEnd::NotSent);
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  CHECK_FALSE(Sent("to").empty());
+  Ask("/stream/x", "k", "long");
+  LONGS_EQUAL(3, m_client.m_calls.size());
+  CHECK_FALSE(Sent("to").empty());
+}
+
+TEST(PromptDispatcher, AnEngineThatThisHostDoesNotKnowOrWasRefusedByIsNotInsistedOn)
+{
+  Begin(1);
+  Ask("/stream/x", "k", "long");
+  m_client.Head(200, {});
+  m_client.Data(peers::Encode(peers::PlacementReply{ "unknown", "unknown", false }));
+  m_client.End(WireEnd::Complete);
+  const std::string first = Sent("to");
+  CHECK(first == "a" || first == "b");
+  m_client.Head(503, { { "not-run", "1" } });
+  m_client.End(WireEnd::Complete);
+  CHECK(first != Sent("to"));
+}
+
+TEST(PromptDispatcher, ACallerThatLeavesWhileTheQuestionIsOpenIsSentNowhere)
+{
+  Begin(1);
+  const auto reply = Ask("/stream/x", "k", "long");
+  reply->m_onClosed();
+  m_client.End(WireEnd::NotSent);
+  LONGS_EQUAL(1, m_client.m_calls.size());
+}
+
+TEST(PromptDispatcher, ShortPromptsAndPlainRequestsAskNobody)
+{
+  Begin(1);
+  Ask("/stream/x", "k", "m");
+  Ask("/once/x");
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  CHECK_FALSE(Sent("to").empty());
+}
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -40,6 +40,7 @@
            m_core.m_otherLoads,
            m_core.m_reloads,
            WithTopic(m_options.m_peers, aPorts.m_records))
+  , m_dispatcher(m_core, m_news)
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               m_log,
@@ -63,6 +64,7 @@
   for (auto& topic : m_feeds.Topics()) {
     m_news.AddTopic(std::move(topic));
   }
+  m_core.m_dispatcher = &m_dispatcher;
   m_news.OwnLoads([this] { return OwnLoads(); });
   m_news.OnReloads([this] { m_rollout.NoteOthersOrder(base::MonotonicNow()); });
   m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
--- /dev/null
+++ b/src/ferrytray/routing/prefill_queues_test.cpp
@@ -0,0 +1,121 @@
+#include "ferrytray/routing/prefill_queues.hpp"
+
+#include <algorithm> // for max, sort
+#include <cmath>     // for log
+#include <random>    // for mt19937_64
+#include <vector>    // for vector
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> Engines(std::size_t aCount)
+{
+  std::vector<std::string> engines;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    engines.push_back("e" + std::to_string(i));
+  }
+  return engines;
+}
+
+} // namespace
+
+TEST_GROUP(PrefillQueues)
+{
+  base::TimePoint m_now = base::MonotonicNow();
+  routing::PrefillQueues m_queues;
+  std::vector<std::string> m_engines = Engines(4);
+
+  std::string Give(const char* aKey, std::uint32_t aTokens, std::uint32_t aOwn = 0)
+  {
+    return m_engines.at(m_queues.Give({ aKey, aTokens, aOwn }, m_engines, m_now)->m_engine);
+  }
+};
+
+TEST(PrefillQueues, WithoutEnginesNothingIsChosen)
+{
+  CHECK_FALSE(m_queues.Give({ "k", 1, 0 }, {}, m_now).has_value());
+}
+
+TEST(PrefillQueues, WhatAnEngineWasGivenIsWaitedForAndWearsOff)
+{
+  const std::string engine = Give("k", 8000);
+  CHECK(m_queues.WaitAt(engine, m_now) == 200ms);
+  CHECK(m_queues.WaitAt(engine, m_now + 150ms) == 50ms);
+  CHECK(m_queues.WaitAt(engine, m_now + 1s) == 0ms);
+}
+
+TEST(PrefillQueues, APromptGoesToItsHomeWhileThatIsNotBusier)
+{
+  const std::string home = Give("k", 800);
+  m_now += 5s;
+  STRCMP_EQUAL(home.c_str(), Give("k", 800).c_str());
+}
+
+TEST(PrefillQueues, OneThatNeedsThePartAnotherHasNearlyReadGoesThere)
+{
+  const std::string first = Give("k", 16'000, 4'000);
+  m_now += 250ms;
+  STRCMP_EQUAL(first.c_str(), Give("k", 16'000, 4'000).c_str());
+  // It waits for what is left of the first one, and reads its own part only.
+  CHECK(m_queues.WaitAt(first, m_now) == 250ms);
+}
+
+TEST(PrefillQueues, WhenItsReaderIsTooBusyItGoesElsewhereAndKnowsWhoHoldsThePart)
+{
+  const std::string first = Give("k", 16'000, 4'000);
+  const auto choice = m_queues.Give({ "k", 16'000, 4'000 }, m_engines, m_now);
+  CHECK(m_engines[choice->m_engine] != first);
+  CHECK(choice->m_free);
+  STRCMP_EQUAL(first.c_str(), choice->m_holder.c_str());
+}
+
+TEST(PrefillQueues, TheRateFollowsWhatIsSeen)
+{
+  for (int i = 0; i < 1000; ++i) {
+    m_queues.OnRead(16'000, 100ms);
+  }
+  const std::string engine = Give("k", 16'000);
+  CHECK(m_queues.WaitAt(engine, m_now) < 102ms);
+}
+
+TEST(PrefillQueues, AQueueIsTakenToBeBounded)
+{
+  m_engines = Engines(1);
+  for (int i = 0; i < 100; ++i) {
+    Give(std::to_string(i).c_str(), 40'000);
+  }
+  CHECK(m_queues.WaitAt("e0", m_now) <= 3s);
+}
+
+// Load: 42 long prompts a second for 27 engines, each read for 0.25 s on the mean (spread like a
+// log-normal): engines read for 0.4 of the time. Given out by hash alone one in ten waits for over
+// 0.3 s, by the queues one in a hundred for over 0.08 s.
+TEST(PrefillQueues, LongPromptsHardlyWaitWhereEnginesReadForLessThanHalfOfTheTime)
+{
+  m_engines = Engines(27);
+  std::mt19937_64 random(7);
+  std::exponential_distribution<double> gap(42);
+  std::lognormal_distribution<double> tokens(std::log(8'000.0), 0.6);
+  std::vector<base::Duration> byQueue;
+  std::vector<base::Duration> byHash;
+  std::vector<base::TimePoint> freeAt(m_engines.size(), m_now);
+  for (int i = 0; i < 5'000; ++i) {
+    m_now += base::FromSeconds(gap(random));
+    const auto size = static_cast<std::uint32_t>(tokens(random));
+    const std::string key = std::to_string(random() % 2'000);
+    const std::size_t engine = m_queues.Give({ key, size, size }, m_engines, m_now)->m_engine;
+    byQueue.push_back(m_queues.WaitAt(m_engines[engine], m_now) -
+                      base::FromSeconds(size / 40'000.0));
+    base::TimePoint& hashed = freeAt[std::hash<std::string>{}(key) % freeAt.size()];
+    byHash.push_back(std::max(base::Duration::zero(), base::Duration(hashed - m_now)));
+    hashed = std::max(hashed, m_now) + base::FromSeconds(size / 40'000.0);
+  }
+  std::sort(byQueue.begin(), byQueue.end());
+  std::sort(byHash.begin(), byHash.end());
+  CHECK(byQueue[byQueue.size() * 99 / 100] < 80ms);
+  CHECK(byHash[byHash.size() * 90 / 100] > 300ms);
+}
--- a/tests/support/fake_http.hpp
+++ b/tests/support/fake_http.hpp
@@ -19,6 +19,7 @@
     ferrytray::net::ClientRequest m_request;
     ferrytray::net::ClientEvents m_events;
     bool m_cancelled = false;
+    int m_status = 0; ///< answered
   };
 
   ferrytray::net::CallId Start(ferrytray::net::ClientRequest aRequest,
@@ -34,7 +35,10 @@
   void Head(int aStatus, const ferrytray::net::Headers& aHeaders)
   {
     const auto events = m_calls.back().m_events;
-    events.m_onHead(aStatus, aHeaders);
+    m_calls.back().m_status = aStatus;
+    if (events.m_onHead) {
+      events.m_onHead(aStatus, aHeaders);
+    }
   }
   void Data(std::string_view aPiece)
   {
@@ -46,6 +50,7 @@
     const auto events = m_calls.back().m_events;
     ferrytray::net::ClientOutcome outcome;
     outcome.m_end = aEnd;
+    outcome.m_status = m_calls.back().m_status;
     events.m_onEnd(outcome);
   }
 
