Memory and crashed engines are known where long prompts are given out

Change: what was given counts as held until hosts tell of it; an engine whose memory is taken is not given, and when that is all of them the prompt is refused at once; from half full on an engine costs up to 0.4 s of waiting. A question names the engines that its host cannot reach; what two hosts cannot reach nobody is given.

--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -90,6 +90,7 @@
   /// @brief Who gives out the prompts of a zone's engines, or of all; empty while hosts are
   /// unknown.
   [[nodiscard]] std::optional<Peer> Placer(const std::string& aZone, base::TimePoint aNow) const;
+  [[nodiscard]] const std::string& Name() const { return m_options.m_name; }
   /// @brief Whether that is this host.
   [[nodiscard]] bool IsSelf(const Peer& aPeer) const { return aPeer == m_roster->Self(); }
   /// @brief Asks a host which engine a prompt is to go to.
--- a/include/ferrytray/peers/placement_messages.hpp
+++ b/include/ferrytray/peers/placement_messages.hpp
@@ -3,21 +3,25 @@
 #include <cstdint>     // for uint32_t
 #include <string>      // for string
 #include <string_view> // for string_view
+#include <vector>      // for vector
 
-#include "ferrytray/base/error.hpp" // for Result
+#include "ferrytray/base/error.hpp"       // for Result
+#include "ferrytray/peers/load_board.hpp" // for EndpointTag
 
 namespace ferrytray::peers {
 
 /// @brief One host asks the one that gives out the long prompts of a zone's engines for an engine.
 struct PlacementRequest
 {
+  std::string m_host; ///< that asks
   std::string m_service;
   std::string m_model;
-  std::string m_zone;             ///< of the engines to choose from; empty: all
-  std::string m_key;              ///< of the prompt's long shared part
-  std::uint32_t m_tokens = 0;     ///< of the whole prompt
-  std::uint32_t m_readTokens = 0; ///< that no store holds
-  std::uint32_t m_ownTokens = 0;  ///< shared with no other request
+  std::string m_zone;                     ///< of the engines to choose from; empty: all
+  std::string m_key;                      ///< of the prompt's long shared part
+  std::uint32_t m_tokens = 0;             ///< of the whole prompt
+  std::uint32_t m_readTokens = 0;         ///< that no store holds
+  std::uint32_t m_ownTokens = 0;          ///< shared with no other request
+  std::vector<EndpointTag> m_unreachable; ///< engines that the asking host cannot use now
   /// A prompt that found nothing waiting: tokens read, and the time until it began; 0 for none.
   std::uint32_t m_seenTokens = 0;
   std::uint32_t m_seenMillis = 0;
@@ -29,6 +33,7 @@
   std::string m_engine;
   std::string m_holder; ///< another engine that read the shared part lately
   bool m_free = false;  ///< nothing waits at the engine
+  bool m_full = false;  ///< the memory of all engines is taken
 };
 
 std::string Encode(const PlacementRequest& aRequest);
--- a/include/ferrytray/relay/assignment.hpp
+++ b/include/ferrytray/relay/assignment.hpp
@@ -12,6 +12,7 @@
   std::string m_holder; ///< another engine that read its shared part lately, or empty
   std::uint32_t m_readTokens = 0;
   bool m_free = false; ///< nothing waits at that engine
+  bool m_full = false; ///< the memory of all engines is taken
 };
 
 } // namespace ferrytray::relay
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -50,6 +50,7 @@
     EventSplitter m_events;
   };
 
+  void OnAssigned(Assignment aAssigned);
   void Send();
   void OnHead(int aStatus, const net::Headers& aHeaders);
   void OnData(std::string_view aPiece);
--- a/include/ferrytray/relay/prompt_dispatcher.hpp
+++ b/include/ferrytray/relay/prompt_dispatcher.hpp
@@ -4,11 +4,13 @@
 #include <optional>      // for optional
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
+#include <vector>        // for vector
 
-#include "ferrytray/peers/news_exchange.hpp"    // for NewsExchange
-#include "ferrytray/relay/assignment.hpp"       // for Assignment
-#include "ferrytray/relay/relay_core.hpp"       // for RelayCore
-#include "ferrytray/routing/prefill_queues.hpp" // for PrefillQueues
+#include "ferrytray/peers/news_exchange.hpp"     // for NewsExchange
+#include "ferrytray/peers/unreachable_board.hpp" // for UnreachableBoard
+#include "ferrytray/relay/assignment.hpp"        // for Assignment
+#include "ferrytray/relay/relay_core.hpp"        // for RelayCore
+#include "ferrytray/routing/prefill_queues.hpp"  // for PrefillQueues
 
 namespace ferrytray::relay {
 
@@ -49,6 +51,9 @@
   void OnBegan(std::uint32_t aReadTokens, base::Duration aTook);
 
 private:
+  /// Engines of a service that this host cannot use now.
+  [[nodiscard]] std::vector<peers::EndpointTag> Unreachable(const std::string& aService,
+                                                            base::TimePoint aNow) const;
   [[nodiscard]] std::string ZoneFor(const std::string& aKey, const std::string& aService) const;
   /// Tokens of a prompt that no store holds.
   [[nodiscard]] std::uint32_t ReadTokens(const Prompt& aPrompt,
@@ -66,6 +71,7 @@
   peers::NewsExchange& m_exchange;
   DispatchOptions m_options;
   routing::PrefillQueues m_queues;
+  peers::UnreachableBoard m_unreachable;
   std::optional<Seen> m_seen;                                    ///< told with the next question
   std::unordered_map<std::string, base::TimePoint> m_avoidUntil; ///< by host
 };
--- a/include/ferrytray/routing/prefill_queues.hpp
+++ b/include/ferrytray/routing/prefill_queues.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include <cstddef>       // for size_t
-#include <cstdint>       // for uint32_t
+#include <cstdint>       // for uint32_t, uint64_t
+#include <deque>         // for deque
 #include <optional>      // for optional
 #include <span>          // for span
 #include <string>        // for string
@@ -21,6 +22,14 @@
   /// A prompt may wait so much longer at its home than elsewhere: a fetch of its parts, which the
   /// home may hold, takes about as long.
   base::Duration m_homeWorth = std::chrono::milliseconds(40);
+  /// An engine whose memory is taken is as good as one where a prompt waits so long to be read:
+  /// some prompts wait there for another's whole answer. It grows from m_fullFrom of the memory on;
+  /// below, prompts begin at once, and their home is worth more to them.
+  base::Duration m_fullCosts = std::chrono::milliseconds(400);
+  double m_fullFrom = 0.5;
+  /// What an engine was given counts as held by it on top of what is told of it until hosts have
+  /// told of that, too: two questions between hosts.
+  base::Duration m_toldAfter = std::chrono::milliseconds(450);
   /// For so long after an engine was given a part to read no store has it: saved and told of.
   base::Duration m_readFor = std::chrono::milliseconds(1500);
   /// An engine's queue is taken to be no longer; a wrong figure wears off in this time.
@@ -29,12 +38,21 @@
   std::size_t m_most = 8192;
 };
 
+/// @brief An engine that a prompt may be given to.
+struct PrefillEngine
+{
+  std::string m_name;             ///< incarnation
+  std::uint64_t m_heldTokens = 0; ///< by open requests: as told, and as given since
+  std::uint64_t m_memory = 0;     ///< tokens; 0: not known
+};
+
 /// @brief A prompt to be given to an engine.
 struct PrefillJob
 {
-  std::string m_key;              ///< of its long shared part
-  std::uint32_t m_readTokens = 0; ///< to be read: all but what stores hold
-  std::uint32_t m_ownTokens = 0;  ///< shared with no other request
+  std::string m_key;                ///< of its long shared part
+  std::uint32_t m_untoldTokens = 0; ///< that it will hold, and that hosts have to tell of yet
+  std::uint32_t m_readTokens = 0;   ///< to be read: all but what stores hold
+  std::uint32_t m_ownTokens = 0;    ///< shared with no other request
 };
 
 /// @brief Where a prompt goes.
@@ -59,10 +77,12 @@
 
   /// @brief Gives a prompt to the candidate where it begins first, or to its home or to whoever
   /// reads its part already if it begins there little later.
-  /// @param aEngines incarnations; @return empty without candidates
+  /// @return empty without candidates
   std::optional<PrefillChoice> Give(const PrefillJob& aJob,
-                                    std::span<const std::string> aEngines,
+                                    std::span<const PrefillEngine> aEngines,
                                     base::TimePoint aNow);
+  /// @brief Tokens that an engine was given and that hosts have not told of yet.
+  [[nodiscard]] std::uint64_t GivenTokens(const std::string& aEngine, base::TimePoint aNow);
   /// @brief A prompt that found no queue began after so long.
   void OnRead(std::uint32_t aTokens, base::Duration aTook);
   /// @brief Until a prompt that is given to this engine now would begin to be read.
@@ -75,13 +95,26 @@
     base::TimePoint m_at;
   };
 
+  struct Given
+  {
+    std::string m_engine;
+    std::uint32_t m_tokens = 0;
+    base::TimePoint m_at;
+  };
+
   [[nodiscard]] base::Duration TimeFor(std::uint32_t aTokens) const;
+  /// What a prompt that goes there is expected to lose.
+  [[nodiscard]] base::Duration CostAt(const PrefillEngine& aEngine, base::TimePoint aNow) const;
+  void Remember(const Given& aGiven);
+  void ForgetTold(base::TimePoint aNow);
   void Bound(base::TimePoint aNow);
 
   PrefillOptions m_options;
   double m_tokensPerMilli;
   std::unordered_map<std::string, base::TimePoint> m_busyUntil; ///< by engine
   std::unordered_map<std::string, LastRead> m_lastRead;         ///< by key
+  std::deque<Given> m_given;                                    ///< lately, in order of time
+  std::unordered_map<std::string, std::uint64_t> m_givenTokens; ///< by engine, of m_given
 };
 
 } // namespace ferrytray::routing
--- a/include/ferrytray/routing/work.hpp
+++ b/include/ferrytray/routing/work.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint> // for uint32_t
+#include <cstdint> // for uint32_t, uint64_t
 
 namespace ferrytray::routing {
 
@@ -21,4 +21,10 @@
   return kWorkPerRequest + aPromptTokens / kTokensPerWork;
 }
 
+/// @return about the tokens of engine memory that this much work holds
+[[nodiscard]] constexpr std::uint64_t TokensOf(Work aWork)
+{
+  return std::uint64_t{ aWork } * kTokensPerWork;
+}
+
 } // namespace ferrytray::routing
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -73,20 +73,22 @@
 
 TEST(PeerMessages, QuestionsOfPlacementComeBackAsTheyWere)
 {
-  const peers::PlacementRequest request{ "s", "m", "z", "k", 5, 4, 3, 2, 1 };
+  const peers::PlacementRequest request{ "h", "s", "m", "z", "k", 5, 4, 3, { 9 }, 2, 1 };
   const auto read = peers::DecodePlacementRequest(peers::Encode(request));
   CHECK(read && read->m_service == "s" && read->m_model == "m" && read->m_zone == "z");
   CHECK(read->m_key == "k" && read->m_tokens == 5 && read->m_readTokens == 4);
+  CHECK(read->m_host == "h" && read->m_unreachable.at(0) == 9);
   CHECK(read->m_ownTokens == 3 && read->m_seenTokens == 2 && read->m_seenMillis == 1);
   const auto reply =
-    peers::DecodePlacementReply(peers::Encode(peers::PlacementReply{ "a", "b", true }));
-  CHECK(reply && reply->m_engine == "a" && reply->m_holder == "b" && reply->m_free);
+    peers::DecodePlacementReply(peers::Encode(peers::PlacementReply{ "a", "b", true, true }));
+  CHECK(reply && reply->m_engine == "a" && reply->m_holder == "b" && reply->m_free &&
+        reply->m_full);
 }
 
 TEST(PeerMessages, DamagedQuestionsOfPlacementAreRefusedWithANumber)
 {
   const std::string whole =
-    peers::Encode(peers::PlacementRequest{ "s", "m", "z", "k", 5, 4, 3, 2, 1 });
+    peers::Encode(peers::PlacementRequest{ "h", "s", "m", "z", "k", 5, 4, 3, { 9 }, 2, 1 });
   for (std::size_t size = 0; size < whole.size(); ++size) {
     const auto read = peers::DecodePlacementRequest(std::string_view(whole).substr(0, size));
     CHECK(!read && read.error().m_code == base::ErrorCode::PeerMalformed);
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -356,7 +356,7 @@
   const std::optional<peers::Peer> host = m_reader->m_news.Placer("z", base::MonotonicNow());
   CHECK(host && m_reader->m_news.IsSelf(*host));
   m_reader->m_news.OnPlacement([](const peers::PlacementRequest& aRequest) {
-    return peers::PlacementReply{ aRequest.m_key + "!", "", true };
+    return peers::PlacementReply{ aRequest.m_key + "!", "", true, false };
   });
   std::string engine;
   peers::PlacementRequest question;
--- a/src/ferrytray/peers/placement_messages.cpp
+++ b/src/ferrytray/peers/placement_messages.cpp
@@ -7,6 +7,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, PlacementRequest& aRequest)
 {
+  aArchive(aRequest.m_host, aRequest.m_unreachable);
   aArchive(aRequest.m_service, aRequest.m_model, aRequest.m_zone, aRequest.m_key);
   aArchive(aRequest.m_tokens, aRequest.m_readTokens, aRequest.m_ownTokens);
   aArchive(aRequest.m_seenTokens, aRequest.m_seenMillis);
@@ -15,7 +16,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, PlacementReply& aReply)
 {
-  aArchive(aReply.m_engine, aReply.m_holder, aReply.m_free);
+  aArchive(aReply.m_engine, aReply.m_holder, aReply.m_free, aReply.m_full);
 }
 
 std::string Encode(const PlacementRequest& aRequest)
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -66,12 +66,21 @@
                            [weak = weak_from_this()](Assignment aAssigned) {
                              const auto self = weak.lock();
                              if (self && !self->m_done) {
-                               self->m_assigned = std::move(aAssigned);
-                               self->Send();
+                               self->OnAssigned(std::move(aAssigned));
                              }
                            });
 }
 
+void Exchange::OnAssigned(Assignment aAssigned)
+{
+  m_assigned = std::move(aAssigned);
+  if (m_assigned.m_full) {
+    Refuse(base::ErrorCode::EnginesFull, "the memory of all engines is taken");
+    return;
+  }
+  Send();
+}
+
 base::Duration Exchange::Left() const
 {
   return std::max(base::Duration::zero(), m_dueAt - base::MonotonicNow());
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -3,12 +3,14 @@
 #include <algorithm> // for all_of, any_of
 #include <chrono>    // for milliseconds
 #include <map>       // for map
+#include <set>       // for set
 #include <utility>   // for exchange, move
 #include <vector>    // for vector
 
-#include "ferrytray/base/digest.hpp"        // for HashWithSeed
-#include "ferrytray/relay/candidates.hpp"   // for CandidatesFor
-#include "ferrytray/routing/rendezvous.hpp" // for RendezvousHomes
+#include "ferrytray/base/digest.hpp"           // for HashWithSeed
+#include "ferrytray/relay/candidates.hpp"      // for CandidatesFor
+#include "ferrytray/routing/engine_memory.hpp" // for HasRoom, SizeOf
+#include "ferrytray/routing/rendezvous.hpp"    // for RendezvousHomes
 
 namespace ferrytray::relay {
 
@@ -30,6 +32,8 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   peers::PlacementRequest request;
+  request.m_host = m_exchange.Name();
+  request.m_unreachable = Unreachable(aService, now);
   request.m_service = aService;
   request.m_model = aPrompt.m_model;
   request.m_key = m_core.m_placement.HomeKey(aPrompt, aAccount);
@@ -45,7 +49,7 @@
   }
   const auto assign = [tokens = request.m_readTokens](peers::PlacementReply aReply) {
     return Assignment{
-      std::move(aReply.m_engine), std::move(aReply.m_holder), tokens, aReply.m_free
+      std::move(aReply.m_engine), std::move(aReply.m_holder), tokens, aReply.m_free, aReply.m_full
     };
   };
   if (m_exchange.IsSelf(*host)) {
@@ -77,28 +81,42 @@
   if (aRequest.m_seenTokens > 0) {
     m_queues.OnRead(aRequest.m_seenTokens, std::chrono::milliseconds(aRequest.m_seenMillis));
   }
-  const Candidates candidates =
-    CandidatesFor(m_core,
-                  aRequest.m_service,
-                  m_core.m_configuration->FindService(aRequest.m_service),
-                  PromptNeeds{ aRequest.m_model, aRequest.m_tokens },
-                  {},
-                  now);
-  std::vector<std::string> engines;
+  m_unreachable.OnReport(aRequest.m_host, aRequest.m_unreachable, now);
+  const std::set<peers::EndpointTag> refused(aRequest.m_unreachable.begin(),
+                                             aRequest.m_unreachable.end());
+  const fleet::Service* service = m_core.m_configuration->FindService(aRequest.m_service);
+  const std::uint64_t memory =
+    service == nullptr || !service->m_engine ? 0 : service->m_engine->m_kvTokens;
+  const PromptNeeds needs{ aRequest.m_model, aRequest.m_tokens };
+  const Candidates candidates = CandidatesFor(m_core, aRequest.m_service, service, needs, {}, now);
+  const routing::PromptSize size = routing::SizeOf(aRequest.m_tokens, memory);
+  bool someFull = false;
+  std::vector<routing::PrefillEngine> engines;
   for (std::size_t i = 0; i < candidates.m_places.size(); ++i) {
     const routing::PlacementCandidate& place = candidates.m_places[i];
     const bool inZone =
       aRequest.m_zone.empty() || candidates.m_endpoints[i]->m_zone == aRequest.m_zone;
-    if (inZone && !place.m_avoided && !place.m_full) {
-      engines.push_back(place.m_name);
+    const peers::EndpointTag tag = peers::TagOf(place.m_name);
+    const bool reachable = !refused.contains(tag) && !m_unreachable.IsUnreachable(tag, now);
+    const std::uint64_t given = m_queues.GivenTokens(place.m_name, now);
+    const routing::Work work = place.m_work + routing::WorkOf(static_cast<std::uint32_t>(given));
+    const bool usable = inZone && reachable && !place.m_avoided;
+    const bool full = usable && memory > 0 && !routing::HasRoom(size, work, memory);
+    someFull = someFull || full;
+    if (usable && !full) {
+      engines.push_back({ place.m_name, routing::TokensOf(work), memory });
     }
   }
-  const auto choice =
-    m_queues.Give({ aRequest.m_key, aRequest.m_readTokens, aRequest.m_ownTokens }, engines, now);
+  // What this host sends itself is counted from the moment that it is sent.
+  const std::uint32_t untold = aRequest.m_host == m_exchange.Name() ? 0 : aRequest.m_tokens;
+  const routing::PrefillJob job{
+    aRequest.m_key, untold, aRequest.m_readTokens, aRequest.m_ownTokens
+  };
+  const auto choice = m_queues.Give(job, engines, now);
   if (!choice) {
-    return {};
+    return { "", "", false, someFull && aRequest.m_zone.empty() };
   }
-  return { engines[choice->m_engine], choice->m_holder, choice->m_free };
+  return { engines[choice->m_engine].m_name, choice->m_holder, choice->m_free, false };
 }
 
 void PromptDispatcher::OnBegan(std::uint32_t aReadTokens, base::Duration aTook)
@@ -108,6 +126,18 @@
   }
 }
 
+std::vector<peers::EndpointTag> PromptDispatcher::Unreachable(const std::string& aService,
+                                                              base::TimePoint aNow) const
+{
+  std::vector<peers::EndpointTag> unreachable;
+  for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(aService)) {
+    if (m_core.m_board.Avoided(endpoint->m_incarnation, aNow)) {
+      unreachable.push_back(peers::TagOf(endpoint->m_incarnation));
+    }
+  }
+  return unreachable;
+}
+
 std::string PromptDispatcher::ZoneFor(const std::string& aKey, const std::string& aService) const
 {
   std::map<std::string, std::size_t> engines;
--- a/src/ferrytray/relay/prompt_dispatcher_test.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -52,10 +52,43 @@
 
   peers::PlacementRequest QuestionOf(const char* aKey)
   {
-    return { "s", "m", "", aKey, kLongPrompt, kLongPrompt, kLongPrompt, 0, 0 };
+    return { "h", "s", "m", "", aKey, kLongPrompt, kLongPrompt, kLongPrompt, {}, 0, 0 };
   }
 };
 
+// Load: answers are long and engines full; hosts tell of what they sent too late to see it.
+TEST(PromptDispatcher, WhatEnginesHaveNoMemoryForIsRefusedAtOnce)
+{
+  Begin(9);
+  std::size_t sent = 0;
+  std::shared_ptr<support::FakeReply> last;
+  for (int i = 0; i < 20; ++i) {
+    last = Ask("/stream/x", "k", "long");
+    sent = m_client.m_calls.size();
+  }
+  // Two engines of 70,000 tokens, to 0.8 each, and one prompt more.
+  CHECK(sent >= 8 && sent <= 10);
+  LONGS_EQUAL(503, last->m_status);
+  STRCMP_EQUAL("not_run", last->Header("run").c_str());
+}
+
+// Load: engines crashed that the directory still lists.
+TEST(PromptDispatcher, AnEngineThatTheAskingHostCannotReachIsNotGiven)
+{
+  Begin(9);
+  peers::PlacementRequest question = QuestionOf("k");
+  question.m_tokens = 100; // many have room
+  question.m_unreachable = { peers::TagOf("a") };
+  for (int i = 0; i < 4; ++i) {
+    STRCMP_EQUAL("b", m_dispatcher->Give(question).m_engine.c_str());
+  }
+  question.m_host = "h2";
+  m_dispatcher->Give(question);
+  question.m_unreachable.clear();
+  question.m_host = "h3"; // it has not tried
+  STRCMP_EQUAL("b", m_dispatcher->Give(question).m_engine.c_str());
+}
+
 // Load: long prompts that arrive together, more of them with one home than it can read in time.
 TEST(PromptDispatcher, PromptsThatArriveTogetherGoToDifferentEngines)
 {
@@ -100,7 +133,7 @@
     Ask("/stream/x", "k", "long");
     STRCMP_EQUAL("http://10.0.0.1:7/placement", m_client.m_calls.back().m_request.m_url.c_str());
     m_client.Head(200, {});
-    m_client.Data(peers::Encode(peers::PlacementReply{ engine, "", true }));
+    m_client.Data(peers::Encode(peers::PlacementReply{ engine, "", true, false }));
     m_client.End(WireEnd::Complete);
     STRCMP_EQUAL(engine, Sent("to").c_str());
   }
@@ -123,7 +156,7 @@
   Begin(1);
   Ask("/stream/x", "k", "long");
   m_client.Head(200, {});
-  m_client.Data(peers::Encode(peers::PlacementReply{ "unknown", "unknown", false }));
+  m_client.Data(peers::Encode(peers::PlacementReply{ "unknown", "unknown", false, false }));
   m_client.End(WireEnd::Complete);
   const std::string first = Sent("to");
   CHECK(first == "a" || first == "b");
--- a/src/ferrytray/routing/engine_memory.cpp
+++ b/src/ferrytray/routing/engine_memory.cpp
@@ -16,7 +16,7 @@
              const EngineMemoryOptions& aOptions)
 {
   const double fill = aSize == PromptSize::Short ? aOptions.m_shortFill : aOptions.m_longFill;
-  const double held = static_cast<double>(aOpen) * kTokensPerWork;
+  const double held = static_cast<double>(TokensOf(aOpen));
   return held <= static_cast<double>(aMemoryTokens) * fill;
 }
 
--- a/src/ferrytray/routing/prefill_queues.cpp
+++ b/src/ferrytray/routing/prefill_queues.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/routing/prefill_queues.hpp"
 
 #include <algorithm> // for find, max, min
+#include <vector>    // for vector
 
 #include "ferrytray/base/digest.hpp"        // for HashWithSeed
 #include "ferrytray/routing/rendezvous.hpp" // for RendezvousHomes
@@ -20,8 +21,20 @@
                                     : std::max(base::Duration::zero(), found->second - aNow);
 }
 
+base::Duration PrefillQueues::CostAt(const PrefillEngine& aEngine, base::TimePoint aNow) const
+{
+  const base::Duration wait = WaitAt(aEngine.m_name, aNow);
+  if (aEngine.m_memory == 0) {
+    return wait;
+  }
+  const double fill =
+    static_cast<double>(aEngine.m_heldTokens) / static_cast<double>(aEngine.m_memory);
+  const double taken = std::max(0.0, fill - m_options.m_fullFrom) / (1 - m_options.m_fullFrom);
+  return wait + base::FromSeconds(taken * base::Seconds(m_options.m_fullCosts));
+}
+
 std::optional<PrefillChoice> PrefillQueues::Give(const PrefillJob& aJob,
-                                                 std::span<const std::string> aEngines,
+                                                 std::span<const PrefillEngine> aEngines,
                                                  base::TimePoint aNow)
 {
   if (aEngines.empty()) {
@@ -29,44 +42,76 @@
   }
   Bound(aNow);
   PrefillChoice choice;
+  std::vector<std::string> names;
   base::Duration least = base::Duration::max();
   for (std::size_t i = 0; i < aEngines.size(); ++i) {
-    const base::Duration wait = WaitAt(aEngines[i], aNow);
-    if (wait < least) {
-      least = wait;
+    names.push_back(aEngines[i].m_name);
+    const base::Duration cost = CostAt(aEngines[i], aNow);
+    if (cost < least) {
+      least = cost;
       choice.m_engine = i;
     }
   }
   const auto last = m_lastRead.find(aJob.m_key);
   const bool isRead = last != m_lastRead.end() && aNow < last->second.m_at + m_options.m_readFor;
   const auto reader =
-    isRead ? std::find(aEngines.begin(), aEngines.end(), last->second.m_engine) : aEngines.end();
+    isRead ? std::find(names.begin(), names.end(), last->second.m_engine) : names.end();
   std::uint32_t tokens = aJob.m_readTokens;
-  if (reader != aEngines.end()) {
+  if (reader != names.end()) {
+    const auto index = static_cast<std::size_t>(reader - names.begin());
     const std::uint32_t shared = aJob.m_readTokens - std::min(aJob.m_readTokens, aJob.m_ownTokens);
-    if (WaitAt(*reader, aNow) <= least + TimeFor(shared)) {
-      choice.m_engine = static_cast<std::size_t>(reader - aEngines.begin());
+    if (CostAt(aEngines[index], aNow) <= least + TimeFor(shared)) {
+      choice.m_engine = index;
       tokens = aJob.m_ownTokens;
     } else {
       choice.m_holder = *reader;
     }
   } else {
     const base::Digest128 key = base::HashWithSeed({}, aJob.m_key);
-    const std::size_t home = RendezvousHomes(key, aEngines, 1).front();
-    if (WaitAt(aEngines[home], aNow) <= least + m_options.m_homeWorth) {
+    const std::size_t home = RendezvousHomes(key, names, 1).front();
+    if (CostAt(aEngines[home], aNow) <= least + m_options.m_homeWorth) {
       choice.m_engine = home;
     }
   }
-  const std::string& chosen = aEngines[choice.m_engine];
+  const std::string& chosen = names[choice.m_engine];
   choice.m_free = WaitAt(chosen, aNow) == base::Duration::zero();
   const base::Duration queue = WaitAt(chosen, aNow) + TimeFor(tokens);
   m_busyUntil[chosen] = aNow + std::min(queue, m_options.m_longest);
   if (aJob.m_readTokens > aJob.m_ownTokens) {
     m_lastRead[aJob.m_key] = { chosen, aNow };
   }
+  Remember({ chosen, aJob.m_untoldTokens, aNow });
   return choice;
 }
 
+std::uint64_t PrefillQueues::GivenTokens(const std::string& aEngine, base::TimePoint aNow)
+{
+  ForgetTold(aNow);
+  const auto found = m_givenTokens.find(aEngine);
+  return found == m_givenTokens.end() ? 0 : found->second;
+}
+
+void PrefillQueues::Remember(const Given& aGiven)
+{
+  if (aGiven.m_tokens == 0) {
+    return;
+  }
+  m_givenTokens[aGiven.m_engine] += aGiven.m_tokens;
+  m_given.push_back(aGiven);
+}
+
+void PrefillQueues::ForgetTold(base::TimePoint aNow)
+{
+  while (!m_given.empty() && m_given.front().m_at + m_options.m_toldAfter <= aNow) {
+    const auto found = m_givenTokens.find(m_given.front().m_engine);
+    found->second -= m_given.front().m_tokens;
+    if (found->second == 0) {
+      m_givenTokens.erase(found);
+    }
+    m_given.pop_front();
+  }
+}
+
 void PrefillQueues::OnRead(std::uint32_t aTokens, base::Duration aTook)
 {
   constexpr double kMillis = 1000;
--- a/src/ferrytray/routing/prefill_queues_test.cpp
+++ b/src/ferrytray/routing/prefill_queues_test.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-std::vector<std::string> Engines(std::size_t aCount)
+std::vector<routing::PrefillEngine> Engines(std::size_t aCount)
 {
-  std::vector<std::string> engines;
+  std::vector<routing::PrefillEngine> engines;
   for (std::size_t i = 0; i < aCount; ++i) {
-    engines.push_back("e" + std::to_string(i));
+    engines.push_back({ "e" + std::to_string(i), 0, 0 });
   }
   return engines;
 }
@@ -27,17 +27,18 @@
 {
   base::TimePoint m_now = base::MonotonicNow();
   routing::PrefillQueues m_queues;
-  std::vector<std::string> m_engines = Engines(4);
+  std::vector<routing::PrefillEngine> m_engines = Engines(4);
 
   std::string Give(const char* aKey, std::uint32_t aTokens, std::uint32_t aOwn = 0)
   {
-    return m_engines.at(m_queues.Give({ aKey, aTokens, aOwn }, m_engines, m_now)->m_engine);
+    return m_engines.at(m_queues.Give({ aKey, aTokens, aTokens, aOwn }, m_engines, m_now)->m_engine)
+      .m_name;
   }
 };
 
 TEST(PrefillQueues, WithoutEnginesNothingIsChosen)
 {
-  CHECK_FALSE(m_queues.Give({ "k", 1, 0 }, {}, m_now).has_value());
+  CHECK_FALSE(m_queues.Give({ "k", 1, 1, 0 }, {}, m_now).has_value());
 }
 
 TEST(PrefillQueues, WhatAnEngineWasGivenIsWaitedForAndWearsOff)
@@ -67,8 +68,8 @@
 TEST(PrefillQueues, WhenItsReaderIsTooBusyItGoesElsewhereAndKnowsWhoHoldsThePart)
 {
   const std::string first = Give("k", 16'000, 4'000);
-  const auto choice = m_queues.Give({ "k", 16'000, 4'000 }, m_engines, m_now);
-  CHECK(m_engines[choice->m_engine] != first);
+  const auto choice = m_queues.Give({ "k", 16'000, 16'000, 4'000 }, m_engines, m_now);
+  CHECK(m_engines[choice->m_engine].m_name != first);
   CHECK(choice->m_free);
   STRCMP_EQUAL(first.c_str(), choice->m_holder.c_str());
 }
@@ -91,6 +92,35 @@
   CHECK(m_queues.WaitAt("e0", m_now) <= 3s);
 }
 
+// Load: answers are long, so engines are full of prompts that have been read.
+TEST(PrefillQueues, AnEngineWhoseMemoryIsTakenIsPassedOverForOneThatReads)
+{
+  m_engines = { { "full", 9'000, 10'000 }, { "reads", 1'000, 10'000 } };
+  for (const char* key : { "1", "2", "3" }) {
+    STRCMP_EQUAL("reads", Give(key, 2'000).c_str());
+  }
+}
+
+TEST(PrefillQueues, WhatWasGivenIsKnownUntilHostsTellOfIt)
+{
+  const std::string first = Give("k", 4'000);
+  m_now += 100ms;
+  LONGS_EQUAL(4'000, m_queues.GivenTokens(first, m_now));
+  LONGS_EQUAL(0, m_queues.GivenTokens(first, m_now + 350ms));
+}
+
+// Fault: a prompt that hosts know of already left an entry behind that was forgotten twice.
+TEST(PrefillQueues, APromptThatHostsKnowOfAlreadyLeavesNothingToForget)
+{
+  m_engines = Engines(1);
+  for (const std::uint32_t untold : { 0U, 100U, 0U, 0U }) {
+    m_queues.Give({ "k", untold, 400, 400 }, m_engines, m_now);
+    m_now += 10ms;
+  }
+  LONGS_EQUAL(100, m_queues.GivenTokens("e0", m_now));
+  LONGS_EQUAL(0, m_queues.GivenTokens("e0", m_now + 1s));
+}
+
 // Load: 42 long prompts a second for 27 engines, each read for 0.25 s on the mean (spread like a
 // log-normal): engines read for 0.4 of the time. Given out by hash alone one in ten waits for over
 // 0.3 s, by the queues one in a hundred for over 0.08 s.
@@ -107,8 +137,8 @@
     m_now += base::FromSeconds(gap(random));
     const auto size = static_cast<std::uint32_t>(tokens(random));
     const std::string key = std::to_string(random() % 2'000);
-    const std::size_t engine = m_queues.Give({ key, size, size }, m_engines, m_now)->m_engine;
-    byQueue.push_back(m_queues.WaitAt(m_engines[engine], m_now) -
+    const std::size_t engine = m_queues.Give({ key, size, size, size }, m_engines, m_now)->m_engine;
+    byQueue.push_back(m_queues.WaitAt(m_engines[engine].m_name, m_now) -
                       base::FromSeconds(size / 40'000.0));
     base::TimePoint& hashed = freeAt[std::hash<std::string>{}(key) % freeAt.size()];
     byHash.push_back(std::max(base::Duration::zero(), base::Duration(hashed - m_now)));
