--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -68,8 +68,8 @@
                            const std::string& aModel,
                            WeightVersion aVersion);
   /// @brief An endpoint refused a request because it runs other weights than were named.
-  /// It does not say which: the proven ones are guessed next, then the newest named ones, then those
-  /// in between, each once until there is proof or all were wrong.
+  /// It does not say which: the proven ones are guessed next, then the newest named ones, then
+  /// those in between, each once until there is proof or all were wrong.
   /// @param aNamed what the request named
   /// @param aNewest the newest that the operators have named
   void NoteOtherWeights(const std::string& aIncarnation,
--- a/include/ferrytray/routing/prefill_queues.hpp
+++ b/include/ferrytray/routing/prefill_queues.hpp
@@ -105,6 +105,14 @@
   [[nodiscard]] base::Duration TimeFor(std::uint32_t aTokens) const;
   /// What a prompt that goes there is expected to lose.
   [[nodiscard]] base::Duration CostAt(const PrefillEngine& aEngine, base::TimePoint aNow) const;
+  /// The candidate that reads the part of this key now, or has just read it.
+  [[nodiscard]] std::optional<std::size_t> ReaderOf(const std::string& aKey,
+                                                    std::span<const std::string> aNames,
+                                                    base::TimePoint aNow) const;
+  void Queue(const PrefillJob& aJob,
+             const std::string& aEngine,
+             std::uint32_t aReadTokens,
+             base::TimePoint aNow);
   void Remember(const Given& aGiven);
   void ForgetTold(base::TimePoint aNow);
   void Bound(base::TimePoint aNow);
--- a/src/ferrytray/peers/news_topics.cpp
+++ b/src/ferrytray/peers/news_topics.cpp
@@ -55,6 +55,7 @@
 std::vector<store::TopicCursor> NewsExchange::TopicCursors() const
 {
   std::vector<store::TopicCursor> cursors;
+  cursors.reserve(m_topics.size());
   for (const auto& topic : m_topics) {
     cursors.push_back(topic->Cursor());
   }
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -151,6 +151,7 @@
     return "";
   }
   std::vector<std::string> zones;
+  zones.reserve(engines.size());
   for (const auto& [zone, count] : engines) {
     zones.push_back(zone);
   }
--- a/src/ferrytray/routing/prefill_queues.cpp
+++ b/src/ferrytray/routing/prefill_queues.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/routing/prefill_queues.hpp"
 
-#include <algorithm> // for find, max, min
+#include <algorithm> // for find, max, min, min_element
 #include <vector>    // for vector
 
 #include "ferrytray/base/digest.hpp"        // for HashWithSeed
@@ -33,6 +33,19 @@
   return wait + base::FromSeconds(taken * base::Seconds(m_options.m_fullCosts));
 }
 
+std::optional<std::size_t> PrefillQueues::ReaderOf(const std::string& aKey,
+                                                   std::span<const std::string> aNames,
+                                                   base::TimePoint aNow) const
+{
+  const auto last = m_lastRead.find(aKey);
+  if (last == m_lastRead.end() || aNow >= last->second.m_at + m_options.m_readFor) {
+    return std::nullopt;
+  }
+  const auto found = std::find(aNames.begin(), aNames.end(), last->second.m_engine);
+  return found == aNames.end() ? std::nullopt
+                               : std::optional(static_cast<std::size_t>(found - aNames.begin()));
+}
+
 std::optional<PrefillChoice> PrefillQueues::Give(const PrefillJob& aJob,
                                                  std::span<const PrefillEngine> aEngines,
                                                  base::TimePoint aNow)
@@ -41,47 +54,48 @@
     return std::nullopt;
   }
   Bound(aNow);
-  PrefillChoice choice;
   std::vector<std::string> names;
-  base::Duration least = base::Duration::max();
-  for (std::size_t i = 0; i < aEngines.size(); ++i) {
-    names.push_back(aEngines[i].m_name);
-    const base::Duration cost = CostAt(aEngines[i], aNow);
-    if (cost < least) {
-      least = cost;
-      choice.m_engine = i;
-    }
+  std::vector<base::Duration> costs;
+  for (const PrefillEngine& engine : aEngines) {
+    names.push_back(engine.m_name);
+    costs.push_back(CostAt(engine, aNow));
   }
-  const auto last = m_lastRead.find(aJob.m_key);
-  const bool isRead = last != m_lastRead.end() && aNow < last->second.m_at + m_options.m_readFor;
-  const auto reader =
-    isRead ? std::find(names.begin(), names.end(), last->second.m_engine) : names.end();
+  const auto least = std::min_element(costs.begin(), costs.end());
+  PrefillChoice choice;
+  choice.m_engine = static_cast<std::size_t>(least - costs.begin());
   std::uint32_t tokens = aJob.m_readTokens;
-  if (reader != names.end()) {
-    const auto index = static_cast<std::size_t>(reader - names.begin());
+  if (const auto reader = ReaderOf(aJob.m_key, names, aNow)) {
     const std::uint32_t shared = aJob.m_readTokens - std::min(aJob.m_readTokens, aJob.m_ownTokens);
-    if (CostAt(aEngines[index], aNow) <= least + TimeFor(shared)) {
-      choice.m_engine = index;
+    if (costs[*reader] <= *least + TimeFor(shared)) {
+      choice.m_engine = *reader;
       tokens = aJob.m_ownTokens;
     } else {
-      choice.m_holder = *reader;
+      choice.m_holder = names[*reader];
     }
   } else {
     const base::Digest128 key = base::HashWithSeed({}, aJob.m_key);
     const std::size_t home = RendezvousHomes(key, names, 1).front();
-    if (CostAt(aEngines[home], aNow) <= least + m_options.m_homeWorth) {
+    if (costs[home] <= *least + m_options.m_homeWorth) {
       choice.m_engine = home;
     }
   }
   const std::string& chosen = names[choice.m_engine];
   choice.m_free = WaitAt(chosen, aNow) == base::Duration::zero();
-  const base::Duration queue = WaitAt(chosen, aNow) + TimeFor(tokens);
-  m_busyUntil[chosen] = aNow + std::min(queue, m_options.m_longest);
+  Queue(aJob, chosen, tokens, aNow);
+  return choice;
+}
+
+void PrefillQueues::Queue(const PrefillJob& aJob,
+                          const std::string& aEngine,
+                          std::uint32_t aReadTokens,
+                          base::TimePoint aNow)
+{
+  const base::Duration queue = WaitAt(aEngine, aNow) + TimeFor(aReadTokens);
+  m_busyUntil[aEngine] = aNow + std::min(queue, m_options.m_longest);
   if (aJob.m_readTokens > aJob.m_ownTokens) {
-    m_lastRead[aJob.m_key] = { chosen, aNow };
+    m_lastRead[aJob.m_key] = { aEngine, aNow };
   }
-  Remember({ chosen, aJob.m_untoldTokens, aNow });
-  return choice;
+  Remember({ aEngine, aJob.m_untoldTokens, aNow });
 }
 
 std::uint64_t PrefillQueues::GivenTokens(const std::string& aEngine, base::TimePoint aNow)
