--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -1,5 +1,6 @@
 #include "tests/integration/process.hpp"
 
+#include <algorithm>  // for all_of
 #include <array>      // for array
 #include <chrono>     // for steady_clock
 #include <csignal>    // for kill, SIGKILL
@@ -98,7 +99,12 @@
   std::FILE* output = fdopen(spawned.m_output, "r");
   char* line = nullptr;
   std::size_t capacity = 0;
-  while (m_words.size() < aWords.size()) {
+  const auto allSeen = [&] {
+    return std::all_of(aWords.begin(), aWords.end(), [&](const std::string& aWord) {
+      return m_words.contains(aWord);
+    });
+  };
+  while (!allSeen()) {
     const ssize_t length = getline(&line, &capacity, output);
     if (length <= 0) {
       break;
@@ -115,7 +121,7 @@
   } else {
     std::thread(&KeepOutput, output, aKeepOutputIn).detach();
   }
-  if (m_words.size() < aWords.size()) {
+  if (!allSeen()) {
     throw std::runtime_error(aProgram + " did not start");
   }
 }
