Cold engines, evacuated zones, ids that come back and entries of other writers

An unknown state of an entry retired its endpoint for good.

Change: routing::ColdStarts knows which engines are cold, from their entries (cold_remaining_ms), from a failed connection (suspected, for as long as an engine is cold and news are old) and from the end of an evacuation. Two hosts by a hash of the engine's name may send there by their own choice, each with a pause after a request, and the host that gives out long prompts a fixed rate; all others send nothing. An engine that was warm until now gets nothing for a second, while others hear of it. Evacuated zones get nothing new (fleet::Directory); weights still come to them. An incarnation is id and birth: all that is keyed by it goes with it. An entry whose fields are missing, of another type or out of range names no worker, and the endpoint known before it stays. Bounds are read from the settings; the tightest of configuration, evacuation and revocation sets how long a read of the operators' topic may be lost.

Ruled out: a share for each host of all (a model of 80 hosts: 60 requests in the worst second of 4,000 schedules, bound 26); clearing a suspicion by the next entry (it may have been written before); telling suspicions to other hosts (a cut zone would make every engine suspect).

--- a/include/ferrytray/fleet/configuration.hpp
+++ b/include/ferrytray/fleet/configuration.hpp
@@ -56,11 +56,19 @@
   bool m_freesNothingItself = false;
 };
 
+/// @brief What an endpoint bears for a while after its start.
+struct ColdTraits
+{
+  base::Duration m_for{}; ///< after a start
+  double m_perSecond = 0; ///< requests that it bears meanwhile, from all hosts together
+};
+
 /// @brief A group of like endpoints.
 struct Service
 {
   std::string m_name;
   std::uint32_t m_maxConnections = 0; ///< that one endpoint accepts from all hosts together
+  std::optional<ColdTraits> m_cold;   ///< none: as much as at any time
   std::optional<EngineTraits> m_engine;
   std::optional<KvStoreTraits> m_kvStore;
 };
--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -14,15 +14,24 @@
 /// @brief Weights that a model runs on; they grow with each new set.
 using WeightVersion = std::uint32_t;
 
+/// @brief Milliseconds since the Unix epoch at which an endpoint started; zero: not told.
+using BirthTime = std::uint64_t;
+
+/// @brief The name of one life of an endpoint: an id may come back with a later start.
+[[nodiscard]] std::string IncarnationOf(const std::string& aId, BirthTime aBorn);
+
 /// @brief One incarnation of an endpoint, as the directory lists it.
 struct Endpoint
 {
-  std::string m_incarnation; ///< never used again
+  std::string m_id; ///< what the directory lists it under and it calls itself
+  BirthTime m_born = 0;
+  std::string m_incarnation; ///< of id and birth; never used again
   std::string m_service;
   std::string m_address; ///< IP:PORT; other incarnations may have it later
   std::string m_zone;
   std::uint32_t m_slots = 1;
   bool m_leaving = false;
+  base::Duration m_coldFor{}; ///< it said that it stays cold for so long
   /// By model, as far as known; empty for plain services. What requests name.
   std::map<std::string, WeightVersion> m_weights;
   /// By model, seen in entries or replies; never goes back. What roll-outs go by.
@@ -39,7 +48,8 @@
 
 /// @brief The endpoints that may be used. Pure: it is told what was read, and when.
 ///
-/// Leaving is final for an incarnation: no later entry, reload or outage takes it back.
+/// Leaving is final for an incarnation: no later entry, reload or outage takes it back. An id that
+/// comes back with a later birth is another incarnation: nothing of the former one is kept.
 class Directory
 {
 public:
@@ -48,11 +58,11 @@
   {
   }
 
-  /// @brief An entry was read.
+  /// @brief An entry was read. One of an earlier birth than is known changes nothing.
   void Upsert(Endpoint aEndpoint, base::TimePoint aNow);
-  /// @brief An entry was seen to be removed.
-  void Remove(const std::string& aIncarnation, base::TimePoint aNow);
-  /// @brief The whole list was read; entries that are not in it have been removed.
+  /// @brief An id's entry was seen to be removed.
+  void Remove(const std::string& aId, base::TimePoint aNow);
+  /// @brief The whole list of ids was read; those that are not in it have been removed.
   void KeepOnly(const std::set<std::string>& aListed, base::TimePoint aNow);
   /// @brief The source answers again after it did not.
   void OnSourceBack(base::TimePoint aNow) { m_sourceBackAt = aNow; }
@@ -76,6 +86,11 @@
                         const std::string& aModel,
                         WeightVersion aNamed,
                         WeightVersion aNewest);
+  /// @brief Operators want nothing more sent to an availability zone's endpoints, or take that
+  /// back.
+  /// @return whether that is news
+  bool SetEvacuated(const std::string& aZone, bool aEvacuated);
+  [[nodiscard]] const std::set<std::string>& EvacuatedZones() const { return m_evacuated; }
   /// @brief Drops entries whose time to come back has passed.
   void Expire(base::TimePoint aNow);
 
@@ -84,6 +99,8 @@
   /// @brief Every endpoint that is not gone, leaving ones included.
   [[nodiscard]] std::vector<const Endpoint*> All() const;
   [[nodiscard]] const Endpoint* Find(const std::string& aIncarnation) const;
+  /// @brief The incarnation that an id has now; null if there is none.
+  [[nodiscard]] const Endpoint* FindById(const std::string& aId) const;
   [[nodiscard]] bool Empty() const { return m_entries.empty(); }
 
 private:
@@ -99,10 +116,15 @@
                                            WeightVersion aProven,
                                            WeightVersion aNewest);
 
+  void RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow);
+
   DirectoryOptions m_options;
   std::optional<base::TimePoint> m_sourceBackAt;
-  std::map<std::string, Entry> m_entries;
-  std::set<std::string> m_left; ///< incarnations that never come back
+  std::map<std::string, Entry> m_entries;        ///< by incarnation
+  std::map<std::string, std::string> m_current;  ///< by id: its last known incarnation
+  std::map<std::string, BirthTime> m_lastBirths; ///< by id
+  std::set<std::string> m_evacuated;             ///< availability zones
+  std::set<std::string> m_left;                  ///< incarnations that never come back
 };
 
 } // namespace ferrytray::fleet
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -90,6 +90,12 @@
   /// @brief Who gives out the prompts of a zone's engines, or of all; empty while hosts are
   /// unknown.
   [[nodiscard]] std::optional<Peer> Placer(const std::string& aZone, base::TimePoint aNow) const;
+  /// @brief Whether this host is among the first so many by a hash of that name; false while hosts
+  /// are unknown.
+  [[nodiscard]] bool IsAmong(std::string_view aName, std::size_t aFirst) const
+  {
+    return m_looked && m_roster->IsAmong(aName, aFirst);
+  }
   [[nodiscard]] const std::string& Name() const { return m_options.m_name; }
   /// @brief Whether that is this host.
   [[nodiscard]] bool IsSelf(const Peer& aPeer) const { return aPeer == m_roster->Self(); }
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
-#include <cstddef>  // for size_t
-#include <cstdint>  // for uint32_t
-#include <map>      // for map
-#include <optional> // for optional
-#include <set>      // for set
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstddef>     // for size_t
+#include <cstdint>     // for uint32_t
+#include <map>         // for map
+#include <optional>    // for optional
+#include <set>         // for set
+#include <string>      // for string
+#include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include "ferrytray/base/time.hpp" // for Duration, TimePoint
 
@@ -57,6 +58,9 @@
   [[nodiscard]] std::vector<Peer> ReadersOf(const std::string& aZone, base::TimePoint aNow) const;
   /// @brief The first by rank of a zone's hosts, or of all if the zone is empty; may be this one.
   [[nodiscard]] Peer First(const std::string& aZone, base::TimePoint aNow) const;
+  /// @brief Whether this host is among the first so many of all known hosts by a hash of that name,
+  /// reachable or not, so that hosts agree.
+  [[nodiscard]] bool IsAmong(std::string_view aName, std::size_t aFirst) const;
   [[nodiscard]] const Peer& Self() const { return m_self; }
   [[nodiscard]] std::size_t Hosts() const { return m_peers.size() + 1; }
 
--- a/include/ferrytray/relay/candidates.hpp
+++ b/include/ferrytray/relay/candidates.hpp
@@ -29,11 +29,15 @@
 /// @param aService null: nothing is declared of it
 /// @param aNeeds empty for requests without a prompt
 /// @param aTried incarnations that are not to be asked again
+/// @param aCold by whose choice a cold endpoint would get the request
+/// @param aAssigned an incarnation that another host has chosen, cold or not; may be empty
 [[nodiscard]] Candidates CandidatesFor(RelayCore& aCore,
                                        const std::string& aServiceName,
                                        const fleet::Service* aService,
                                        const std::optional<PromptNeeds>& aNeeds,
                                        const std::set<std::string>& aTried,
+                                       routing::ColdUse aCold,
+                                       const std::string& aAssigned,
                                        base::TimePoint aNow);
 
 } // namespace ferrytray::relay
--- a/include/ferrytray/relay/endpoint_call.hpp
+++ b/include/ferrytray/relay/endpoint_call.hpp
@@ -15,8 +15,8 @@
 /// @brief One send of a request to one endpoint.
 struct EndpointCall
 {
-  std::string m_address;     ///< IP:PORT
-  std::string m_incarnation; ///< any other one at that address refuses the request
+  std::string m_address;    ///< IP:PORT
+  std::string m_endpointId; ///< any other one at that address refuses the request
   base::Duration m_remaining{};
   std::string m_account; ///< the client account's name; empty if the route needs none
   std::optional<std::uint64_t> m_resumeAfter;
@@ -36,10 +36,10 @@
 {
   int m_status = 0;
   bool m_notRun = false;      ///< the endpoint states that it has not run the request
-  bool m_misdirected = false; ///< refused: not the incarnation or not the weights that were named
+  bool m_misdirected = false; ///< refused: not the endpoint or not the weights that were named
   bool m_signed = false;      ///< bears the endpoint's signature
   std::string m_requestId;    ///< of the request that it answers
-  std::string m_incarnation;  ///< if told
+  std::string m_endpointId;   ///< of the endpoint that replied, if told
   std::optional<fleet::WeightVersion> m_weights;
   std::optional<base::Duration> m_idleTimeout; ///< the endpoint closes idle connections after it
   net::Headers m_forwarded;                    ///< end-to-end headers
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -40,7 +40,8 @@
   /// The send that is under way.
   struct Attempt
   {
-    std::string m_endpoint; ///< incarnation
+    std::string m_endpoint;   ///< incarnation
+    std::string m_endpointId; ///< what it calls itself
     net::CallId m_call = 0;
     base::TimePoint m_sentAt;
     std::optional<fleet::WeightVersion> m_weights;
--- a/include/ferrytray/relay/record_format.hpp
+++ b/include/ferrytray/relay/record_format.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>    // for optional
 #include <string>      // for string
 #include <string_view> // for string_view
 
@@ -31,7 +32,9 @@
     std::string_view aValue) const = 0;
   [[nodiscard]] virtual base::Result<NamedWeights> ReadNamedWeights(
     std::string_view aValue) const = 0;
-  /// @param aKey the endpoint's incarnation
+  /// @brief The availability zone that a record of this key evacuates; empty: it is no such record.
+  [[nodiscard]] virtual std::optional<std::string> EvacuatedZone(std::string_view aKey) const = 0;
+  /// @param aKey the endpoint's id
   [[nodiscard]] virtual base::Result<fleet::Endpoint> ReadEndpoint(
     std::string_view aKey,
     std::string_view aValue) const = 0;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-#include <cstddef>  // for size_t
-#include <cstdint>  // for uint32_t
-#include <map>      // for map
-#include <optional> // for optional
-#include <random>   // for mt19937_64
-#include <string>   // for string
+#include <cstddef>    // for size_t
+#include <cstdint>    // for uint32_t
+#include <functional> // for function
+#include <map>        // for map
+#include <optional>   // for optional
+#include <random>     // for mt19937_64
+#include <string>     // for string
 
 #include "ferrytray/base/time.hpp"                 // for TimePoint
 #include "ferrytray/cache/part_planner.hpp"        // for PartPlanner, Stores
@@ -21,6 +22,7 @@
 #include "ferrytray/relay/attempt_policy.hpp"      // for AttemptLimits
 #include "ferrytray/relay/prompt_placement.hpp"    // for PromptPlacement
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
+#include "ferrytray/routing/cold_starts.hpp"       // for ColdStarts
 #include "ferrytray/routing/endpoint_board.hpp"    // for EndpointBoard
 #include "ferrytray/telemetry/metrics.hpp"         // for Metrics
 
@@ -55,6 +57,10 @@
   /// later, but seldom late: of the short prompts of calm days with one store slowed to a quarter,
   /// 1.4 in 100 were late instead of 5 with a bound of 2 s.
   double m_fetchShare = 0.58;
+  /// What all hosts together may send to a cold endpoint in a second: this many times what it
+  /// bears, and so many more (settings).
+  double m_coldOvershoot = 1;
+  double m_coldSlack = 0;
   /// A plain answer over this size breaks off (bytes).
   std::size_t m_maxAnswerBytes = 16U << 20U;
 };
@@ -82,6 +88,10 @@
   fleet::ConfigurationPtr m_configuration; ///< null until the first one is read
   fleet::Directory m_directory;
   routing::EndpointBoard m_board;
+  routing::ColdStarts m_cold;
+  /// Whether this host is among the first so many hosts by a hash of that name; false while the
+  /// other hosts are unknown. Unset: never.
+  std::function<bool(const std::string& aName, std::size_t aFirst)> m_isAmongHosts;
   peers::LoadBoard m_otherLoads; ///< other hosts' requests
   peers::ReloadBoard m_reloads;  ///< engines that load weights
   limits::RetryWindow m_retries;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -63,6 +63,8 @@
 
 private:
   base::Result<void> Listen();
+  /// Sets the gauges of what is still open in zones that are being evacuated.
+  void CountEvacuated();
   [[nodiscard]] peers::EndpointLoads OwnLoads() const;
   void OnReload(const rollout::PlannedReload& aReload);
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -2,6 +2,7 @@
 
 #include <functional> // for function
 #include <memory>     // for shared_ptr
+#include <set>        // for set
 #include <string>     // for string
 #include <vector>     // for vector
 
@@ -52,7 +53,13 @@
   void OnOperatorRecord(const store::Record& aRecord);
   void OnConfiguration(const store::Record& aRecord);
   void OnNamedWeights(const store::Record& aRecord);
+  void OnEvacuation(const std::string& aZone, const store::Record& aRecord);
+  void SetEvacuated(const std::string& aZone, bool aEvacuated);
+  /// The operators' whole topic was read: evacuations that are not in it are over.
+  void OnOperatorSnapshot(const std::set<std::string>& aKeys);
   void OnEndpointRecord(const store::Record& aRecord);
+  /// What this host learnt from its own requests goes with the incarnation.
+  void ForgetEndpoint(const std::string& aIncarnation);
   store::FollowEvents EventsFor(const std::string& aTopic);
 
   RelayCore& m_core;
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -5,12 +5,24 @@
 
 namespace ferrytray::fleet {
 
+std::string IncarnationOf(const std::string& aId, BirthTime aBorn)
+{
+  return aBorn == 0 ? aId : aId + "/" + std::to_string(aBorn);
+}
+
 void Directory::Upsert(Endpoint aEndpoint, base::TimePoint aNow)
 {
   static_cast<void>(aNow);
-  if (m_left.contains(aEndpoint.m_incarnation)) {
+  BirthTime& lastBirth = m_lastBirths[aEndpoint.m_id];
+  if (aEndpoint.m_born < lastBirth || m_left.contains(aEndpoint.m_incarnation)) {
     return;
   }
+  lastBirth = aEndpoint.m_born;
+  std::string& current = m_current[aEndpoint.m_id];
+  if (!current.empty() && current != aEndpoint.m_incarnation) {
+    MarkGone(current);
+  }
+  current = aEndpoint.m_incarnation;
   Entry& entry = m_entries[aEndpoint.m_incarnation];
   const bool wasLeaving = entry.m_endpoint.m_leaving;
   std::map<std::string, WeightVersion> believed = std::move(entry.m_endpoint.m_weights);
@@ -29,7 +41,15 @@
   entry.m_goneAt.reset();
 }
 
-void Directory::Remove(const std::string& aIncarnation, base::TimePoint aNow)
+void Directory::Remove(const std::string& aId, base::TimePoint aNow)
+{
+  const auto current = m_current.find(aId);
+  if (current != m_current.end()) {
+    RemoveIncarnation(current->second, aNow);
+  }
+}
+
+void Directory::RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow)
 {
   const auto found = m_entries.find(aIncarnation);
   if (found == m_entries.end()) {
@@ -51,12 +71,12 @@
 {
   std::vector<std::string> missing;
   for (const auto& [incarnation, entry] : m_entries) {
-    if (!aListed.contains(incarnation) && !entry.m_goneAt) {
+    if (!aListed.contains(entry.m_endpoint.m_id) && !entry.m_goneAt) {
       missing.push_back(incarnation);
     }
   }
   for (const std::string& incarnation : missing) {
-    Remove(incarnation, aNow);
+    RemoveIncarnation(incarnation, aNow);
   }
 }
 
@@ -128,6 +148,11 @@
   return guess;
 }
 
+bool Directory::SetEvacuated(const std::string& aZone, bool aEvacuated)
+{
+  return aEvacuated ? m_evacuated.insert(aZone).second : m_evacuated.erase(aZone) > 0;
+}
+
 void Directory::Expire(base::TimePoint aNow)
 {
   std::erase_if(m_entries, [&](const auto& aPair) {
@@ -139,8 +164,10 @@
 {
   std::vector<const Endpoint*> usable;
   for (const auto& [incarnation, entry] : m_entries) {
-    if (entry.m_endpoint.m_service == aService && !entry.m_endpoint.m_leaving) {
-      usable.push_back(&entry.m_endpoint);
+    const Endpoint& endpoint = entry.m_endpoint;
+    const bool mayGetRequests = !endpoint.m_leaving && !m_evacuated.contains(endpoint.m_zone);
+    if (endpoint.m_service == aService && mayGetRequests) {
+      usable.push_back(&endpoint);
     }
   }
   return usable;
@@ -162,4 +189,10 @@
   return found == m_entries.end() ? nullptr : &found->second.m_endpoint;
 }
 
+const Endpoint* Directory::FindById(const std::string& aId) const
+{
+  const auto current = m_current.find(aId);
+  return current == m_current.end() ? nullptr : Find(current->second);
+}
+
 } // namespace ferrytray::fleet
--- a/src/ferrytray/fleet/directory_test.cpp
+++ b/src/ferrytray/fleet/directory_test.cpp
@@ -12,6 +12,7 @@
 fleet::Endpoint Engine(const std::string& aName, fleet::WeightVersion aVersion = 1)
 {
   fleet::Endpoint endpoint;
+  endpoint.m_id = aName;
   endpoint.m_incarnation = aName;
   endpoint.m_service = "engines";
   endpoint.m_address = "10.0.0.1:80";
@@ -151,3 +152,86 @@
   m_directory.Upsert(Engine("a"), kStart);
   POINTERS_EQUAL(nullptr, m_directory.Find("a"));
 }
+
+namespace {
+
+fleet::Endpoint Born(const std::string& aId, fleet::BirthTime aBorn, fleet::WeightVersion aVersion)
+{
+  fleet::Endpoint endpoint = Engine(aId, aVersion);
+  endpoint.m_born = aBorn;
+  endpoint.m_incarnation = fleet::IncarnationOf(aId, aBorn);
+  return endpoint;
+}
+
+} // namespace
+
+TEST(Directory, AnIdMayComeBackAndNothingOfItsFormerLifeIsKept)
+{
+  fleet::Endpoint leaving = Born("a", 10, 5);
+  leaving.m_leaving = true;
+  m_directory.Upsert(leaving, kStart);
+  m_directory.Remove("a", kStart);
+  m_directory.Upsert(Born("a", 20, 3), kStart);
+  LONGS_EQUAL(1, m_directory.Usable("engines").size());
+  const fleet::Endpoint* again = m_directory.FindById("a");
+  LONGS_EQUAL(20, again->m_born);
+  LONGS_EQUAL(3, again->m_provenWeights.at("model"));
+  POINTERS_EQUAL(nullptr, m_directory.Find(fleet::IncarnationOf("a", 10)));
+}
+
+TEST(Directory, AnIdThatStartsAnewWithoutLeavingReplacesItself)
+{
+  m_directory.Upsert(Born("a", 10, 5), kStart);
+  m_directory.Upsert(Born("a", 20, 3), kStart);
+  LONGS_EQUAL(1, m_directory.All().size());
+  LONGS_EQUAL(3, m_directory.FindById("a")->m_provenWeights.at("model"));
+  m_directory.Remove("a", kStart);
+  CHECK(m_directory.All().empty());
+}
+
+TEST(Directory, AnEntryOfAnEarlierLifeChangesNothing)
+{
+  m_directory.Upsert(Born("a", 20, 3), kStart);
+  m_directory.Upsert(Born("a", 10, 5), kStart);
+  LONGS_EQUAL(20, m_directory.FindById("a")->m_born);
+  m_directory.Remove("a", kStart);
+  m_directory.Upsert(Born("a", 10, 5), kStart);
+  POINTERS_EQUAL(nullptr, m_directory.FindById("a"));
+}
+
+TEST(Directory, ALifeThatWasReplacedAtItsAddressStaysGoneAndItsIdMayReturn)
+{
+  m_directory.Upsert(Born("a", 10, 1), kStart);
+  m_directory.MarkGone(fleet::IncarnationOf("a", 10));
+  m_directory.Upsert(Born("a", 10, 1), kStart);
+  POINTERS_EQUAL(nullptr, m_directory.FindById("a"));
+  m_directory.Upsert(Born("a", 11, 1), kStart);
+  CHECK(m_directory.FindById("a") != nullptr);
+}
+
+TEST(Directory, AListOfIdsKeepsTheLivesThatTheyHave)
+{
+  m_directory.Upsert(Born("a", 10, 1), kStart);
+  m_directory.Upsert(Born("b", 10, 1), kStart);
+  m_directory.KeepOnly({ "a" }, kStart);
+  CHECK(m_directory.FindById("a") != nullptr);
+  POINTERS_EQUAL(nullptr, m_directory.FindById("b"));
+}
+
+TEST(Directory, AnEvacuatedZoneGetsNothingNewUntilThatIsTakenBack)
+{
+  fleet::Endpoint here = Engine("a");
+  here.m_zone = "z1";
+  fleet::Endpoint there = Engine("b");
+  there.m_zone = "z2";
+  m_directory.Upsert(here, kStart);
+  m_directory.Upsert(there, kStart);
+  CHECK(m_directory.SetEvacuated("z1", true));
+  CHECK_FALSE(m_directory.SetEvacuated("z1", true));
+  LONGS_EQUAL(1, m_directory.Usable("engines").size());
+  STRCMP_EQUAL("b", m_directory.Usable("engines")[0]->m_id.c_str());
+  LONGS_EQUAL(2, m_directory.All().size()); // weights still come to them
+  CHECK(m_directory.SetEvacuated("z1", false));
+  LONGS_EQUAL(2, m_directory.Usable("engines").size());
+  CHECK_FALSE(m_directory.SetEvacuated("nowhere", false));
+}
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -120,6 +120,16 @@
   return *hosts.front();
 }
 
+bool Roster::IsAmong(std::string_view aName, std::size_t aFirst) const
+{
+  const std::uint64_t own = base::Hash64(aName, m_self.m_name);
+  std::size_t before = 0;
+  for (const auto& [name, entry] : m_peers) {
+    before += base::Hash64(aName, name) < own ? 1 : 0;
+  }
+  return before < aFirst;
+}
+
 std::vector<Peer> Roster::ReadersOf(const std::string& aZone, base::TimePoint aNow) const
 {
   std::vector<Peer> readers;
--- a/src/ferrytray/relay/call_planner.cpp
+++ b/src/ferrytray/relay/call_planner.cpp
@@ -33,8 +33,14 @@
   if (m_request.m_prompt) {
     needs = PromptNeeds{ m_request.m_prompt->m_model, m_request.m_prompt->m_inputTokens };
   }
-  const Candidates candidates =
-    CandidatesFor(m_core, aService, service, needs, aTried, base::MonotonicNow());
+  const Candidates candidates = CandidatesFor(m_core,
+                                              aService,
+                                              service,
+                                              needs,
+                                              aTried,
+                                              routing::ColdUse::Own,
+                                              aAssigned.m_engine,
+                                              base::MonotonicNow());
   const std::vector<const fleet::Endpoint*>& endpoints = candidates.m_endpoints;
   const std::vector<routing::PlacementCandidate>& places = candidates.m_places;
   if (!m_request.m_prompt) {
@@ -84,7 +90,7 @@
   const fleet::Endpoint& endpoint = *aTarget.m_endpoint;
   EndpointCall call;
   call.m_address = endpoint.m_address;
-  call.m_incarnation = endpoint.m_incarnation;
+  call.m_endpointId = endpoint.m_id;
   call.m_remaining = aLeft;
   call.m_account = m_admitted.m_account == nullptr ? "" : m_admitted.m_account->m_name;
   call.m_resumeAfter = aResumeAfter;
--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for max
 
+#include "ferrytray/relay/cold_engines.hpp"    // for MaySendCold
 #include "ferrytray/routing/engine_memory.hpp" // for HasRoom, SizeOf
 
 namespace ferrytray::relay {
@@ -50,6 +51,8 @@
                          const fleet::Service* aService,
                          const std::optional<PromptNeeds>& aNeeds,
                          const std::set<std::string>& aTried,
+                         routing::ColdUse aCold,
+                         const std::string& aAssigned,
                          base::TimePoint aNow)
 {
   aCore.m_directory.Expire(aNow);
@@ -64,6 +67,9 @@
     if (aTried.contains(name) || aCore.m_board.Open(name) >= most || tooOld) {
       continue;
     }
+    if (name != aAssigned && !MaySendCold(aCore, *endpoint, aCold, aNow)) {
+      continue;
+    }
     const peers::EndpointTag tag = peers::TagOf(name);
     const routing::Work work = aCore.m_board.OpenWork(name) + aCore.m_otherLoads.Others(tag);
     const bool reloading = aNeeds && aCore.m_reloads.IsReloading(tag, aNow);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // for max, min
 #include <utility>   // for move
 
+#include "ferrytray/relay/cold_engines.hpp"      // for NoteColdSend, SuspectColdStart
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
@@ -114,6 +115,7 @@
   request.m_sendOnce = true;
   m_attempt.emplace();
   m_attempt->m_endpoint = endpoint->m_incarnation;
+  m_attempt->m_endpointId = endpoint->m_id;
   m_attempt->m_sentAt = base::MonotonicNow();
   m_attempt->m_weights = call.m_weights;
   m_attempt->m_events = EventSplitter(m_lastEvent);
@@ -124,6 +126,9 @@
   m_lastTokens = call.m_tokensByFate;
   ++m_sends;
   m_core.m_board.OnSent(endpoint->m_incarnation, m_work);
+  if (endpoint->m_incarnation != m_assigned.m_engine) {
+    NoteColdSend(m_core, *endpoint, routing::ColdUse::Own, m_attempt->m_sentAt);
+  }
   const std::weak_ptr<Exchange> weak = weak_from_this();
   net::ClientEvents events;
   events.m_onHead = [weak](int aStatus, const net::Headers& aHeaders) {
@@ -169,7 +174,7 @@
   }
   const bool otherWeights =
     aHead.m_misdirected && m_attempt->m_weights && !aHead.m_weights &&
-    (aHead.m_incarnation.empty() || aHead.m_incarnation == m_attempt->m_endpoint);
+    (aHead.m_endpointId.empty() || aHead.m_endpointId == m_attempt->m_endpointId);
   if (otherWeights) {
     const std::string& model = m_request.m_prompt->m_model;
     const auto wanted = m_core.m_wanted.find(model);
@@ -177,12 +182,12 @@
     m_core.m_directory.NoteOtherWeights(
       m_attempt->m_endpoint, model, *m_attempt->m_weights, newest);
   }
-  const bool replaced = aHead.m_misdirected && !aHead.m_incarnation.empty() &&
-                        aHead.m_incarnation != m_attempt->m_endpoint;
+  const bool replaced = aHead.m_misdirected && !aHead.m_endpointId.empty() &&
+                        aHead.m_endpointId != m_attempt->m_endpointId;
   if (replaced) {
     telemetry::LogLine("endpoint_gone")
       .Add("endpoint", m_attempt->m_endpoint)
-      .Add("address_now_of", aHead.m_incarnation);
+      .Add("address_now_of", aHead.m_endpointId);
     m_core.m_directory.MarkGone(m_attempt->m_endpoint);
   }
 }
@@ -306,6 +311,9 @@
   m_ranOn += ran ? 1 : 0;
   if (aEnd == AttemptEnd::NotSent || (aEnd == AttemptEnd::Broken && !aAttempt.m_head)) {
     m_core.m_board.OnUnreachable(aAttempt.m_endpoint, now);
+    if (const fleet::Endpoint* endpoint = m_core.m_directory.Find(aAttempt.m_endpoint)) {
+      SuspectColdStart(m_core, *endpoint, now);
+    }
   } else if (aEnd == AttemptEnd::NotRun) {
     if (aAttempt.m_head->m_misdirected) {
       // Its weights are known by now, or its incarnation is gone: it may be asked again.
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -9,6 +9,7 @@
 
 #include "ferrytray/base/digest.hpp"           // for HashWithSeed
 #include "ferrytray/relay/candidates.hpp"      // for CandidatesFor
+#include "ferrytray/relay/cold_engines.hpp"    // for NoteColdSend
 #include "ferrytray/routing/engine_memory.hpp" // for HasRoom, SizeOf
 #include "ferrytray/routing/rendezvous.hpp"    // for RendezvousHomes
 
@@ -88,7 +89,8 @@
   const std::uint64_t memory =
     service == nullptr || !service->m_engine ? 0 : service->m_engine->m_kvTokens;
   const PromptNeeds needs{ aRequest.m_model, aRequest.m_tokens };
-  const Candidates candidates = CandidatesFor(m_core, aRequest.m_service, service, needs, {}, now);
+  const Candidates candidates = CandidatesFor(
+    m_core, aRequest.m_service, service, needs, {}, routing::ColdUse::Assigned, "", now);
   const routing::PromptSize size = routing::SizeOf(aRequest.m_tokens, memory);
   bool someFull = false;
   std::vector<routing::PrefillEngine> engines;
@@ -116,7 +118,9 @@
   if (!choice) {
     return { "", "", false, someFull && aRequest.m_zone.empty() };
   }
-  return { engines[choice->m_engine].m_name, choice->m_holder, choice->m_free, false };
+  const std::string& chosen = engines[choice->m_engine].m_name;
+  NoteColdSend(m_core, *m_core.m_directory.Find(chosen), routing::ColdUse::Assigned, now);
+  return { chosen, choice->m_holder, choice->m_free, false };
 }
 
 void PromptDispatcher::OnBegan(std::uint32_t aReadTokens, base::Duration aTook)
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -1,5 +1,6 @@
 #include "ferrytray/relay/relay_host.hpp"
 
+#include <map>     // for map
 #include <utility> // for exchange, move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
@@ -65,6 +66,9 @@
     m_news.AddTopic(std::move(topic));
   }
   m_core.m_dispatcher = &m_dispatcher;
+  m_core.m_isAmongHosts = [this](const std::string& aName, std::size_t aFirst) {
+    return m_news.IsAmong(aName, aFirst);
+  };
   m_news.OwnLoads([this] { return OwnLoads(); });
   m_news.OnReloads([this] { m_rollout.NoteOthersOrder(base::MonotonicNow()); });
   m_feeds.OnConfigured([this] { m_stores.OnConfiguration(); });
@@ -115,6 +119,7 @@
     metrics,
     [this](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
       m_core.m_metrics.Set("open_requests", static_cast<double>(m_core.m_open));
+      CountEvacuated();
       aReply->Send(
         kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_core.m_metrics.Render());
     });
@@ -127,6 +132,22 @@
   return {};
 }
 
+void RelayHost::CountEvacuated()
+{
+  std::map<std::string, double> open;
+  for (const std::string& zone : m_core.m_directory.EvacuatedZones()) {
+    open[zone] = 0;
+  }
+  for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
+    if (const auto zone = open.find(endpoint->m_zone); zone != open.end()) {
+      zone->second += m_core.m_board.Open(endpoint->m_incarnation);
+    }
+  }
+  for (const auto& [zone, requests] : open) {
+    m_core.m_metrics.Set("evacuated_zone_open_requests{zone=\"" + zone + "\"}", requests);
+  }
+}
+
 peers::EndpointLoads RelayHost::OwnLoads() const
 {
   peers::EndpointLoads loads;
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // for max
 #include <utility>   // for move
 
+#include "ferrytray/relay/cold_engines.hpp" // for SuspectColdStart
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::relay {
@@ -38,7 +39,9 @@
   operators.m_newsFresh = aOptions.m_newsFresh;
   store::FollowEvents onOperators = EventsFor(operators.m_topic);
   onOperators.m_onRecord = [this](const store::Record& aRecord) { OnOperatorRecord(aRecord); };
-  onOperators.m_onSnapshot = [this](const std::set<std::string>&) { m_operatorsLoaded = true; };
+  onOperators.m_onSnapshot = [this](const std::set<std::string>& aKeys) {
+    OnOperatorSnapshot(aKeys);
+  };
   m_operators = std::make_shared<store::TopicFollower>(
     aCore.m_loop, aLog, std::move(operators), std::move(onOperators));
 
@@ -96,16 +99,62 @@
 
 void StateFeeds::OnOperatorRecord(const store::Record& aRecord)
 {
-  if (aRecord.m_removed) {
+  if (const auto zone = m_format.EvacuatedZone(aRecord.m_key)) {
+    OnEvacuation(*zone, aRecord);
+  } else if (aRecord.m_removed) {
     return;
-  }
-  if (m_format.IsConfiguration(aRecord.m_key)) {
+  } else if (m_format.IsConfiguration(aRecord.m_key)) {
     OnConfiguration(aRecord);
   } else if (m_format.IsNamedWeights(aRecord.m_key)) {
     OnNamedWeights(aRecord);
   }
 }
 
+void StateFeeds::OnOperatorSnapshot(const std::set<std::string>& aKeys)
+{
+  m_operatorsLoaded = true;
+  std::set<std::string> evacuated;
+  for (const std::string& key : aKeys) {
+    if (const auto zone = m_format.EvacuatedZone(key)) {
+      evacuated.insert(*zone);
+    }
+  }
+  const std::set<std::string> before = m_core.m_directory.EvacuatedZones();
+  for (const std::string& zone : before) {
+    if (!evacuated.contains(zone)) {
+      SetEvacuated(zone, false);
+    }
+  }
+}
+
+void StateFeeds::OnEvacuation(const std::string& aZone, const store::Record& aRecord)
+{
+  SetEvacuated(aZone, !aRecord.m_removed);
+}
+
+void StateFeeds::SetEvacuated(const std::string& aZone, bool aEvacuated)
+{
+  if (!m_core.m_directory.SetEvacuated(aZone, aEvacuated)) {
+    return;
+  }
+  const base::TimePoint now = base::MonotonicNow();
+  std::size_t endpoints = 0;
+  for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
+    if (endpoint->m_zone != aZone) {
+      continue;
+    }
+    ++endpoints;
+    if (!aEvacuated) {
+      // Nothing was sent to them meanwhile, so nobody knows whether they are as they were.
+      SuspectColdStart(m_core, *endpoint, now);
+    }
+  }
+  telemetry::LogLine("evacuation")
+    .Add("zone", aZone)
+    .Add("outcome", aEvacuated ? "begun" : "ended")
+    .Add("endpoints", endpoints);
+}
+
 void StateFeeds::OnConfiguration(const store::Record& aRecord)
 {
   base::Result<fleet::Configuration> read = m_format.ReadConfiguration(aRecord.m_value);
@@ -154,13 +203,21 @@
     .Add("offset", aRecord.m_offset);
 }
 
+void StateFeeds::ForgetEndpoint(const std::string& aIncarnation)
+{
+  m_core.m_board.Forget(aIncarnation);
+  m_core.m_cold.Forget(aIncarnation);
+}
+
 void StateFeeds::OnEndpointRecord(const store::Record& aRecord)
 {
   const base::TimePoint now = base::MonotonicNow();
   if (aRecord.m_removed) {
     telemetry::LogLine("endpoint_removed").Add("endpoint", aRecord.m_key);
+    if (const fleet::Endpoint* removed = m_core.m_directory.FindById(aRecord.m_key)) {
+      ForgetEndpoint(removed->m_incarnation);
+    }
     m_core.m_directory.Remove(aRecord.m_key, now);
-    m_core.m_board.Forget(aRecord.m_key);
     return;
   }
   base::Result<fleet::Endpoint> read = m_format.ReadEndpoint(aRecord.m_key, aRecord.m_value);
@@ -168,16 +225,24 @@
     LogUnreadable(aRecord, read.error());
     return;
   }
-  const fleet::Endpoint* known = m_core.m_directory.Find(aRecord.m_key);
+  const fleet::Endpoint* known = m_core.m_directory.Find(read->m_incarnation);
   if (known == nullptr || known->m_leaving != read->m_leaving) {
     telemetry::LogLine("endpoint")
-      .Add("endpoint", aRecord.m_key)
+      .Add("endpoint", read->m_incarnation)
       .Add("service", read->m_service)
       .Add("address", read->m_address)
       .Add("state", read->m_leaving ? "leaving" : "usable")
       .Add("offset", aRecord.m_offset);
   }
+  const fleet::Endpoint* before = m_core.m_directory.FindById(aRecord.m_key);
+  if (ColdTraitsOf(m_core, read->m_service) != nullptr) {
+    m_core.m_cold.OnTold(read->m_incarnation, read->m_coldFor, before == nullptr, now);
+  }
+  const std::string former = before == nullptr ? "" : before->m_incarnation;
   m_core.m_directory.Upsert(std::move(*read), now);
+  if (!former.empty() && m_core.m_directory.Find(former) == nullptr) {
+    ForgetEndpoint(former);
+  }
 }
 
 } // namespace ferrytray::relay
--- /dev/null
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -0,0 +1,158 @@
+#include "ferrytray/relay/state_feeds.hpp"
+
+#include "ferrytray/store/record_log.hpp"      // for Record
+#include "tests/support/exchange_fixture.hpp"  // for ExchangeFixture
+#include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kColdFor = 3s;
+
+/// Records of words: an endpoint's entry is "BIRTH ZONE", an evacuation's key "leave ZONE".
+class FakeRecords final : public relay::RecordFormat
+{
+public:
+  [[nodiscard]] std::string OperatorTopic() const override { return "operators"; }
+  [[nodiscard]] std::string EndpointTopic() const override { return "endpoints"; }
+  [[nodiscard]] std::string HostTopic() const override { return "hosts"; }
+  [[nodiscard]] bool IsConfiguration(std::string_view aKey) const override
+  {
+    return aKey == "configuration";
+  }
+  [[nodiscard]] bool IsNamedWeights(std::string_view) const override { return false; }
+  [[nodiscard]] base::Result<fleet::Configuration> ReadConfiguration(
+    std::string_view) const override
+  {
+    fleet::Configuration configuration = support::ConfigurationOf(2)->Get();
+    configuration.m_services[0].m_cold = fleet::ColdTraits{ kColdFor, 14 };
+    return configuration;
+  }
+  [[nodiscard]] base::Result<relay::NamedWeights> ReadNamedWeights(std::string_view) const override
+  {
+    return base::Fail(base::ErrorCode::PlatformMalformed, "none");
+  }
+  [[nodiscard]] std::optional<std::string> EvacuatedZone(std::string_view aKey) const override
+  {
+    return aKey.starts_with("leave ") ? std::optional(std::string(aKey.substr(6))) : std::nullopt;
+  }
+  [[nodiscard]] base::Result<fleet::Endpoint> ReadEndpoint(std::string_view aKey,
+                                                           std::string_view aValue) const override
+  {
+    const std::size_t space = aValue.find(' ');
+    if (space == std::string_view::npos) {
+      return base::Fail(base::ErrorCode::PlatformMalformed, "no entry");
+    }
+    fleet::Endpoint endpoint = support::EndpointOf(std::string(aKey));
+    endpoint.m_born = std::stoul(std::string(aValue.substr(0, space)));
+    endpoint.m_incarnation = fleet::IncarnationOf(endpoint.m_id, endpoint.m_born);
+    endpoint.m_zone = aValue.substr(space + 1);
+    return endpoint;
+  }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(StateFeeds, support::ExchangeFixture)
+{
+  support::MemoryRecordLog m_log;
+  FakeRecords m_records;
+  std::optional<relay::StateFeeds> m_feeds;
+
+  void teardown() override
+  {
+    m_feeds->Stop();
+  }
+
+  void Write(const char* aTopic, const char* aKey, const char* aValue)
+  {
+    m_log.AppendKeyed(aTopic, aKey, aValue, [](const auto&) {});
+  }
+  /// Reads both topics from their beginning.
+  void Read()
+  {
+    if (m_feeds) {
+      m_feeds->Stop();
+    }
+    m_feeds.emplace(m_core, m_log, m_records, relay::FeedOptions{});
+    for (const auto& topic : m_feeds->Topics()) {
+      topic->Start();
+    }
+  }
+  /// As another host passes records on.
+  void Hear(const char* aTopic, std::vector<store::Record> aRecords)
+  {
+    for (const auto& topic : m_feeds->Topics()) {
+      if (topic->Topic() == aTopic) {
+        store::TopicNews news;
+        news.m_topic = aTopic;
+        news.m_end = aRecords.back().m_offset + 1;
+        news.m_records = std::move(aRecords);
+        topic->OnNews(news, base::MonotonicNow());
+      }
+    }
+  }
+};
+
+TEST(StateFeeds, AnEvacuationStandsUntilItsRecordIsRemoved)
+{
+  Write("operators", "configuration", "x");
+  Write("operators", "leave z1", "{}");
+  Write("endpoints", "e", "1 z1");
+  Write("endpoints", "f", "1 z2");
+  Read();
+  LONGS_EQUAL(1, m_core.m_directory.EvacuatedZones().size());
+  STRCMP_EQUAL("f", m_core.m_directory.Usable("s").back()->m_id.c_str());
+  Hear("operators", { { 2, "leave z1", "", true } });
+  CHECK(m_core.m_directory.EvacuatedZones().empty());
+}
+
+TEST(StateFeeds, AnEvacuationThatASnapshotNoLongerListsIsOver)
+{
+  Write("operators", "configuration", "x");
+  m_core.m_directory.SetEvacuated("z1", true);
+  Read();
+  CHECK(m_core.m_directory.EvacuatedZones().empty());
+}
+
+TEST(StateFeeds, EnginesOfAZoneThatIsTakenBackMayBeCold)
+{
+  Write("operators", "configuration", "x");
+  Write("operators", "leave z1", "{}");
+  Write("endpoints", "e", "1 z1");
+  Write("endpoints", "f", "1 z2");
+  Read();
+  Hear("operators", { { 2, "leave z1", "", true } });
+  const base::TimePoint now = base::MonotonicNow();
+  CHECK(m_core.m_cold.IsCold(fleet::IncarnationOf("e", 1), now + kColdFor));
+  CHECK_FALSE(m_core.m_cold.IsCold(fleet::IncarnationOf("f", 1), now));
+}
+
+TEST(StateFeeds, WhatWasLearntOfAFormerLifeIsForgotten)
+{
+  Write("operators", "configuration", "x");
+  Write("endpoints", "e", "1 z1");
+  Read();
+  const std::string former = fleet::IncarnationOf("e", 1);
+  m_core.m_board.OnSent(former, 3);
+  m_core.m_cold.OnTold(former, 10s, true, base::MonotonicNow());
+  Hear("endpoints", { { 1, "e", "2 z1", false } });
+  LONGS_EQUAL(0, m_core.m_board.OpenWork(former));
+  CHECK_FALSE(m_core.m_cold.IsCold(former, base::MonotonicNow()));
+  POINTERS_EQUAL(nullptr, m_core.m_directory.Find(former));
+  CHECK(m_core.m_directory.FindById("e") != nullptr);
+}
+
+TEST(StateFeeds, AnUnreadableEntryLeavesTheKnownEndpointInUse)
+{
+  Write("operators", "configuration", "x");
+  Write("endpoints", "e", "1 z1");
+  Read();
+  Hear("endpoints", { { 1, "e", "spoilt", false } });
+  CHECK(m_core.m_directory.FindById("e") != nullptr);
+  CHECK_FALSE(m_core.m_directory.FindById("e")->m_leaving);
+}
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -105,6 +105,7 @@
   void AddEngine(const std::string& aName, fleet::WeightVersion aVersion)
   {
     fleet::Endpoint endpoint;
+    endpoint.m_id = aName;
     endpoint.m_incarnation = aName;
     endpoint.m_service = "engines";
     endpoint.m_weights = { { "m", aVersion } };
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -45,7 +45,7 @@
   {
     net::ClientRequest request;
     request.m_url = aCall.m_address;
-    request.m_headers = { { "to", aCall.m_incarnation },
+    request.m_headers = { { "to", aCall.m_endpointId },
                           { "after",
                             aCall.m_resumeAfter ? std::to_string(*aCall.m_resumeAfter) : "" },
                           { "scope", aCall.m_cacheScope },
@@ -65,7 +65,7 @@
       head.m_notRun = head.m_notRun || name == "not-run";
       head.m_misdirected = head.m_misdirected || name == "misdirected";
       head.m_requestId = name == "id" ? value : head.m_requestId;
-      head.m_incarnation = name == "incarnation" ? value : head.m_incarnation;
+      head.m_endpointId = name == "incarnation" ? value : head.m_endpointId;
     }
     return head;
   }
@@ -83,6 +83,7 @@
 inline fleet::Endpoint EndpointOf(const std::string& aName)
 {
   fleet::Endpoint endpoint;
+  endpoint.m_id = aName;
   endpoint.m_incarnation = aName;
   endpoint.m_service = "s";
   endpoint.m_address = aName + ":1";
