Hosts tell each other of endpoints that were replaced at their address; whoever is listed later there takes its place

An engine that crashes comes back at its address under another id within a second; the directory lists both for some seconds, and each of 79 hosts found out by a rejected request of its own.

Change: an incarnation that answered 421 for another one is told to all hosts with the next questions between them (peers::ReplacedBoard, kept for 5 s; the age is told, so that notices do not go round for ever). An endpoint that is listed 300 ms or more after another of its service and address has taken its place (fleet::Directory).

--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -45,6 +45,9 @@
   /// Entries that lapsed while the directory's source was away come back within about 2 s of its
   /// return (the users' platform); one that is missing for longer is gone.
   base::Duration m_returnWindow = std::chrono::milliseconds(2000);
+  /// One that is listed so long after another of its service and address has taken its place. Of
+  /// two that are read together nobody knows which one is newer.
+  base::Duration m_replacesAfter = std::chrono::milliseconds(300);
 };
 
 /// @brief The endpoints that may be used. Pure: it is told what was read, and when.
@@ -108,6 +111,7 @@
   struct Entry
   {
     Endpoint m_endpoint;
+    base::TimePoint m_since;                 ///< it is listed
     std::optional<base::TimePoint> m_goneAt; ///< missing; dropped then unless it comes back
     /// By model: guesses that it has refused since its weights were last known.
     std::map<std::string, std::set<WeightVersion>> m_refused;
@@ -117,15 +121,18 @@
                                            WeightVersion aProven,
                                            WeightVersion aNewest);
 
+  /// Whoever was at a new endpoint's address before is gone.
+  void MarkReplaced(const Endpoint& aNew, base::TimePoint aNow);
   void RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow);
 
   DirectoryOptions m_options;
   std::optional<base::TimePoint> m_sourceBackAt;
-  std::map<std::string, Entry> m_entries;        ///< by incarnation
-  std::map<std::string, std::string> m_current;  ///< by id: its last known incarnation
-  std::map<std::string, BirthTime> m_lastBirths; ///< by id
-  std::set<std::string> m_evacuated;             ///< availability zones
-  std::set<std::string> m_left;                  ///< incarnations that never come back
+  std::map<std::string, Entry> m_entries;         ///< by incarnation
+  std::map<std::string, std::string> m_current;   ///< by id: its last known incarnation
+  std::map<std::string, BirthTime> m_lastBirths;  ///< by id
+  std::map<std::string, std::string> m_atAddress; ///< the incarnation listed there last
+  std::set<std::string> m_evacuated;              ///< availability zones
+  std::set<std::string> m_left;                   ///< incarnations that never come back
 };
 
 } // namespace ferrytray::fleet
--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -9,6 +9,7 @@
 #include "ferrytray/cache/contents_digest.hpp" // for ContentsCursor, ContentsDigest
 #include "ferrytray/peers/load_board.hpp"      // for EndpointLoads, LoadScope
 #include "ferrytray/peers/reload_board.hpp"    // for ReloadNotices
+#include "ferrytray/peers/replaced_board.hpp"  // for ReplacedNotices
 #include "ferrytray/peers/roster.hpp"          // for Peer
 #include "ferrytray/store/topic_news.hpp"      // for TopicCursor, TopicNews
 
@@ -25,6 +26,7 @@
   EndpointLoads m_loads;   ///< of this scope
   bool m_lostLog = false;  ///< it cannot read the log itself
   ReloadNotices m_reloads; ///< that it ordered or heard of, if it is a reader
+  ReplacedNotices m_replaced;
 };
 
 /// @brief The answer.
@@ -35,7 +37,8 @@
   std::vector<cache::ContentsDigest> m_stores;
   /// To a host that tells its own load: all others'. To one that tells a summary: this host's.
   EndpointLoads m_loads;
-  ReloadNotices m_reloads;     ///< that it knows of
+  ReloadNotices m_reloads; ///< that it knows of
+  ReplacedNotices m_replaced;
   std::vector<Peer> m_readers; ///< hosts of the asking one's zone that read for others
 };
 
--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -15,6 +15,7 @@
 #include "ferrytray/peers/messages.hpp"           // for NewsReply, NewsRequest
 #include "ferrytray/peers/placement_messages.hpp" // for PlacementReply, PlacementRequest
 #include "ferrytray/peers/reload_board.hpp"       // for ReloadBoard
+#include "ferrytray/peers/replaced_board.hpp"     // for ReplacedBoard
 #include "ferrytray/peers/roster.hpp"             // for Roster
 #include "ferrytray/store/record_log.hpp"         // for RecordLog
 #include "ferrytray/store/topic_follower.hpp"     // for TopicFollower
@@ -72,6 +73,11 @@
   void Stop();
   /// @brief Tells the hosts that read for others of reloads at once, not at the next question.
   void TellReloads();
+  /// @brief Another endpoint answered at this incarnation's address: other hosts hear of it with
+  /// the next questions.
+  void TellReplaced(std::string_view aIncarnation);
+  /// @brief Calls with each incarnation that another host found to be replaced.
+  void OnReplaced(std::function<void(IncarnationKey)> aCall) { m_onReplaced = std::move(aCall); }
   /// @brief Calls when this host is to begin or to stop to read from the stores itself.
   void OnDirect(std::function<void(bool aDirect)> aCall) { m_onDirect = std::move(aCall); }
   /// @brief Calls when another host told of a reload that was not known.
@@ -133,6 +139,7 @@
   void Answer(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply);
   void SetDirect(bool aDirect, const char* aWhy);
   void TakeReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
+  void TakeReplaced(const ReplacedNotices& aNotices, base::TimePoint aNow);
   [[nodiscard]] std::vector<store::TopicNews> NewsOfTopics(
     const std::vector<store::TopicCursor>& aCursors,
     store::PassOn aMost,
@@ -157,12 +164,14 @@
   std::vector<std::shared_ptr<store::TopicFollower>> m_topics;
   std::function<void(bool)> m_onDirect;
   std::function<void()> m_onReloads;
+  std::function<void(IncarnationKey)> m_onReplaced;
   std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
   std::optional<base::TimePoint> m_wasAskedAt;
   FallbackReader m_fallback;
+  ReplacedBoard m_replaced;
   std::set<std::string> m_asking; ///< names of hosts that have not answered yet
   bool m_direct = false;
   bool m_leaving = false;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -92,6 +92,8 @@
   /// Whether this host is among the first so many hosts by a hash of that name; false while the
   /// other hosts are unknown. Unset: never.
   std::function<bool(const std::string& aName, std::size_t aFirst)> m_isAmongHosts;
+  /// Another endpoint answered at that incarnation's address. Unset: nobody is told.
+  std::function<void(const std::string& aIncarnation)> m_onReplaced;
   peers::LoadBoard m_otherLoads; ///< other hosts' requests
   peers::ReloadBoard m_reloads;  ///< engines that load weights
   limits::RetryWindow m_retries;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -63,6 +63,7 @@
 
 private:
   base::Result<void> Listen();
+  void OnReplaced(peers::IncarnationKey aKey);
   /// Sets the gauges of what is still open in zones that are being evacuated.
   void CountEvacuated();
   [[nodiscard]] peers::EndpointLoads OwnLoads() const;
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -12,7 +12,6 @@
 
 void Directory::Upsert(Endpoint aEndpoint, base::TimePoint aNow)
 {
-  static_cast<void>(aNow);
   BirthTime& lastBirth = m_lastBirths[aEndpoint.m_id];
   if (aEndpoint.m_born < lastBirth || m_left.contains(aEndpoint.m_incarnation)) {
     return;
@@ -23,7 +22,12 @@
     MarkGone(current);
   }
   current = aEndpoint.m_incarnation;
-  Entry& entry = m_entries[aEndpoint.m_incarnation];
+  const auto [found, isNew] = m_entries.try_emplace(aEndpoint.m_incarnation);
+  Entry& entry = found->second;
+  if (isNew) {
+    entry.m_since = aNow;
+    MarkReplaced(aEndpoint, aNow);
+  }
   const bool wasLeaving = entry.m_endpoint.m_leaving;
   std::map<std::string, WeightVersion> believed = std::move(entry.m_endpoint.m_weights);
   std::map<std::string, WeightVersion> seen = std::move(entry.m_endpoint.m_provenWeights);
@@ -41,6 +45,23 @@
   entry.m_goneAt.reset();
 }
 
+void Directory::MarkReplaced(const Endpoint& aNew, base::TimePoint aNow)
+{
+  std::string& atAddress = m_atAddress[aNew.m_address];
+  const auto other = m_entries.find(atAddress);
+  if (other != m_entries.end()) {
+    const bool earlier = other->second.m_since + m_options.m_replacesAfter <= aNow;
+    const bool sameService = other->second.m_endpoint.m_service == aNew.m_service;
+    if (!sameService) {
+      return;
+    }
+    if (earlier) {
+      MarkGone(atAddress);
+    }
+  }
+  atAddress = aNew.m_incarnation;
+}
+
 void Directory::Remove(const std::string& aId, base::TimePoint aNow)
 {
   const auto current = m_current.find(aId);
--- a/src/ferrytray/fleet/directory_test.cpp
+++ b/src/ferrytray/fleet/directory_test.cpp
@@ -235,3 +235,28 @@
   LONGS_EQUAL(2, m_directory.Usable("engines").size());
   CHECK_FALSE(m_directory.SetEvacuated("nowhere", false));
 }
+
+TEST(Directory, WhoeverIsListedLaterAtAnAddressHasTakenItsPlace)
+{
+  m_directory.Upsert(Engine("a"), kStart);
+  m_directory.Upsert(Engine("b"), kStart + 2s);
+  LONGS_EQUAL(1, m_directory.Usable("engines").size());
+  m_directory.Upsert(Engine("a"), kStart + 3s); // a heartbeat that was written late
+  STRCMP_EQUAL("b", m_directory.Usable("engines").at(0)->m_id.c_str());
+}
+
+TEST(Directory, OfTwoAtOneAddressThatAreReadTogetherBothAreKept)
+{
+  m_directory.Upsert(Engine("a"), kStart);
+  m_directory.Upsert(Engine("b"), kStart + 10ms);
+  LONGS_EQUAL(2, m_directory.Usable("engines").size());
+}
+
+TEST(Directory, AnEntryOfAnotherServiceTakesNobodysPlace)
+{
+  m_directory.Upsert(Engine("a"), kStart);
+  fleet::Endpoint other = Engine("b");
+  other.m_service = "unknown";
+  m_directory.Upsert(other, kStart + 2s);
+  LONGS_EQUAL(1, m_directory.Usable("engines").size());
+}
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -80,19 +80,25 @@
   aArchive(aNotice.m_endsInMillis, aNotice.m_revision);
 }
 
+template<typename Archive>
+void serialize(Archive& aArchive, ReplacedNotice& aNotice)
+{
+  aArchive(aNotice.m_incarnation, aNotice.m_ageMillis);
+}
+
 template<typename Archive>
 void serialize(Archive& aArchive, NewsRequest& aRequest)
 {
   aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
   aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads, aRequest.m_lostLog);
-  aArchive(aRequest.m_reloads);
+  aArchive(aRequest.m_reloads, aRequest.m_replaced);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, NewsReply& aReply)
 {
   aArchive(aReply.m_incarnation, aReply.m_topics, aReply.m_stores, aReply.m_loads);
-  aArchive(aReply.m_reloads, aReply.m_readers);
+  aArchive(aReply.m_reloads, aReply.m_replaced, aReply.m_readers);
 }
 
 std::string Encode(const Peer& aPeer)
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -19,7 +19,8 @@
                               peers::LoadScope::Summary,
                               { { 5, 6 } },
                               false,
-                              { { 4, "m", 3, -200, 17 } } };
+                              { { 4, "m", 3, -200, 17 } },
+                              { { 1ULL << 60, 1200 } } };
   const auto readRequest = peers::DecodeNewsRequest(peers::Encode(request));
   CHECK(readRequest.has_value());
   CHECK(readRequest->m_sender == request.m_sender);
@@ -29,8 +30,10 @@
   CHECK(readRequest->m_scope == peers::LoadScope::Summary);
   LONGS_EQUAL(6, readRequest->m_loads.at(0).m_work);
   LONGS_EQUAL(-200, readRequest->m_reloads.at(0).m_endsInMillis);
+  CHECK(readRequest->m_replaced.at(0).m_incarnation == 1ULL << 60);
+  LONGS_EQUAL(1200, readRequest->m_replaced.at(0).m_ageMillis);
 
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {} };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, { { 5, 6 } }, {} };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
   reply.m_topics.push_back({ "t", 8, 9, { { 8, "key", "value", false } }, true, false, 3ms, 2 });
@@ -43,6 +46,7 @@
   STRCMP_EQUAL("p", digest.m_changes.at(0).m_part.m_id.c_str());
   CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
   LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
+  LONGS_EQUAL(6, readReply->m_replaced.at(0).m_ageMillis);
   const peers::ReloadNotice& notice = readReply->m_reloads.at(0);
   CHECK(notice.m_endpoint == 4 && notice.m_version == 3 && notice.m_endsInMillis == 900);
   CHECK(notice.m_model == "m" && notice.m_revision == 17);
@@ -56,7 +60,7 @@
 
 TEST(PeerMessages, DamagedBytesAreRefusedWithANumber)
 {
-  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {} };
+  peers::NewsReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {}, {} };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -168,6 +168,7 @@
   const base::TimePoint now = base::MonotonicNow();
   m_loads.Expire(now);
   m_reloads.Expire(now);
+  m_replaced.Expire(now);
   if (!m_looked) {
     return; // nobody is known yet
   }
@@ -226,6 +227,7 @@
   question.m_topics = TopicCursors();
   question.m_scope = LoadScope::Own;
   question.m_loads = m_ownLoads();
+  question.m_replaced = m_replaced.Notices(aNow);
   Ask(aSource, question, aNow);
 }
 
@@ -235,31 +237,10 @@
   question.m_scope = LoadScope::Summary;
   question.m_loads = Sum(m_loads.OwnReports(), m_ownLoads());
   question.m_reloads = m_reloads.Notices(aNow);
+  question.m_replaced = m_replaced.Notices(aNow);
   Ask(aReader, question, aNow);
 }
 
-void NewsExchange::TellReloads()
-{
-  const base::TimePoint now = base::MonotonicNow();
-  if (m_stopped || !m_looked) {
-    return;
-  }
-  for (const Peer& reader : m_roster->OtherReaders(now)) {
-    AskReader(reader, now);
-  }
-}
-
-void NewsExchange::TakeReloads(const ReloadNotices& aNotices, base::TimePoint aNow)
-{
-  std::size_t taken = 0;
-  for (const ReloadNotice& notice : aNotices) {
-    taken += m_reloads.OnNotice(notice, aNow) ? 1 : 0;
-  }
-  if (taken > 0 && m_onReloads) {
-    m_onReloads();
-  }
-}
-
 void NewsExchange::Ask(const Peer& aPeer, const NewsRequest& aQuestion, base::TimePoint aNow)
 {
   if (!m_asking.insert(aPeer.m_name).second) {
@@ -307,6 +288,7 @@
   }
   m_roster->OnAnswered(aSource.m_name);
   TakeReloads(reply->m_reloads, now);
+  TakeReplaced(reply->m_replaced, now);
   for (const Peer& reader : reply->m_readers) {
     m_roster->Learn(reader);
   }
@@ -349,10 +331,12 @@
   const base::TimePoint now = base::MonotonicNow();
   m_roster->Learn(question->m_sender);
   TakeReloads(question->m_reloads, now);
+  TakeReplaced(question->m_replaced, now);
   m_loads.OnReport(question->m_sender.m_name, question->m_scope, question->m_loads, now);
   NewsReply reply;
   reply.m_incarnation = m_incarnation;
   reply.m_reloads = m_reloads.Notices(now);
+  reply.m_replaced = m_replaced.Notices(now);
   reply.m_topics = NewsOfTopics(
     question->m_topics, question->m_lostLog ? store::PassOn::All : store::PassOn::Light, now);
   reply.m_loads = m_ownLoads();
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -186,6 +186,14 @@
   CHECK(m_follower->m_reloads.IsReloading(7, base::MonotonicNow()));
 }
 
+TEST(NewsExchange, AFollowersWordOfAReplacedLifeReachesTheReader)
+{
+  peers::IncarnationKey heard = 0;
+  m_reader->m_news.OnReplaced([&](peers::IncarnationKey aKey) { heard = aKey; });
+  m_follower->m_news.TellReplaced("e/1");
+  CHECK(Until([&] { return heard == peers::KeyOf("e/1"); }));
+}
+
 TEST(NewsExchange, AFollowerGetsATopicWholeAndReadsNothingOfIt)
 {
   m_reader->m_log.AppendKeyed("t", "a", "1", [](const auto&) {});
--- /dev/null
+++ b/src/ferrytray/peers/replaced_board.cpp
@@ -0,0 +1,41 @@
+#include "ferrytray/peers/replaced_board.hpp"
+
+#include <chrono> // for milliseconds
+
+#include "ferrytray/base/digest.hpp" // for Hash64
+
+namespace ferrytray::peers {
+
+IncarnationKey KeyOf(std::string_view aIncarnation)
+{
+  return base::Hash64("incarnation", aIncarnation);
+}
+
+bool ReplacedBoard::OnNotice(const ReplacedNotice& aNotice, base::TimePoint aNow)
+{
+  const std::chrono::milliseconds age(aNotice.m_ageMillis);
+  const bool plausible = age >= base::Duration::zero() && age < m_options.m_keepFor;
+  if (!plausible || m_foundAt.size() >= m_options.m_most) {
+    return false;
+  }
+  return m_foundAt.try_emplace(aNotice.m_incarnation, aNow - age).second;
+}
+
+ReplacedNotices ReplacedBoard::Notices(base::TimePoint aNow) const
+{
+  ReplacedNotices notices;
+  notices.reserve(m_foundAt.size());
+  for (const auto& [incarnation, foundAt] : m_foundAt) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - foundAt).count();
+    notices.push_back({ incarnation, static_cast<std::int32_t>(age) });
+  }
+  return notices;
+}
+
+void ReplacedBoard::Expire(base::TimePoint aNow)
+{
+  std::erase_if(m_foundAt,
+                [&](const auto& aPair) { return aPair.second + m_options.m_keepFor <= aNow; });
+}
+
+} // namespace ferrytray::peers
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -189,6 +189,9 @@
       .Add("endpoint", m_attempt->m_endpoint)
       .Add("address_now_of", aHead.m_endpointId);
     m_core.m_directory.MarkGone(m_attempt->m_endpoint);
+    if (m_core.m_onReplaced) {
+      m_core.m_onReplaced(m_attempt->m_endpoint);
+    }
   }
 }
 
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -277,3 +277,15 @@
   Ask("/once/x");
   STRCMP_EQUAL("a", Sent("to").c_str());
 }
+
+TEST(Exchange, WhoeverFindsAnEndpointReplacedTellsTheOthers)
+{
+  std::string told;
+  m_core.m_onReplaced = [&](const std::string& aIncarnation) { told = aIncarnation; };
+  Ask("/once/x");
+  const std::string first = Sent("to");
+  m_client.Head(421, { { "misdirected", "" }, { "not-run", "" }, { "incarnation", "new" } });
+  m_client.End(WireEnd::Complete);
+  STRCMP_EQUAL(first.c_str(), told.c_str());
+  POINTERS_EQUAL(nullptr, m_core.m_directory.Find(first));
+}
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -66,6 +66,10 @@
     m_news.AddTopic(std::move(topic));
   }
   m_core.m_dispatcher = &m_dispatcher;
+  m_core.m_onReplaced = [this](const std::string& aIncarnation) {
+    m_news.TellReplaced(aIncarnation);
+  };
+  m_news.OnReplaced([this](peers::IncarnationKey aKey) { OnReplaced(aKey); });
   m_core.m_isAmongHosts = [this](const std::string& aName, std::size_t aFirst) {
     return m_news.IsAmong(aName, aFirst);
   };
@@ -132,6 +136,18 @@
   return {};
 }
 
+void RelayHost::OnReplaced(peers::IncarnationKey aKey)
+{
+  for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
+    if (peers::KeyOf(endpoint->m_incarnation) == aKey) {
+      const std::string gone = endpoint->m_incarnation;
+      telemetry::LogLine("endpoint_gone").Add("endpoint", gone).Add("told_by", "another host");
+      m_core.m_directory.MarkGone(gone);
+      return;
+    }
+  }
+}
+
 void RelayHost::CountEvacuated()
 {
   std::map<std::string, double> open;
