An entry of a service that nobody declared does not replace a known endpoint

Under the key of a known endpoint it would have taken that one's place, for good if it bears a birth. It is now treated as one that can't be read; under an unknown key it is kept, since the configuration that declares the service may be read later. Test: state_feeds_test AnEntryOfAnUndeclaredServiceDoesNotReplaceAKnownEndpoint.

--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -60,6 +60,9 @@
   void OnOperatorSnapshot(const std::set<std::string>& aKeys);
   /// @return whether it told something new
   bool OnEndpointRecord(const store::Record& aRecord);
+  /// It would take the place of a known endpoint and names a service that nobody declared. Of an id
+  /// that is not known yet it is kept: the configuration that declares the service may come later.
+  [[nodiscard]] bool IsOfAnotherWriter(const fleet::Endpoint& aEndpoint) const;
   /// Heartbeats repeat what is known: passed on, thousands of endpoints' would fill hosts' links.
   bool TellsNews(const std::string& aKey, const fleet::Endpoint& aEndpoint);
   /// What this host learnt from its own requests goes with the incarnation.
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -214,6 +214,13 @@
   m_core.m_cold.Forget(aIncarnation);
 }
 
+bool StateFeeds::IsOfAnotherWriter(const fleet::Endpoint& aEndpoint) const
+{
+  const fleet::Endpoint* known = m_core.m_directory.FindById(aEndpoint.m_id);
+  return known != nullptr && known->m_service != aEndpoint.m_service && m_core.m_configuration &&
+         m_core.m_configuration->FindService(aEndpoint.m_service) == nullptr;
+}
+
 bool StateFeeds::TellsNews(const std::string& aKey, const fleet::Endpoint& aEndpoint)
 {
   fleet::Endpoint told = aEndpoint;
@@ -238,6 +245,10 @@
     return true;
   }
   base::Result<fleet::Endpoint> read = m_format.ReadEndpoint(aRecord.m_key, aRecord.m_value);
+  if (read && IsOfAnotherWriter(*read)) {
+    read = base::Fail(base::ErrorCode::PlatformMalformed,
+                      "the service " + read->m_service + " is not declared");
+  }
   if (!read) {
     LogUnreadable(aRecord, read.error());
     // A host that is given the newest records has only this one: the next readable one is news.
--- a/src/ferrytray/relay/state_feeds_test.cpp
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -51,6 +51,7 @@
     endpoint.m_born = std::stoul(std::string(aValue.substr(0, space)));
     endpoint.m_incarnation = fleet::IncarnationOf(endpoint.m_id, endpoint.m_born);
     endpoint.m_zone = aValue.substr(space + 1);
+    endpoint.m_service = endpoint.m_zone == "elsewhere" ? "unknown" : "s";
     return endpoint;
   }
 };
@@ -177,3 +178,16 @@
   Hear("endpoints", { { 6, "e", "", true } });
   LONGS_EQUAL(3, passedOn());
 }
+
+TEST(StateFeeds, AnEntryOfAnUndeclaredServiceDoesNotReplaceAKnownEndpoint)
+{
+  Write("operators", "configuration", "x");
+  Write("endpoints", "e", "1 z1");
+  Read();
+  Hear("endpoints", { { 1, "e", "2 elsewhere", false } });
+  STRCMP_EQUAL("s", m_core.m_directory.FindById("e")->m_service.c_str());
+  LONGS_EQUAL(1, m_core.m_directory.FindById("e")->m_born);
+  Hear("endpoints", { { 2, "f", "1 elsewhere", false } });
+  CHECK(m_core.m_directory.FindById("f") != nullptr); // its configuration may come later
+  LONGS_EQUAL(1, m_core.m_directory.Usable("s").size());
+}
