--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -3,11 +3,13 @@
 #include <algorithm> // for min
 #include <map>       // for map
 #include <set>       // for set
+#include <span>      // for span
 #include <utility>   // for move
 
-#include "ferrytray/config/parse.hpp"       // for Parse
-#include "ferrytray/keeper/status_json.hpp" // for StatusJson
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/config/parse.hpp"         // for Parse
+#include "ferrytray/keeper/peer_catch_up.hpp" // for PeerCatchUp
+#include "ferrytray/keeper/status_json.hpp"   // for StatusJson
+#include "ferrytray/telemetry/log_line.hpp"   // for LogLine
 
 namespace ferrytray::keeper {
 
@@ -30,6 +32,20 @@
   std::uint64_t m_sentPosition = 0;
 };
 
+/// Hosts that are alive, of one zone or, if that is empty, of all.
+std::vector<std::string> AliveNames(std::span<const membership::Member> aLive,
+                                    const std::string& aZone)
+{
+  std::vector<std::string> names;
+  for (const membership::Member& member : aLive) {
+    const bool wanted = aZone.empty() || member.m_zone == aZone;
+    if (member.m_state == membership::MemberState::Alive && wanted) {
+      names.push_back(member.m_host);
+    }
+  }
+  return names;
+}
+
 class KeeperImpl final : public Keeper
 {
 public:
@@ -41,6 +57,7 @@
     , m_endpoints(aLoop, *m_http, m_options)
     , m_swaps(aLoop, *m_http, m_options)
     , m_halves(aLoop, *m_http, m_options)
+    , m_catchUp(aLoop, m_config, m_options.m_host)
   {
   }
 
@@ -151,55 +168,6 @@
     aSubscriber.m_channel->Send(wire::EncodeFrame(update));
   }
 
-  /// Asks a peer that is ahead, so that a host cut off from the log still learns.
-  void CatchUpFromPeers()
-  {
-    const std::uint64_t mine = m_config.Replay().Position();
-    const bool fromLog = m_config.LogReachable() && m_config.Ready();
-    if (fromLog || m_asking) {
-      return;
-    }
-    for (const membership::Member& member : m_members->Live()) {
-      const bool ahead = member.m_position > mine || !m_config.Ready();
-      if (member.m_host == m_options.m_host || member.m_control.empty() || !ahead) {
-        continue;
-      }
-      const auto address = net::ParseAddress(member.m_control);
-      if (address) {
-        AskPeer(*address, mine);
-        return;
-      }
-    }
-  }
-
-  void AskPeer(const net::Address& aPeer, std::uint64_t aMine)
-  {
-    m_asking = true;
-    net::ConnectFrames(m_loop, aPeer, [this, aMine](std::shared_ptr<net::FrameChannel> aChannel) {
-      if (!aChannel) {
-        m_asking = false;
-        return;
-      }
-      const std::weak_ptr<net::FrameChannel> weak = aChannel;
-      m_askTimeout = m_loop.After(std::chrono::seconds(2), [weak] {
-        if (const auto channel = weak.lock()) {
-          channel->Close();
-        }
-      });
-      aChannel->OnClosed([this] { m_asking = false; });
-      aChannel->OnFrame([this, weak](std::string_view aBytes) {
-        const auto frame = wire::DecodeFrame(aBytes);
-        if (frame && std::holds_alternative<wire::StateUpdate>(*frame)) {
-          m_config.OnPeerState(std::get<wire::StateUpdate>(*frame));
-        }
-        if (const auto channel = weak.lock()) {
-          channel->Close();
-        }
-      });
-      aChannel->Send(wire::EncodeFrame(wire::Hello{ m_options.m_host, false, aMine }));
-    });
-  }
-
   // --- gates and peers ---------------------------------------------------------------------
 
   void OnChannel(std::shared_ptr<net::FrameChannel> aChannel)
@@ -317,13 +285,13 @@
     PushPeers();
     const std::vector<membership::Member> live = m_members->Live();
     SendToGates(m_shares.Shares(static_cast<std::uint32_t>(live.size()), now));
-    CatchUpFromPeers();
-    const std::vector<std::string> hosts = AliveNames(live);
+    m_catchUp.AskIfBehind(live);
+    const std::vector<std::string> hosts = AliveNames(live, "");
     m_swaps.OnRound(m_registry.Fleets(), m_endpoints.Endpoints(now), hosts, now);
     const bool first = !hosts.empty() && hosts.front() == m_options.m_host;
     m_halves.OnRound(m_registry.Rules(), m_listedHosts, live, first);
     PushHalves();
-    m_endpoints.SetZoneHosts(AliveInZone(live));
+    m_endpoints.SetZoneHosts(AliveNames(live, m_options.m_zone));
     m_endpoints.PollAllZones(m_swaps.NeedsEveryZone());
     // The lowest name renews: a second one now and then would do no harm. Not every round, since
     // it looks at every scope.
@@ -351,29 +319,6 @@
     m_gossip->SendTo(*address, bytes);
   }
 
-  static std::vector<std::string> AliveNames(const std::vector<membership::Member>& aLive)
-  {
-    std::vector<std::string> names;
-    for (const membership::Member& member : aLive) {
-      if (member.m_state == membership::MemberState::Alive) {
-        names.push_back(member.m_host);
-      }
-    }
-    return names;
-  }
-
-  [[nodiscard]] std::vector<std::string> AliveInZone(
-    const std::vector<membership::Member>& aLive) const
-  {
-    std::vector<std::string> names;
-    for (const membership::Member& member : aLive) {
-      if (member.m_state == membership::MemberState::Alive && member.m_zone == m_options.m_zone) {
-        names.push_back(member.m_host);
-      }
-    }
-    return names;
-  }
-
   /// What is in force on this host: its gate's position when it has a gate.
   [[nodiscard]] std::uint64_t PositionInForce() const
   {
@@ -442,6 +387,7 @@
   EndpointWatch m_endpoints;
   SwapController m_swaps;
   HalfController m_halves;
+  PeerCatchUp m_catchUp;
   std::set<std::string> m_listedHosts;
   ShareBoard m_shares;
   replay::Registry m_registry;
@@ -456,9 +402,7 @@
   net::TimerHandle m_round;
   net::TimerHandle m_push;
   net::TimerHandle m_leaving;
-  net::TimerHandle m_askTimeout;
   std::uint64_t m_rounds = 0;
-  bool m_asking = false;
 };
 
 } // namespace
--- /dev/null
+++ b/src/ferrytray/keeper/peer_catch_up.cpp
@@ -0,0 +1,72 @@
+#include "ferrytray/keeper/peer_catch_up.hpp"
+
+#include <utility> // for move
+
+#include "ferrytray/net/frame_channel.hpp" // for ConnectFrames
+#include "ferrytray/wire/frames.hpp"       // for DecodeFrame, EncodeFrame, Hello
+
+namespace ferrytray::keeper {
+
+namespace {
+
+/// A peer on the same network answers in milliseconds; then another one is asked next round.
+constexpr base::Duration kAnswerWithin = std::chrono::seconds(2);
+
+} // namespace
+
+PeerCatchUp::PeerCatchUp(net::Loop& aLoop, ConfigSync& aConfig, std::string aHost)
+  : m_loop(aLoop)
+  , m_config(aConfig)
+  , m_host(std::move(aHost))
+{
+}
+
+void PeerCatchUp::AskIfBehind(std::span<const membership::Member> aLive)
+{
+  const std::uint64_t mine = m_config.Replay().Position();
+  const bool fromLog = m_config.LogReachable() && m_config.Ready();
+  if (fromLog || m_asking) {
+    return;
+  }
+  for (const membership::Member& member : aLive) {
+    const bool ahead = member.m_position > mine || !m_config.Ready();
+    if (member.m_host == m_host || member.m_control.empty() || !ahead) {
+      continue;
+    }
+    const auto address = net::ParseAddress(member.m_control);
+    if (address) {
+      Ask(*address, mine);
+      return;
+    }
+  }
+}
+
+void PeerCatchUp::Ask(const net::Address& aPeer, std::uint64_t aMine)
+{
+  m_asking = true;
+  net::ConnectFrames(m_loop, aPeer, [this, aMine](std::shared_ptr<net::FrameChannel> aChannel) {
+    if (!aChannel) {
+      m_asking = false;
+      return;
+    }
+    const std::weak_ptr<net::FrameChannel> weak = aChannel;
+    m_timeout = m_loop.After(kAnswerWithin, [weak] {
+      if (const auto channel = weak.lock()) {
+        channel->Close();
+      }
+    });
+    aChannel->OnClosed([this] { m_asking = false; });
+    aChannel->OnFrame([this, weak](std::string_view aBytes) {
+      const auto frame = wire::DecodeFrame(aBytes);
+      if (frame && std::holds_alternative<wire::StateUpdate>(*frame)) {
+        m_config.OnPeerState(std::get<wire::StateUpdate>(*frame));
+      }
+      if (const auto channel = weak.lock()) {
+        channel->Close();
+      }
+    });
+    aChannel->Send(wire::EncodeFrame(wire::Hello{ m_host, false, aMine }));
+  });
+}
+
+} // namespace ferrytray::keeper
