--- a/src/ferrytray/keeper/peer_catch_up.cpp
+++ b/src/ferrytray/keeper/peer_catch_up.cpp
@@ -44,29 +44,30 @@
 void PeerCatchUp::Ask(const net::Address& aPeer, std::uint64_t aMine)
 {
   m_asking = true;
-  net::ConnectFrames(m_loop, aPeer, [this, aMine](std::shared_ptr<net::FrameChannel> aChannel) {
-    if (!aChannel) {
-      m_asking = false;
-      return;
-    }
-    const std::weak_ptr<net::FrameChannel> weak = aChannel;
-    m_timeout = m_loop.After(kAnswerWithin, [weak] {
-      if (const auto channel = weak.lock()) {
-        channel->Close();
-      }
-    });
-    aChannel->OnClosed([this] { m_asking = false; });
-    aChannel->OnFrame([this, weak](std::string_view aBytes) {
-      const auto frame = wire::DecodeFrame(aBytes);
-      if (frame && std::holds_alternative<wire::StateUpdate>(*frame)) {
-        m_config.OnPeerState(std::get<wire::StateUpdate>(*frame));
-      }
-      if (const auto channel = weak.lock()) {
-        channel->Close();
+  net::ConnectFrames(
+    m_loop, aPeer, [this, aMine](const std::shared_ptr<net::FrameChannel>& aChannel) {
+      if (!aChannel) {
+        m_asking = false;
+        return;
       }
+      const std::weak_ptr<net::FrameChannel> weak = aChannel;
+      m_timeout = m_loop.After(kAnswerWithin, [weak] {
+        if (const auto channel = weak.lock()) {
+          channel->Close();
+        }
+      });
+      aChannel->OnClosed([this] { m_asking = false; });
+      aChannel->OnFrame([this, weak](std::string_view aBytes) {
+        const auto frame = wire::DecodeFrame(aBytes);
+        if (frame && std::holds_alternative<wire::StateUpdate>(*frame)) {
+          m_config.OnPeerState(std::get<wire::StateUpdate>(*frame));
+        }
+        if (const auto channel = weak.lock()) {
+          channel->Close();
+        }
+      });
+      aChannel->Send(wire::EncodeFrame(wire::Hello{ m_host, false, aMine }));
     });
-    aChannel->Send(wire::EncodeFrame(wire::Hello{ m_host, false, aMine }));
-  });
 }
 
 } // namespace ferrytray::keeper
