--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -63,7 +63,7 @@
   /// It would take the place of a known endpoint and names a service that nobody declared. Of an id
   /// that is not known yet it is kept: the configuration that declares the service may come later.
   [[nodiscard]] bool IsOfAnotherWriter(const fleet::Endpoint& aEndpoint) const;
-  /// Heartbeats repeat what is known: passed on, thousands of endpoints' would fill hosts' links.
+  /// Whether a record says anything else than the one before it of its key.
   bool TellsNews(const std::string& aKey, const fleet::Endpoint& aEndpoint);
   /// What this host learnt from its own requests goes with the incarnation.
   void ForgetEndpoint(const std::string& aIncarnation);
