--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -107,10 +107,18 @@
   std::map<std::string, fleet::WeightVersion> m_wanted; ///< newest named weights, by model
   fleet::NamedWeightsLog m_named;                       ///< when those were named
   std::optional<base::TimePoint> m_lastContact;         ///< with the record log
+  /// Whatever operators had said by then is known here: the read of their topic that last ended was
+  /// begun then, by this host or by the one that passes its records on.
+  std::optional<base::TimePoint> m_operatorsHeardAt;
   std::size_t m_open = 0;                               ///< exchanges that have not ended
   bool m_leaving = false;                               ///< a planned stop has begun
   bool m_beginsNothing = false; ///< the stop is near: new requests are refused
 
+  /// @brief How old what operators said may be here.
+  [[nodiscard]] base::Duration OperatorsAge(base::TimePoint aNow) const
+  {
+    return m_operatorsHeardAt ? aNow - *m_operatorsHeardAt : base::Duration::max();
+  }
   /// @brief Whether a configuration that this host has not read may be in force.
   [[nodiscard]] bool MayBeBehind(base::TimePoint aNow) const
   {
--- a/src/ferrytray/relay/relay_front.cpp
+++ b/src/ferrytray/relay/relay_front.cpp
@@ -97,6 +97,7 @@
     .Add("status", answer.m_status)
     .Add("run", base::ToString(failure.m_run))
     .Add("configuration", version)
+    .Add("operators_age_ms", base::ToMillis(m_core.OperatorsAge(base::MonotonicNow())))
     .Add("why", failure.m_message);
 }
 
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -78,6 +78,9 @@
   events.m_onContact = [this, aTopic, isDirectory](bool aWasAway, base::TimePoint aAt) {
     const base::TimePoint now = base::MonotonicNow();
     m_core.m_lastContact = std::max(m_core.m_lastContact.value_or(aAt), aAt);
+    if (!isDirectory) {
+      m_core.m_operatorsHeardAt = aAt;
+    }
     if (!aWasAway) {
       return;
     }
@@ -174,6 +177,7 @@
     .Add("version", read->m_version)
     .Add("before", current)
     .Add("offset", aRecord.m_offset)
+    .Add("read_open_ms", base::ToMillis(m_core.OperatorsAge(base::MonotonicNow())))
     .Add("outcome", newer ? "in_force" : "ignored_older");
   if (newer) {
     m_core.m_configuration = std::make_shared<fleet::ConfigurationIndex>(std::move(*read));
