--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -110,14 +110,14 @@
   /// Whatever operators had said by then is known here: the read of their topic that last ended was
   /// begun then, by this host or by the one that passes its records on.
   std::optional<base::TimePoint> m_operatorsHeardAt;
-  std::size_t m_open = 0;                               ///< exchanges that have not ended
-  bool m_leaving = false;                               ///< a planned stop has begun
+  std::size_t m_open = 0;       ///< exchanges that have not ended
+  bool m_leaving = false;       ///< a planned stop has begun
   bool m_beginsNothing = false; ///< the stop is near: new requests are refused
 
-  /// @brief How old what operators said may be here.
-  [[nodiscard]] base::Duration OperatorsAge(base::TimePoint aNow) const
+  /// @brief How old what operators said may be here (ms); -1: nothing has been read yet.
+  [[nodiscard]] long OperatorsAgeMillis(base::TimePoint aNow) const
   {
-    return m_operatorsHeardAt ? aNow - *m_operatorsHeardAt : base::Duration::max();
+    return m_operatorsHeardAt ? base::ToMillis(aNow - *m_operatorsHeardAt) : -1;
   }
   /// @brief Whether a configuration that this host has not read may be in force.
   [[nodiscard]] bool MayBeBehind(base::TimePoint aNow) const
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -8,28 +8,13 @@
 #include <vector>        // for vector
 
 #include "ferrytray/net/loop.hpp"             // for Loop
+#include "ferrytray/relay/feed_options.hpp"   // for FeedOptions
 #include "ferrytray/relay/record_format.hpp"  // for RecordFormat
 #include "ferrytray/relay/relay_core.hpp"     // for RelayCore
 #include "ferrytray/store/topic_follower.hpp" // for TopicFollower
 
 namespace ferrytray::relay {
 
-struct FeedOptions
-{
-  /// New configurations and weights wake a read that is held open for so long.
-  base::Duration m_operatorWait = std::chrono::seconds(20);
-  /// The same for a while after the log was away; a part of the time in which a configuration has
-  /// to be in force, so that a lost read costs less than that.
-  base::Duration m_operatorWaryWait = std::chrono::milliseconds(800);
-  /// Between two reads of the directory; a part of the time that a leaving endpoint may still get
-  /// requests.
-  base::Duration m_endpointPause = std::chrono::milliseconds(600);
-  /// The same while other hosts follow through this one.
-  base::Duration m_endpointServingPause = std::chrono::milliseconds(600);
-  /// What another host passes on counts for so long after the log answered that host.
-  base::Duration m_newsFresh = std::chrono::milliseconds(1300);
-};
-
 /// @brief Keeps a host's configuration, directory and named weights as the record log has them.
 class StateFeeds
 {
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -106,7 +106,7 @@
     .Add("sends", m_sends)
     .Add("took_ms", base::ToMillis(took))
     .Add("contact_age_ms", base::ToMillis(base::MonotonicNow() - contact))
-    .Add("operators_age_ms", base::ToMillis(m_core.OperatorsAge(base::MonotonicNow())))
+    .Add("operators_age_ms", m_core.OperatorsAgeMillis(base::MonotonicNow()))
     .Add("target_ms", base::ToMillis(m_admitted.m_route->m_targetLatency))
     .Add("outcome", aOutcome)
     .Add("why", aWhy.empty() ? "-" : aWhy);
--- a/src/ferrytray/relay/relay_front.cpp
+++ b/src/ferrytray/relay/relay_front.cpp
@@ -97,7 +97,7 @@
     .Add("status", answer.m_status)
     .Add("run", base::ToString(failure.m_run))
     .Add("configuration", version)
-    .Add("operators_age_ms", base::ToMillis(m_core.OperatorsAge(base::MonotonicNow())))
+    .Add("operators_age_ms", m_core.OperatorsAgeMillis(base::MonotonicNow()))
     .Add("why", failure.m_message);
 }
 
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -36,7 +36,8 @@
   operators.m_wait = aOptions.m_operatorWait;
   operators.m_pause = {};
   operators.m_waryWait = aOptions.m_operatorWaryWait;
-  operators.m_newsFresh = aOptions.m_newsFresh;
+  operators.m_patience = aOptions.m_operatorPatience;
+  operators.m_newsFresh = aOptions.m_operatorNewsFresh;
   store::FollowEvents onOperators = EventsFor(operators.m_topic);
   onOperators.m_onRecord = [this](const store::Record& aRecord) {
     OnOperatorRecord(aRecord);
@@ -52,7 +53,7 @@
   endpoints.m_topic = aFormat.EndpointTopic();
   endpoints.m_pause = aOptions.m_endpointPause;
   endpoints.m_servingPause = aOptions.m_endpointServingPause;
-  endpoints.m_newsFresh = aOptions.m_newsFresh;
+  endpoints.m_newsFresh = aOptions.m_endpointNewsFresh;
   store::FollowEvents onEndpoints = EventsFor(endpoints.m_topic);
   onEndpoints.m_onRecord = [this](const store::Record& aRecord) {
     return OnEndpointRecord(aRecord);
@@ -177,7 +178,7 @@
     .Add("version", read->m_version)
     .Add("before", current)
     .Add("offset", aRecord.m_offset)
-    .Add("read_open_ms", base::ToMillis(m_core.OperatorsAge(base::MonotonicNow())))
+    .Add("read_open_ms", m_core.OperatorsAgeMillis(base::MonotonicNow()))
     .Add("outcome", newer ? "in_force" : "ignored_older");
   if (newer) {
     m_core.m_configuration = std::make_shared<fleet::ConfigurationIndex>(std::move(*read));
