--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -108,11 +108,13 @@
     return aCondition();
   }
 
-  std::shared_ptr<store::TopicFollower> FollowWith(
-    peers::NewsExchange & aNews, store::RecordLog & aLog, std::string & aTold)
+  std::shared_ptr<store::TopicFollower> FollowWith(peers::NewsExchange & aNews,
+                                                   store::RecordLog & aLog,
+                                                   std::string & aTold,
+                                                   const char* aTopic = "t")
   {
     store::FollowOptions options;
-    options.m_topic = "t";
+    options.m_topic = aTopic;
     options.m_pause = 5ms;
     options.m_newsFresh = 20s;
     store::FollowEvents events;
@@ -129,6 +131,23 @@
     return FollowWith(aHost.m_news, aHost.m_log, aTold);
   }
 
+  /// Asks the reader as another host would.
+  peers::NewsReply AskReader(peers::NewsRequest aQuestion)
+  {
+    const auto reader = peers::DecodePeer(m_reader->m_log.m_topics["hosts"].front().m_value);
+    aQuestion.m_sender = { "asker", "z", "127.0.0.1:1", 1 };
+    net::ClientRequest request;
+    request.m_method = "POST";
+    request.m_url = "http://" + reader->m_address + "/news";
+    request.m_body = peers::Encode(aQuestion);
+    std::optional<peers::NewsReply> reply;
+    m_client->Fetch(std::move(request), [&](const net::ClientOutcome&, const std::string& aBody) {
+      reply = peers::DecodeNewsReply(aBody).value_or(peers::NewsReply{});
+    });
+    CHECK(Until([&] { return reply.has_value(); }));
+    return reply.value_or(peers::NewsReply{});
+  }
+
   void ReaderHears(std::uint64_t aEpoch, bool aAdded)
   {
     cache::StoreNews news;
@@ -301,6 +320,32 @@
   two->Stop();
 }
 
+// Seen: a host behind a reader took an old configuration for the newest, since the reader told the
+// age of its youngest contact with the log, whatever topic that was of. Proved by this test.
+TEST(NewsExchange, AReadersContactForOneTopicSaysNothingOfAnother)
+{
+  m_reader->m_log.AppendKeyed("t", "a", "1", [](const auto&) {});
+  m_reader->m_log.AppendKeyed("quiet", "b", "1", [](const auto&) {});
+  m_reader->m_log.m_silentFor = "quiet";
+  std::string told;
+  const auto live = Follow(*m_reader, told);
+  const auto quiet = FollowWith(m_reader->m_news, m_reader->m_log, told, "quiet");
+  live->Start();
+  quiet->Start();
+  STRCMP_EQUAL("ab", told.c_str());
+  m_loop.RunFor(300ms);
+  const base::TimePoint now = base::MonotonicNow();
+  store::TopicCursor cursor{ "quiet", 1, false };
+  CHECK(quiet->NewsSince(cursor, now)->m_age >= 300ms);
+  peers::NewsRequest question;
+  question.m_topics = { { "t", 1, false }, cursor };
+  const peers::NewsReply reply = AskReader(question);
+  LONGS_EQUAL(2, reply.m_topics.size());
+  CHECK(reply.m_topics[1].m_age >= 300ms);
+  live->Stop();
+  quiet->Stop();
+}
+
 // Load: the log turns some hosts away, among them the reader that others follow, and serves the
 // rest.
 TEST(NewsExchange, AHostWhoseReaderLostTheLogTooHearsOfRecordsFromAnotherReader)
--- /dev/null
+++ b/src/ferrytray/relay/feed_options_test.cpp
@@ -0,0 +1,79 @@
+// Seen: a host denied a route 4 s after the configuration that adds it was acknowledged; the bound
+// is 2 s. The log may hold a read open and not answer it though the record is there (it drops its
+// history meanwhile, or the answer is lost), and nothing else that the host does goes wrong then.
+// The read was open for 20 s, and the directory's reads passed for contact with the log, so the
+// host took its old configuration for the newest. Proved by a day that drops the history just
+// before changes: the read that brought the configuration had been open for 9 s, and 404s were
+// given at an age of 2.8 to 5.3 s.
+// So: every figure here has to follow from the bound itself, whatever the log does with one read.
+#include "ferrytray/relay/feed_options.hpp"
+
+#include <vector> // for vector
+
+#include "ferrytray/peers/news_exchange.hpp"  // for NewsOptions
+#include "ferrytray/store/topic_follower.hpp" // for FollowOptions
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+relay::LogBounds BoundsOf(base::Duration aDue)
+{
+  return { aDue, aDue, aDue, aDue };
+}
+
+} // namespace
+
+TEST_GROUP(FeedOptions)
+{
+  const std::vector<base::Duration> m_dues{ 1s, 2s, 3s, 4s, 8s };
+  const base::Duration m_retry = store::FollowOptions{}.m_retryFirst;
+  const base::Duration m_askEvery = peers::NewsOptions{}.m_askEvery;
+};
+
+TEST(FeedOptions, AReadThatIsNeverAnsweredIsRepeatedWithinTheBound)
+{
+  for (const base::Duration due : m_dues) {
+    const relay::FeedOptions options = relay::FeedOptionsFor(BoundsOf(due));
+    const base::Duration givenUp = options.m_operatorWait + options.m_operatorPatience;
+    CHECK(givenUp + m_retry + m_askEvery <= due);
+  }
+}
+
+TEST(FeedOptions, AHostDeniesNothingOnceItMayNotKnowWhatIsInForce)
+{
+  for (const base::Duration due : m_dues) {
+    CHECK(relay::DeniesWithin(BoundsOf(due)) < due);
+  }
+}
+
+TEST(FeedOptions, TheTightestBoundOfTheTopicCounts)
+{
+  relay::LogBounds bounds = BoundsOf(8s);
+  bounds.m_revocationDue = 1s;
+  CHECK(relay::FeedOptionsFor(bounds).m_operatorWait <= 1s / 2);
+  CHECK(relay::DeniesWithin(bounds) < 1s);
+}
+
+TEST(FeedOptions, WithoutTroubleAHostIsAlwaysSure)
+{
+  for (const base::Duration due : m_dues) {
+    const relay::FeedOptions options = relay::FeedOptionsFor(BoundsOf(due));
+    // A read that has just been answered was begun one wait ago, the next answer is one wait away.
+    const base::Duration oldest = 2 * options.m_operatorWait;
+    CHECK(oldest < options.m_operatorNewsFresh);
+    CHECK(oldest + m_askEvery < relay::DeniesWithin(BoundsOf(due)));
+  }
+}
+
+TEST(FeedOptions, TheDirectorysReadsFollowTheDrainTime)
+{
+  const relay::FeedOptions once = relay::FeedOptionsFor(BoundsOf(2s));
+  const relay::FeedOptions twice = relay::FeedOptionsFor(BoundsOf(4s));
+  CHECK(twice.m_endpointPause == 2 * once.m_endpointPause);
+  CHECK(twice.m_endpointServingPause == 2 * once.m_endpointServingPause);
+  CHECK(once.m_endpointPause + 600ms + m_retry < 2s);
+}
--- a/src/ferrytray/relay/state_feeds_test.cpp
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -74,12 +74,12 @@
     m_log.AppendKeyed(aTopic, aKey, aValue, [](const auto&) {});
   }
   /// Reads both topics from their beginning.
-  void Read()
+  void Read(const relay::FeedOptions& aOptions = {})
   {
     if (m_feeds) {
       m_feeds->Stop();
     }
-    m_feeds.emplace(m_core, m_log, m_records, relay::FeedOptions{});
+    m_feeds.emplace(m_core, m_log, m_records, aOptions);
     for (const auto& topic : m_feeds->Topics()) {
       topic->Start();
     }
@@ -191,3 +191,22 @@
   CHECK(m_core.m_directory.FindById("f") != nullptr); // its configuration may come later
   LONGS_EQUAL(1, m_core.m_directory.Usable("s").size());
 }
+
+// Seen: a host denied what a newer configuration allows, sure of itself since its reads of the
+// directory went on; the read of the operators' topic was open and never answered.
+TEST(StateFeeds, ReadsOfTheDirectoryDoNotMakeAnOldConfigurationSure)
+{
+  Write("operators", "configuration", "x");
+  Write("endpoints", "e", "1 z1");
+  m_core.m_options.m_freshFor = 100ms;
+  relay::FeedOptions options;
+  options.m_endpointPause = options.m_endpointServingPause = 5ms;
+  m_log.m_silentFor = "operators";
+  Read(options);
+  LONGS_EQUAL(404, Ask("/none/x")->m_status);
+  const std::size_t before = m_log.m_readsOf["endpoints"];
+  m_loop.RunFor(300ms);
+  CHECK(m_log.m_readsOf["endpoints"] > before);
+  LONGS_EQUAL(503, Ask("/none/x")->m_status);
+  LONGS_EQUAL(503, Ask("/once/x", "wrong")->m_status);
+}
--- a/tests/support/memory_record_log.hpp
+++ b/tests/support/memory_record_log.hpp
@@ -44,6 +44,9 @@
   {
     ++m_reads;
     ++m_readsOf[aTopic];
+    if (aTopic == m_silentFor) {
+      return;
+    }
     if (m_down) {
       aDone(Down());
       return;
@@ -80,6 +83,7 @@
   }
 
   bool m_down = false;
+  std::string m_silentFor; ///< reads of this topic, but for snapshots, are never answered
   std::size_t m_reads = 0;
   std::map<std::string, std::size_t> m_readsOf; ///< by topic, snapshots included
   std::map<std::string, std::size_t> m_snapshotsOf;
