What operators said is as old as the reads of their own topic, and a read is held open for a quarter of the bound

Cause: the read that brings configurations was held open for 20 s and trusted as long as it was open. A log that drops its history answers such reads neither when a record comes nor when their wait ends; a lost answer looks the same. Renewal hung on signs of trouble in other calls, and there were none; the directory's reads passed for contact, so 401 and 404 were given by an old configuration; a reader told other hosts the age of its youngest contact for every topic.

Change: wait 25, patience 30 in 100 of the tightest bound of the topic (2 s: 0.5 and 0.6 s, before 20 and 0.6 s); 401 and 404 only within 90 in 100 of the bound since the begin of the topic's own last answered read; what is passed on bears its own topic's age and counts for 85 in 100 of the bound.

Ruled out: news of another host (no asks_host line), a record not taken (no such line).

--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -16,16 +16,15 @@
 /// @brief How the two topics of the record log are followed.
 struct FeedOptions
 {
-  /// New configurations and weights wake a read that is held open for so long.
-  base::Duration m_operatorWait = std::chrono::seconds(20);
-  /// The same for a while after the log was away; a part of the time in which a configuration has
-  /// to be in force, so that a lost read costs less than that.
-  base::Duration m_operatorWaryWait = std::chrono::milliseconds(800);
+  /// New configurations and weights wake a read that is held open for so long. A log may hold one
+  /// open and not answer it although a record is there, and nothing tells the host so: what it
+  /// holds is as old as two waits at most by its own clock.
+  base::Duration m_operatorWait = std::chrono::milliseconds(500);
   /// For an answer beyond the wait.
   base::Duration m_operatorPatience = std::chrono::milliseconds(600);
-  /// What another host passes on of the operators' topic counts for so long after the log answered
-  /// that host.
-  base::Duration m_operatorNewsFresh = std::chrono::milliseconds(1300);
+  /// What another host passes on of the operators' topic counts for so long after that host began
+  /// the read that was answered last.
+  base::Duration m_operatorNewsFresh = std::chrono::milliseconds(1700);
   /// Between two reads of the directory; a part of the time that a leaving endpoint may still get
   /// requests.
   base::Duration m_endpointPause = std::chrono::milliseconds(600);
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -35,9 +35,10 @@
   std::string m_zone; ///< this host's availability zone
   AttemptLimits m_attempts;
   limits::RetryWindowOptions m_retries;
-  /// Without contact to the record log for longer, a configuration that this host does not know
-  /// of may be in force: what looks unknown is then refused with 503, not 401 or 404.
-  base::Duration m_freshFor = std::chrono::milliseconds(1200);
+  /// Without news of the operators' topic for longer, a configuration that this host does not know
+  /// of may be in force: what looks unknown is then refused with 503, not 401 or 404. Other topics'
+  /// reads say nothing of it.
+  base::Duration m_deniesWithin = std::chrono::milliseconds(1800);
   /// A new connection within a region takes about a millisecond; a lost opening packet is sent
   /// again only after a second, so another endpoint is the better choice long before. 400 ms cost
   /// 1 in 1,000 requests more in failures and as many in late answers while a zone was cut off.
@@ -122,7 +123,7 @@
   /// @brief Whether a configuration that this host has not read may be in force.
   [[nodiscard]] bool MayBeBehind(base::TimePoint aNow) const
   {
-    return !m_lastContact || aNow > *m_lastContact + m_options.m_freshFor;
+    return !m_operatorsHeardAt || aNow > *m_operatorsHeardAt + m_options.m_deniesWithin;
   }
 };
 
--- a/src/ferrytray/peers/news_topics.cpp
+++ b/src/ferrytray/peers/news_topics.cpp
@@ -1,7 +1,7 @@
 // The log's records through other hosts: what is passed on, and whom a host asks that lost the log.
 #include "ferrytray/peers/news_exchange.hpp"
 
-#include <algorithm> // for any_of, find_if, min
+#include <algorithm> // for any_of, find_if
 #include <utility>   // for move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
@@ -89,14 +89,6 @@
       }
     }
   }
-  // A read that is held open says nothing of the log for long; that of another topic does.
-  base::Duration age = base::Duration::max();
-  for (const store::TopicNews& news : all) {
-    age = std::min(age, news.m_age);
-  }
-  for (store::TopicNews& news : all) {
-    news.m_age = age;
-  }
   return all;
 }
 
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -142,7 +142,7 @@
 {
   LONGS_EQUAL(401, Ask("/once/x", "wrong")->m_status);
   LONGS_EQUAL(404, Ask("/none/x")->m_status);
-  m_core.m_lastContact = base::MonotonicNow() - 2s;
+  m_core.m_operatorsHeardAt = base::MonotonicNow() - 2s;
   LONGS_EQUAL(503, Ask("/once/x", "wrong")->m_status);
   LONGS_EQUAL(503, Ask("/none/x")->m_status);
   m_core.m_configuration = nullptr;
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -17,12 +17,22 @@
 // A slow answer of the log, and the time between two questions of another host.
 constexpr base::Duration kNewsSlack = std::chrono::milliseconds(700);
 
-// A read that was lost around an outage is given up and repeated within the time in which a
-// configuration has to be in force (percent).
-constexpr int kWaryPart = 40;
+// A configuration has to be in force within the bound, whatever the log does with one read. One
+// that is never answered costs a wait and the patience, 55 in 100 of the bound; the rest is for the
+// next read and for hosts that ask this one. It costs four reads of the topic in the time of the
+// bound, at the hosts that read: a 500th of the worth of a day with a bound of 2 s.
+constexpr int kOperatorWaitPart = 25;
+constexpr int kOperatorPatiencePart = 30;
 
-// How much later than planned the next contact may come before it counts as missed.
-constexpr base::Duration kContactSlack = std::chrono::milliseconds(500);
+// Answers take milliseconds; one of a log that is slow by a factor of 100 is still waited for.
+constexpr base::Duration kOperatorPatienceMost = std::chrono::milliseconds(600);
+
+// A host that hears of operators through another one reads by itself before the bound is over.
+constexpr int kOperatorNewsPart = 85;
+
+// Whatever was acknowledged before the read was begun is known. So what a host denies is right if
+// that read is no older than the bound; the rest is for clocks that run apart.
+constexpr int kDenialPart = 90;
 
 base::Duration Part(base::Duration aWhole, int aPercent)
 {
@@ -41,17 +51,20 @@
 FeedOptions FeedOptionsFor(const LogBounds& aBounds)
 {
   FeedOptions options;
-  options.m_operatorWaryWait = Part(OperatorsDue(aBounds), kWaryPart);
+  const base::Duration due = OperatorsDue(aBounds);
+  options.m_operatorWait = Part(due, kOperatorWaitPart);
+  options.m_operatorPatience = std::min(Part(due, kOperatorPatiencePart), kOperatorPatienceMost);
+  options.m_operatorNewsFresh =
+    std::min(2 * options.m_operatorWait + kNewsSlack, Part(due, kOperatorNewsPart));
   options.m_endpointPause = Part(aBounds.m_drain, kPausePart);
   options.m_endpointServingPause = Part(aBounds.m_drain, kServingPausePart);
   options.m_endpointNewsFresh = options.m_endpointServingPause + kNewsSlack;
-  options.m_operatorNewsFresh = options.m_endpointNewsFresh;
   return options;
 }
 
 base::Duration DeniesWithin(const LogBounds& aBounds)
 {
-  return Part(aBounds.m_drain, kPausePart) + kContactSlack;
+  return Part(OperatorsDue(aBounds), kDenialPart);
 }
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/relay/feed_options_test.cpp
+++ b/src/ferrytray/relay/feed_options_test.cpp
@@ -47,6 +47,8 @@
 {
   for (const base::Duration due : m_dues) {
     CHECK(relay::DeniesWithin(BoundsOf(due)) < due);
+    // The same for one that follows a host whose reads hang.
+    CHECK(relay::FeedOptionsFor(BoundsOf(due)).m_operatorNewsFresh < due);
   }
 }
 
@@ -54,7 +56,7 @@
 {
   relay::LogBounds bounds = BoundsOf(8s);
   bounds.m_revocationDue = 1s;
-  CHECK(relay::FeedOptionsFor(bounds).m_operatorWait <= 1s / 2);
+  CHECK(relay::FeedOptionsFor(bounds).m_operatorWait <= 500ms);
   CHECK(relay::DeniesWithin(bounds) < 1s);
 }
 
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -35,7 +35,6 @@
   operators.m_topic = aFormat.OperatorTopic();
   operators.m_wait = aOptions.m_operatorWait;
   operators.m_pause = {};
-  operators.m_waryWait = aOptions.m_operatorWaryWait;
   operators.m_patience = aOptions.m_operatorPatience;
   operators.m_newsFresh = aOptions.m_operatorNewsFresh;
   store::FollowEvents onOperators = EventsFor(operators.m_topic);
--- a/src/ferrytray/relay/state_feeds_test.cpp
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -198,7 +198,7 @@
 {
   Write("operators", "configuration", "x");
   Write("endpoints", "e", "1 z1");
-  m_core.m_options.m_freshFor = 100ms;
+  m_core.m_options.m_deniesWithin = 100ms;
   relay::FeedOptions options;
   options.m_endpointPause = options.m_endpointServingPause = 5ms;
   m_log.m_silentFor = "operators";
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -136,6 +136,7 @@
     const base::TimePoint now = base::MonotonicNow();
     m_core.m_configuration = ConfigurationOf(1);
     m_core.m_lastContact = now;
+    m_core.m_operatorsHeardAt = now;
     m_core.m_directory.Upsert(EndpointOf("a"), now);
     m_core.m_directory.Upsert(EndpointOf("b"), now);
     for (int i = 0; i < 100; ++i) {
