--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -17,8 +17,8 @@
 struct FeedOptions
 {
   /// New configurations and weights wake a read that is held open for so long. A log may hold one
-  /// open and not answer it although a record is there, and nothing tells the host so: what it
-  /// holds is as old as two waits at most by its own clock.
+  /// open and not answer it although a record is there, and nothing tells the host so: by its own
+  /// clock what it knows is as old as two waits at most, and the patience if one is not answered.
   base::Duration m_operatorWait = std::chrono::milliseconds(500);
   /// For an answer beyond the wait.
   base::Duration m_operatorPatience = std::chrono::milliseconds(600);
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -20,7 +20,8 @@
 // A configuration has to be in force within the bound, whatever the log does with one read. One
 // that is never answered costs a wait and the patience, 55 in 100 of the bound; the rest is for the
 // next read and for hosts that ask this one. It costs four reads of the topic in the time of the
-// bound, at the hosts that read: a 500th of the worth of a day with a bound of 2 s.
+// bound, at the hosts that read: with 2 s and eight hosts 1.6 times the calls to the log of a day
+// of 44 s, which is 0.005 of its worth.
 constexpr int kOperatorWaitPart = 25;
 constexpr int kOperatorPatiencePart = 30;
 
