--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>     // for fdopen, getline
 #include <cstdlib>    // for getenv
 #include <fcntl.h>    // for open
+#include <filesystem> // for path
 #include <spawn.h>    // for posix_spawn
 #include <stdexcept>  // for runtime_error
 #include <sys/wait.h> // for waitpid
@@ -37,7 +38,7 @@
   if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error("pipe2");
   }
-  const std::string path = std::string(FERRYTRAY_BINARY_DIR) + "/" + aProgram;
+  const std::string path = std::filesystem::path(FERRYTRAY_BINARY_DIR) / aProgram;
   std::vector<char*> words{ const_cast<char*>(path.c_str()) };
   for (const std::string& argument : aArguments) {
     words.push_back(const_cast<char*>(argument.c_str()));
