After a held read that nobody answered, the log is asked at once for what it has

Callers saw: routes that had been moved were run by their old service, at all hosts at once, up to 1.7 s after the bound (8 real hosts, log that answers no held read for 1 to 3 s). Cause: a held read that is not answered costs a wait and the patience (1.1 s of 2 s), and the next one was held open, too; two in a row cost 2.2 s, and a log that answers no held read at all left the host behind for good. The same where Renew() or the end of another host's news began a read: those had used up a part of the bound before. Now the read after an unanswered one, after a sign of trouble, after news have ended and during an outage is not held open, and an unanswered held read does not count as an outage by itself (hosts that follow this one are not sent to the log all at once for it). So whatever becomes of held reads, what the log had is known after 1.1 s and one answer.

Ruled out: a record jumped over by a read of the whole topic (host's ages grew, held reads had no answer), a lost wake-up (the store's own count says: never answered 120, 173). FollowEvents gets m_onUnanswered: a log line tells each unanswered read and how long it was open.

--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -29,7 +29,8 @@
   base::Duration m_servingPause = std::chrono::milliseconds(500);
   base::Duration m_servingFor = std::chrono::seconds(4); ///< after the last of them asked
   /// A read that is held open may be lost without a word while the log is slow or around an outage.
-  /// For m_waryFor after such a sign, and after the start, reads are held open this long only.
+  /// For m_waryFor after such a sign, and after the start, reads are held open this long only. Each
+  /// sign also brings a read that is not held open.
   base::Duration m_waryWait = std::chrono::milliseconds(800);
   base::Duration m_waryFor = std::chrono::seconds(15);
   /// For an answer beyond the wait; it doubles up to the most while answers do not come.
@@ -56,12 +57,17 @@
   /// The log answered at aAt, this host or the one that passes its records on.
   std::function<void(bool aWasAway, base::TimePoint aAt)> m_onContact;
   std::function<void(const base::Failure&)> m_onAway;
+  /// A read that was held open has failed; it is followed by one that is not, before m_onAway.
+  std::function<void(base::Duration aOpen)> m_onUnanswered;
   /// A read that is not held open took long.
   std::function<void(base::Duration aTook)> m_onSlow;
 };
 
 /// @brief Follows a keyed topic: a snapshot first, then record by record; a new snapshot when
 /// history was lost. A key's older record never comes after a newer one.
+///
+/// While the log answers reads that are not held open, what it had is known after a wait and the
+/// patience, whatever becomes of the ones that are.
 class TopicFollower : public std::enable_shared_from_this<TopicFollower>
 {
 public:
@@ -98,6 +104,10 @@
   void LoadSnapshot();
   void OnSnapshot(base::Result<Snapshot> aResult);
   void ReadOn();
+  /// Reads what is there; the log does not hold this one open.
+  void ReadAtOnce();
+  void Read(base::Duration aWait);
+  void OnFailure(const base::Failure& aFailure);
   void OnBatch(std::uint64_t aRead, base::Result<Batch> aResult);
   [[nodiscard]] base::Duration WaitNow() const;
   /// @return whether it told something new
@@ -125,6 +135,7 @@
   std::uint64_t m_read = 0; ///< number of the newest read; answers to others are dropped
   bool m_reading = false;
   base::TimePoint m_readAt{};
+  base::Duration m_readWait{}; ///< how long that read may be held open
   base::Duration m_patienceNow{};
   std::optional<base::TimePoint> m_waryUntil;
   base::Duration m_retry{};
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -93,6 +93,11 @@
   if (isDirectory) {
     events.m_onSlow = [this](base::Duration) { m_operators->Renew(); };
   }
+  events.m_onUnanswered = [aTopic](base::Duration aOpen) {
+    telemetry::LogLine("held_read_unanswered")
+      .Add("topic", aTopic)
+      .Add("read_open_ms", base::ToMillis(aOpen));
+  };
   events.m_onAway = [this, aTopic, isDirectory](const base::Failure& aFailure) {
     if (isDirectory) {
       m_operators->Renew();
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -65,12 +65,23 @@
 }
 
 void TopicFollower::ReadOn()
+{
+  Read(WaitNow());
+}
+
+void TopicFollower::ReadAtOnce()
+{
+  Read(base::Duration::zero());
+}
+
+void TopicFollower::Read(base::Duration aWait)
 {
   m_reading = true;
+  m_readWait = aWait;
   m_readAt = base::MonotonicNow();
   m_log.Read(m_options.m_topic,
              m_next,
-             WaitNow(),
+             aWait,
              m_patienceNow,
              [self = shared_from_this(), read = ++m_read](base::Result<Batch> aResult) {
                self->OnBatch(read, std::move(aResult));
@@ -81,10 +92,26 @@
 {
   m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
   if (m_reading && !m_stopped) {
-    ReadOn();
+    ReadAtOnce();
   }
 }
 
+void TopicFollower::OnFailure(const base::Failure& aFailure)
+{
+  if (m_readWait.count() > 0) {
+    // A log may leave a read that it holds open unanswered and still answer others. So this says
+    // nothing of the log, and what it has is asked for at once: were the next read held open, too,
+    // two in a row would cost over the bound.
+    if (m_events.m_onUnanswered) {
+      m_events.m_onUnanswered(base::MonotonicNow() - m_readAt);
+    }
+    ReadAtOnce();
+    return;
+  }
+  m_patienceNow = std::min(m_patienceNow * 2, m_options.m_patienceMost);
+  Away(aFailure);
+}
+
 void TopicFollower::OnBatch(std::uint64_t aRead, base::Result<Batch> aResult)
 {
   if (m_stopped || aRead != m_read) {
@@ -92,8 +119,7 @@
   }
   m_reading = false;
   if (!aResult) {
-    m_patienceNow = std::min(m_patienceNow * 2, m_options.m_patienceMost);
-    Away(aResult.error());
+    OnFailure(aResult.error());
     return;
   }
   if (aResult->m_historyGone) {
@@ -264,7 +290,8 @@
     // What made the other host lose the log may have silenced this one's idle connection to it,
     // too.
     m_waryUntil = base::MonotonicNow() + m_options.m_waryFor;
-    ReadOn();
+    // The news were relied on for most of the bound.
+    ReadAtOnce();
   }
 }
 
@@ -273,7 +300,7 @@
   if (!std::exchange(m_away, true) && m_events.m_onAway) {
     m_events.m_onAway(aFailure);
   }
-  Later(m_retry, m_loaded ? &TopicFollower::ReadOn : &TopicFollower::LoadSnapshot);
+  Later(m_retry, m_loaded ? &TopicFollower::ReadAtOnce : &TopicFollower::LoadSnapshot);
   m_retry = std::min(m_retry * 2, m_options.m_retryMost);
 }
 
--- a/src/ferrytray/store/topic_news_test.cpp
+++ b/src/ferrytray/store/topic_news_test.cpp
@@ -141,11 +141,10 @@
   options.m_topic = "t";
   options.m_wait = 20s;
   options.m_waryFor = 10ms; // over by the time that news end
-  const auto follower = std::make_shared<store::TopicFollower>(
-    m_loop,
-    m_log,
-    options,
-    store::FollowEvents{ [](const store::Record&) { return true; }, {}, {}, {}, {} });
+  store::FollowEvents events;
+  events.m_onRecord = [](const store::Record&) { return true; };
+  const auto follower =
+    std::make_shared<store::TopicFollower>(m_loop, m_log, options, std::move(events));
   follower->Start();
   m_loop.RunFor(30ms);
   follower->OnNews(NewsOf(5, {}), base::MonotonicNow());
