Tests that fail: the project's own keeper and gate wait for held reads far beyond their bounds

The same class as in the users' platform's feeds, found by looking for it. On the code as it is: a held read of the configuration is given up after 13 s, the bound is 3 s; the log then counts as away. A gate whose log answers what it is asked but no held read refuses every request with a caller's key (503 for the first of three): it waits to read its own claim back. The stand-in of the log can leave held reads unanswered (answer_held_reads).

--- /dev/null
+++ b/src/ferrytray/wire/log_follower_test.cpp
@@ -0,0 +1,77 @@
+// Seen in tests and by reading: the log may hold a read open and never answer it, though it answers
+// others (see the relay's feeds). The keeper's read of the configuration was open for 10 s and
+// waited for 3 s more, and the bound for a change is 3 s. Gates read the claims in the same way: a
+// request with a key of the caller's was refused for as long, since the gate waited to read its own
+// claim back.
+#include "ferrytray/wire/log_client.hpp"
+
+#include <optional> // for optional
+
+#include "tests/support/fake_http.hpp" // for FakeHttpClient
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What operators ask: a change is in force everywhere within this time.
+constexpr base::Duration kBound = 3s;
+
+} // namespace
+
+TEST_GROUP(LogFollower)
+{
+  net::Loop m_loop;
+  support::FakeHttpClient m_http;
+  wire::LogFollower m_follower{ m_loop, m_http, "http://10.0.0.1:1", "config" };
+  std::string m_told;
+
+  void setup() override
+  {
+    m_follower.Start(
+      1,
+      [this](const wire::LogPage& aPage) {
+        m_told += "page" + std::to_string(aPage.m_records.size()) + " ";
+      },
+      [this](bool aReachable) { m_told += aReachable ? "back " : "away "; });
+    Answer(1);
+  }
+  /// The newest read is answered: nothing but the offset that comes next.
+  void Answer(std::uint64_t aNext)
+  {
+    m_http.Head(200, {});
+    m_http.Data("{\"first\":1,\"next\":" + std::to_string(aNext) + ",\"now_ms\":0,\"records\":[]}");
+    m_http.End(net::WireEnd::Complete);
+  }
+  [[nodiscard]] bool IsHeldOpen() const
+  {
+    return !m_http.m_calls.back().m_request.m_url.ends_with("wait_ms=0");
+  }
+};
+
+TEST(LogFollower, AReadThatIsNeverAnsweredIsGivenUpWithinTheBound)
+{
+  // For the read after it and for handing the file to the gate.
+  constexpr base::Duration kRest = 500ms;
+  CHECK(IsHeldOpen());
+  CHECK(m_http.m_calls.back().m_request.m_timeout + kRest <= kBound);
+}
+
+TEST(LogFollower, AfterOneThatWasNotAnsweredTheLogIsAskedAtOnceAndIsNotAway)
+{
+  m_http.End(net::WireEnd::NoReply);
+  LONGS_EQUAL(3, m_http.m_calls.size());
+  CHECK_FALSE(IsHeldOpen());
+  Answer(1);
+  CHECK(IsHeldOpen());
+  STRCMP_EQUAL("back page0 ", m_told.c_str());
+}
+
+TEST(LogFollower, OnlyAReadThatIsNotHeldOpenTellsThatTheLogIsAway)
+{
+  m_http.End(net::WireEnd::NoReply);
+  m_http.End(net::WireEnd::NoReply);
+  STRCMP_EQUAL("back page0 away ", m_told.c_str());
+}
--- a/standins/platform_log.cpp
+++ b/standins/platform_log.cpp
@@ -124,6 +124,10 @@
     });
     return;
   }
+  if (!m_answersHeldReads) {
+    LeaveUnanswered(aReply);
+    return;
+  }
   const std::uint64_t id = ++m_waiterIds;
   const auto timer = m_loop.After(std::chrono::milliseconds(wait), [this, aStream, id] {
     Stream& waited = m_streams[aStream];
@@ -134,6 +138,15 @@
   stream.m_waiters.emplace(id, Waiter{ from, aReply, timer });
 }
 
+void Platform::LeaveUnanswered(const ReplyPtr& aReply)
+{
+  constexpr std::size_t kMost = 4096;
+  m_unanswered.push_back(aReply);
+  if (m_unanswered.size() > kMost) {
+    m_unanswered.pop_front();
+  }
+}
+
 void Platform::WakeReaders(Stream& aStream)
 {
   const auto waiters = std::exchange(aStream.m_waiters, {});
@@ -197,9 +210,15 @@
   m_loseReplies = aBody.value("lose_replies", m_loseReplies);
   m_slow = std::chrono::milliseconds(aBody.value("slow_ms", m_slow.count() / 1000));
   m_options.m_retainedRecords = aBody.value("retained_records", m_options.m_retainedRecords);
-  if (m_down) {
-    for (auto& [name, stream] : m_streams) {
+  m_answersHeldReads = aBody.value("answer_held_reads", m_answersHeldReads);
+  for (auto& [name, stream] : m_streams) {
+    if (m_down) {
       WakeReaders(stream);
+    } else if (!m_answersHeldReads) {
+      for (const auto& [id, waiter] : std::exchange(stream.m_waiters, {})) {
+        waiter.m_timer->Cancel();
+        LeaveUnanswered(waiter.m_reply);
+      }
     }
   }
   SendJson(aReply, 200, json::object());
--- a/standins/platform_log.hpp
+++ b/standins/platform_log.hpp
@@ -54,6 +54,7 @@
   void OnWeights(const ReplyPtr& aReply);
   void OnFaults(const json& aBody, const ReplyPtr& aReply);
   [[nodiscard]] json PageOf(const Stream& aStream, std::uint64_t aFrom) const;
+  void LeaveUnanswered(const ReplyPtr& aReply);
   void WakeReaders(Stream& aStream);
   void Later(ferrytray::base::Duration aDelay, std::function<void()> aCall);
 
@@ -67,7 +68,9 @@
   std::uint64_t m_appends = 0;
   std::uint64_t m_waiterIds = 0;
   std::size_t m_downloads = 0;
+  std::deque<ReplyPtr> m_unanswered; ///< kept so that their connections stay open
   bool m_down = false;
+  bool m_answersHeldReads = true;
   int m_loseReplies = 0;
   ferrytray::base::Duration m_slow{};
 };
--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -55,6 +55,20 @@
   LONGS_EQUAL(1, m_deployment.Executions("order"));
 }
 
+// The log answers what it is asked, but no read that it holds open. A gate that has its own claim
+// acknowledged need not wait to hear of it.
+TEST(Once, AKeyedCallIsServedWhileReadsThatAreHeldOpenHearNothing)
+{
+  Begin(1);
+  m_deployment.PlatformFaults({ { "answer_held_reads", false } });
+  for (int i = 0; i < 3; ++i) {
+    const std::string name = "order" + std::to_string(i);
+    const Answer answer = Send(CallService(Host("h1"), name, Keyed("key" + name, name)));
+    LONGS_EQUAL(200, answer.m_status);
+    LONGS_EQUAL(1, m_deployment.Executions(name));
+  }
+}
+
 TEST(Once, AnIdempotentCallIsTriedAgain)
 {
   Begin(1);
