The keeper follows its streams within their bounds; what is known to be in the log is asked for

Seen in tests: with a log that answers what it is asked but no read that it holds open, a change came into force after 13 s (bound 3 s), and each request with a caller's key was refused 503 after 2 s, for as long. Cause, as in the feeds of the users' platform: the silence of a held read was taken for no news, for 10 s and 3 s more. - wire::FollowWithin works the wait and the patience out from the bound (--config-due, 3 s): 1.2 s and 1 s, then one read at once; a late answer to a read that was given up is dropped. An unanswered held read does not count as an outage; the read after it may. - LogFollower::Expect: whoever has an offset from the log (a claim, a lease, a hand-over's record) asks for it if the held read has not brought it 100 ms later. These streams have no bound of their own and stay at 10 s. LogFollower stands in files of its own. In its test the follower gets the bound (it had no parameter for it before), and two cases of Expect are new.

--- a/include/ferrytray/gate/claims_link.hpp
+++ b/include/ferrytray/gate/claims_link.hpp
@@ -7,7 +7,8 @@
 #include "ferrytray/gate/options.hpp"           // for GateOptions
 #include "ferrytray/once/answer_store.hpp"      // for AnswerStore
 #include "ferrytray/once/claim_coordinator.hpp" // for ClaimCoordinator
-#include "ferrytray/wire/log_client.hpp"        // for LogFollower
+#include "ferrytray/wire/log_client.hpp"        // for LogClient
+#include "ferrytray/wire/log_follower.hpp"      // for LogFollower
 
 namespace ferrytray::gate {
 
--- a/include/ferrytray/keeper/config_sync.hpp
+++ b/include/ferrytray/keeper/config_sync.hpp
@@ -6,7 +6,8 @@
 
 #include "ferrytray/replay/config_replay.hpp" // for ConfigReplay
 #include "ferrytray/wire/frames.hpp"          // for StateUpdate
-#include "ferrytray/wire/log_client.hpp"      // for LogFollower
+#include "ferrytray/wire/log_client.hpp"      // for LogClient
+#include "ferrytray/wire/log_follower.hpp"    // for LogFollower
 
 namespace ferrytray::keeper {
 
@@ -17,7 +18,11 @@
 public:
   using OnChange = std::function<void()>;
 
-  ConfigSync(net::Loop& aLoop, net::HttpClient& aHttp, const std::string& aPlatform);
+  /// @param aDue a change is in force within so long after the log took it
+  ConfigSync(net::Loop& aLoop,
+             net::HttpClient& aHttp,
+             const std::string& aPlatform,
+             base::Duration aDue);
   /// @param aOnChange the position or a scope changed
   void Start(OnChange aOnChange);
   /// @brief A peer's state came.
--- a/include/ferrytray/keeper/half_controller.hpp
+++ b/include/ferrytray/keeper/half_controller.hpp
@@ -10,7 +10,8 @@
 #include "ferrytray/keeper/options.hpp"    // for KeeperOptions
 #include "ferrytray/membership/member.hpp" // for Member
 #include "ferrytray/wire/frames.hpp"       // for HalfUpdate
-#include "ferrytray/wire/log_client.hpp"   // for LogFollower
+#include "ferrytray/wire/log_client.hpp"   // for LogClient
+#include "ferrytray/wire/log_follower.hpp" // for LogFollower
 
 namespace ferrytray::keeper {
 
--- a/include/ferrytray/keeper/options.hpp
+++ b/include/ferrytray/keeper/options.hpp
@@ -27,6 +27,8 @@
   base::Duration m_renewAge =
     std::chrono::hours(12); ///< a scope's newest copy in the log is at most this old
   base::Duration m_lease = std::chrono::seconds(9);
+  /// A change of the configuration is in force within so long after the log took it.
+  base::Duration m_configurationDue = std::chrono::seconds(3);
 };
 
 } // namespace ferrytray::keeper
--- a/include/ferrytray/keeper/swap_controller.hpp
+++ b/include/ferrytray/keeper/swap_controller.hpp
@@ -9,7 +9,8 @@
 #include "ferrytray/control/swap_planner.hpp" // for SwapPlanner
 #include "ferrytray/keeper/options.hpp"       // for KeeperOptions
 #include "ferrytray/wire/frames.hpp"          // for EndpointStatus
-#include "ferrytray/wire/log_client.hpp"      // for LogFollower
+#include "ferrytray/wire/log_client.hpp"      // for LogClient
+#include "ferrytray/wire/log_follower.hpp"    // for LogFollower
 
 namespace ferrytray::keeper {
 
--- a/include/ferrytray/wire/log_client.hpp
+++ b/include/ferrytray/wire/log_client.hpp
@@ -2,7 +2,7 @@
 
 #include <cstdint>    // for uint64_t
 #include <functional> // for function
-#include <memory>     // for unique_ptr
+#include <memory>     // for shared_ptr
 #include <string>     // for string
 #include <vector>     // for vector
 
@@ -45,7 +45,8 @@
   void Append(std::string aBody, AppendDone aDone);
   /// @brief Reads from an offset on; waits for news when there is none.
   /// @param aWait how long the platform may hold the answer back
-  void Read(std::uint64_t aFrom, base::Duration aWait, ReadDone aDone);
+  /// @param aPatience for the answer, beyond that
+  void Read(std::uint64_t aFrom, base::Duration aWait, base::Duration aPatience, ReadDone aDone);
 
 private:
   net::HttpClient& m_http;
@@ -53,43 +54,4 @@
   std::shared_ptr<bool> m_alive;
 };
 
-/// @brief Follows a stream for ever: reads, waits, retries with jitter while the log is away.
-class LogFollower
-{
-public:
-  using OnPage = std::function<void(const LogPage&)>;
-  using OnState = std::function<void(bool aReachable)>;
-
-  LogFollower(net::Loop& aLoop,
-              net::HttpClient& aHttp,
-              const std::string& aPlatform,
-              const std::string& aStream);
-  /// @brief Begins. Each page that has records, and the first one, is handed over.
-  void Start(std::uint64_t aFrom, OnPage aOnPage, OnState aOnState);
-  /// @brief Whether the stream's end was reached once.
-  [[nodiscard]] bool CaughtUp() const { return m_caughtUp; }
-  [[nodiscard]] bool Reachable() const { return m_reachable; }
-  /// @brief The platform's clock now: as of the last answer, carried on by the monotonic clock.
-  [[nodiscard]] base::Duration PlatformTime(base::TimePoint aNow) const
-  {
-    return m_platformTime + (aNow - m_platformRead);
-  }
-
-private:
-  void ReadNext(base::Duration aWait);
-  void OnRead(base::Result<LogPage> aPage);
-
-  net::Loop& m_loop;
-  LogClient m_client;
-  std::uint64_t m_from = 1;
-  OnPage m_onPage;
-  OnState m_onState;
-  net::TimerHandle m_retry;
-  std::uint64_t m_jitter = 0;
-  bool m_caughtUp = false;
-  bool m_reachable = false;
-  base::Duration m_platformTime{};
-  base::TimePoint m_platformRead{};
-};
-
 } // namespace ferrytray::wire
--- a/src/ferrytray/keeper/config_sync.cpp
+++ b/src/ferrytray/keeper/config_sync.cpp
@@ -43,8 +43,11 @@
 
 } // namespace
 
-ConfigSync::ConfigSync(net::Loop& aLoop, net::HttpClient& aHttp, const std::string& aPlatform)
-  : m_follower(aLoop, aHttp, aPlatform, kStream)
+ConfigSync::ConfigSync(net::Loop& aLoop,
+                       net::HttpClient& aHttp,
+                       const std::string& aPlatform,
+                       base::Duration aDue)
+  : m_follower(aLoop, aHttp, aPlatform, kStream, wire::FollowWithin(aDue))
   , m_appender(aHttp, aPlatform, kStream)
 {
 }
--- a/src/ferrytray/keeper/half_controller.cpp
+++ b/src/ferrytray/keeper/half_controller.cpp
@@ -126,7 +126,12 @@
   m_appending = true;
   telemetry::LogLine("half_recorded").Add("kind", aKind).Add("rule", aRule).Add("epoch", aEpoch);
   m_appender.Append(json{ { "kind", aKind }, { "rule", aRule }, { "epoch", aEpoch } }.dump(),
-                    [this](const auto&) { m_appending = false; });
+                    [this](const base::Result<std::uint64_t>& aOffset) {
+                      m_appending = false;
+                      if (aOffset) {
+                        m_follower.Expect(*aOffset);
+                      }
+                    });
 }
 
 void HalfController::AskOther(const config::HalfRule& aRule)
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -53,7 +53,7 @@
     : m_loop(aLoop)
     , m_options(std::move(aOptions))
     , m_http(net::HttpClient::Create(aLoop))
-    , m_config(aLoop, *m_http, m_options.m_platform)
+    , m_config(aLoop, *m_http, m_options.m_platform, m_options.m_configurationDue)
     , m_endpoints(aLoop, *m_http, m_options)
     , m_swaps(aLoop, *m_http, m_options)
     , m_halves(aLoop, *m_http, m_options)
--- a/src/ferrytray/keeper/swap_controller.cpp
+++ b/src/ferrytray/keeper/swap_controller.cpp
@@ -132,7 +132,12 @@
   }
   m_appending = true;
   const control::LeaseRecord record{ m_holderName, aNames, m_holderOptions.m_duration };
-  m_appender.Append(EncodeLease(record), [this](const auto&) { m_appending = false; });
+  m_appender.Append(EncodeLease(record), [this](const base::Result<std::uint64_t>& aOffset) {
+    m_appending = false;
+    if (aOffset) {
+      m_follower.Expect(*aOffset);
+    }
+  });
 }
 
 void SwapController::OrderSwaps(const config::Fleet& aFleet,
--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -4,8 +4,6 @@
 
 #include <nlohmann/json.hpp> // for json
 
-#include "ferrytray/base/digest.hpp" // for Hash64, RandomHex128
-
 namespace ferrytray::wire {
 
 namespace {
@@ -13,9 +11,6 @@
 using nlohmann::json;
 
 constexpr base::Duration kAppendTimeout = std::chrono::seconds(5);
-constexpr base::Duration kReadSlack = std::chrono::seconds(3);
-constexpr base::Duration kFollowWait = std::chrono::seconds(10);
-constexpr base::Duration kRetryBase = std::chrono::milliseconds(100);
 
 base::Result<LogPage> ParsePage(const std::string& aJson)
 {
@@ -91,13 +86,16 @@
     });
 }
 
-void LogClient::Read(std::uint64_t aFrom, base::Duration aWait, ReadDone aDone)
+void LogClient::Read(std::uint64_t aFrom,
+                     base::Duration aWait,
+                     base::Duration aPatience,
+                     ReadDone aDone)
 {
   const auto waitMillis = std::chrono::duration_cast<std::chrono::milliseconds>(aWait).count();
   net::ClientRequest request;
   request.m_url =
     m_base + "?from=" + std::to_string(aFrom) + "&wait_ms=" + std::to_string(waitMillis);
-  request.m_timeout = aWait + kReadSlack;
+  request.m_timeout = aWait + aPatience;
   m_http.Fetch(
     std::move(request),
     [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
@@ -113,55 +111,4 @@
     });
 }
 
-LogFollower::LogFollower(net::Loop& aLoop,
-                         net::HttpClient& aHttp,
-                         const std::string& aPlatform,
-                         const std::string& aStream)
-  : m_loop(aLoop)
-  , m_client(aHttp, aPlatform, aStream)
-  , m_jitter(base::Hash64(aStream, base::RandomHex128()))
-{
-}
-
-void LogFollower::Start(std::uint64_t aFrom, OnPage aOnPage, OnState aOnState)
-{
-  m_from = aFrom;
-  m_onPage = std::move(aOnPage);
-  m_onState = std::move(aOnState);
-  ReadNext(base::Duration::zero());
-}
-
-void LogFollower::ReadNext(base::Duration aWait)
-{
-  m_client.Read(m_from, aWait, [this](base::Result<LogPage> aPage) { OnRead(std::move(aPage)); });
-}
-
-void LogFollower::OnRead(base::Result<LogPage> aPage)
-{
-  const bool reachable = aPage.has_value();
-  if (reachable != m_reachable) {
-    m_reachable = reachable;
-    m_onState(reachable);
-  }
-  if (!reachable) {
-    // Jittered, so that a returning log is not met by everyone at once.
-    m_jitter = m_jitter * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto extra = std::chrono::milliseconds(m_jitter >> 57U);
-    m_retry = m_loop.After(kRetryBase + extra, [this] { ReadNext(base::Duration::zero()); });
-    return;
-  }
-  m_platformTime = aPage->m_now;
-  m_platformRead = base::MonotonicNow();
-  const bool first = !m_caughtUp;
-  if (!aPage->m_records.empty()) {
-    m_from = aPage->m_records.back().m_offset + 1;
-  }
-  // Before the page is handed over: whoever takes it may ask whether this was the last one.
-  m_caughtUp = m_caughtUp || m_from >= aPage->m_next;
-  if (!aPage->m_records.empty() || first) {
-    m_onPage(*aPage);
-  }
-  ReadNext(m_caughtUp ? kFollowWait : base::Duration::zero());
-}
-
 } // namespace ferrytray::wire
--- a/src/ferrytray/wire/log_follower_test.cpp
+++ b/src/ferrytray/wire/log_follower_test.cpp
@@ -3,7 +3,7 @@
 // waited for 3 s more, and the bound for a change is 3 s. Gates read the claims in the same way: a
 // request with a key of the caller's was refused for as long, since the gate waited to read its own
 // claim back.
-#include "ferrytray/wire/log_client.hpp"
+#include "ferrytray/wire/log_follower.hpp"
 
 #include <optional> // for optional
 
@@ -25,7 +25,9 @@
 {
   net::Loop m_loop;
   support::FakeHttpClient m_http;
-  wire::LogFollower m_follower{ m_loop, m_http, "http://10.0.0.1:1", "config" };
+  wire::LogFollower m_follower{
+    m_loop, m_http, "http://10.0.0.1:1", "config", wire::FollowWithin(kBound)
+  };
   std::string m_told;
 
   void setup() override
@@ -69,6 +71,28 @@
   STRCMP_EQUAL("back page0 ", m_told.c_str());
 }
 
+TEST(LogFollower, ARecordThatIsKnownToBeThereIsAskedForAndTheHeldReadIsDropped)
+{
+  m_follower.Expect(1);
+  const std::size_t before = m_http.m_calls.size();
+  for (int i = 0; i < 1000 && m_http.m_calls.size() == before; ++i) {
+    m_loop.RunFor(1ms);
+  }
+  CHECK_FALSE(IsHeldOpen());
+  const auto held = m_http.m_calls[before - 1].m_events;
+  Answer(2);
+  const std::size_t after = m_http.m_calls.size();
+  held.m_onEnd({}); // it fails late
+  LONGS_EQUAL(after, m_http.m_calls.size());
+}
+
+TEST(LogFollower, ARecordThatHasComeIsNotAskedForAgain)
+{
+  m_follower.Expect(0);
+  m_loop.RunFor(200ms);
+  CHECK(IsHeldOpen());
+}
+
 TEST(LogFollower, OnlyAReadThatIsNotHeldOpenTellsThatTheLogIsAway)
 {
   m_http.End(net::WireEnd::NoReply);
--- a/tools/cli_apply.cpp
+++ b/tools/cli_apply.cpp
@@ -19,6 +19,8 @@
 
 constexpr const char* kStream = "config";
 constexpr base::Duration kPollEvery = std::chrono::milliseconds(100);
+/// The log answers in milliseconds; a slow one is waited for.
+constexpr base::Duration kReadPatience = std::chrono::seconds(3);
 
 /// The configuration stream as it stands now.
 struct StreamState
@@ -34,7 +36,7 @@
   const auto http = net::HttpClient::Create(loop);
   wire::LogClient log(*http, aSettings.Text("platform"), kStream);
   base::Result<wire::LogPage> result;
-  log.Read(aFrom, base::Duration::zero(), [&](base::Result<wire::LogPage> aPage) {
+  log.Read(aFrom, base::Duration::zero(), kReadPatience, [&](base::Result<wire::LogPage> aPage) {
     result = std::move(aPage);
     loop.Stop();
   });
--- a/tools/keeper_main.cpp
+++ b/tools/keeper_main.cpp
@@ -29,6 +29,7 @@
            "age at which a file is appended again, under the log's retention",
            SettingKind::Millis })
     .Add({ "lease", "9000", "duration of a lease", SettingKind::Millis })
+    .Add({ "config-due", "3000", "a change is in force within so long", SettingKind::Millis })
     .Build(aArgc, aArgv);
 }
 
@@ -43,6 +44,7 @@
   options.m_hostListPoll = aSettings.Millis("host-list-poll");
   options.m_renewAge = aSettings.Millis("renew-age");
   options.m_lease = aSettings.Millis("lease");
+  options.m_configurationDue = aSettings.Millis("config-due");
   options.m_incarnation = daemon::NewIncarnation();
   const auto addresses = daemon::ReadAddresses(aSettings,
                                                { { "listen", &options.m_http },
