--- a/tests/integration/control_test.cpp
+++ b/tests/integration/control_test.cpp
@@ -40,6 +40,14 @@
     }
   }
 
+  /// A call of the plain service with another key.
+  Answer AskWith(const std::string& aKey)
+  {
+    Call call = CallService(Host("h1"), "look");
+    call.m_headers = { { "Authorization", "Bearer " + aKey } };
+    return Send(call);
+  }
+
   std::uint64_t OffsetOn(const std::string& aHost, const std::string& aScope)
   {
     const json status = StatusOf(Host(aHost));
@@ -104,6 +112,34 @@
   CHECK(refused.m_exitCode != 0);
 }
 
+// A key may have come with a file that this gate has not heard of. Found by looking for what the
+// feeds of the users' platform had: the gate took its keeper's silence for no news, however long,
+// and a keeper told its gate nothing of how old its own knowledge was.
+TEST(Control, AGateWhoseKeeperStandsStillDeniesNothingAndServesOn)
+{
+  AddHosts(1);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  LONGS_EQUAL(401, AskWith("no-key").m_status);
+  Host("h1").m_keeper.Signal(SIGSTOP);
+  CHECK(WaitFor([&] { return AskWith("no-key").m_status == 503; }));
+  LONGS_EQUAL(200, Send(Ask(Host("h1"), "still served")).m_status);
+  Host("h1").m_keeper.Signal(SIGCONT);
+  CHECK(WaitFor([&] { return AskWith("no-key").m_status == 401; }));
+}
+
+TEST(Control, WhileTheLogIsAwayNothingIsDenied)
+{
+  AddHosts(1);
+  m_deployment.AddEngine("w1");
+  m_deployment.Begin();
+  m_deployment.PlatformFaults({ { "down", true } });
+  CHECK(WaitFor([&] { return AskWith("no-key").m_status == 503; }));
+  LONGS_EQUAL(200, Send(Ask(Host("h1"), "still served")).m_status);
+  m_deployment.PlatformFaults({ { "down", false } });
+  CHECK(WaitFor([&] { return AskWith("no-key").m_status == 401; }));
+}
+
 TEST(Control, AFileIsAppendedAgainBeforeItLeavesTheLog)
 {
   AddHosts(1, { "--renew-age", "300" });
