A gate knows how old its configuration may be, and denies nothing by one that may be out of date

Callers got 401 for a key, or 404 for a path or model, for as long as a keeper stood still or the log was away, though the file that brings it may have been accepted meanwhile. Now a keeper answers each of its gate's reports with the age of its last answered read of the configuration (wire::ConfigurationAge); the gate counts from when it sent that report, so frames that lay in a buffer while it stood still seem no fresher. Beyond 0.9 of the bound (--config-due, 3 s) what looks unknown gets 503 with Retry-After, as on the users' platform; what is known is served on. base/known_age.hpp holds that rule once for both. Why it holds without trouble: a read ends after 1.2 s, is given up after 2.2 s, a report goes every 250 ms: 2.45 s at most before the next read, of 2.7 s.

--- /dev/null
+++ b/include/ferrytray/base/known_age.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <optional> // for optional
+
+#include "ferrytray/base/time.hpp" // for Duration, TimePoint
+
+namespace ferrytray::base {
+
+/// @brief How old what a process follows may be for it to deny a caller something by that.
+///
+/// Whatever was acknowledged before the follower's last answered read was begun is known. So what
+/// it denies is right as long as that read is no older than the bound within which a change is in
+/// force; a tenth of the bound is left for clocks that run apart.
+/// @param aDue that bound
+constexpr Duration DeniesWithin(Duration aDue)
+{
+  constexpr int kPart = 90;
+  constexpr int kWhole = 100;
+  return aDue * kPart / kWhole;
+}
+
+/// @brief Whether something newer may be in force. @param aHeardAt unset: nothing was heard yet
+inline bool MayBeBehind(std::optional<TimePoint> aHeardAt, Duration aDeniesWithin, TimePoint aNow)
+{
+  return !aHeardAt || aNow > *aHeardAt + aDeniesWithin;
+}
+
+} // namespace ferrytray::base
--- a/include/ferrytray/gate/keeper_link.hpp
+++ b/include/ferrytray/gate/keeper_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>      // for deque
 #include <functional> // for function
 #include <map>        // for map
 #include <memory>     // for shared_ptr
@@ -40,6 +41,9 @@
   /// @brief What the log says of a rule's hand-overs; empty until the keeper has told.
   [[nodiscard]] std::optional<wire::HalfEpochs> Epochs(const std::string& aRule) const;
   [[nodiscard]] bool Connected() const { return m_channel != nullptr; }
+  /// @brief Whether a configuration that this gate has not heard of may be in force: the keeper, or
+  /// the log, has told nothing for too long.
+  [[nodiscard]] bool MayBeBehind(base::TimePoint aNow) const;
 
 private:
   void Connect();
@@ -49,6 +53,7 @@
   void Handle(const wire::PeerUpdate& aUpdate);
   void Handle(const wire::ShareUpdate& aUpdate);
   void Handle(const wire::HalfUpdate& aUpdate);
+  void Handle(const wire::ConfigurationAge& aAge);
   template<typename Other>
   void Handle(const Other&)
   {
@@ -61,6 +66,9 @@
   replay::Registry m_registry;
   std::map<std::string, std::uint64_t> m_accepted;
   std::uint64_t m_position = 0;
+  std::uint64_t m_reportsSent = 0;
+  std::deque<base::TimePoint> m_reportedAt; ///< of the newest reports, the last one first
+  std::optional<base::TimePoint> m_heardAt; ///< what the log had taken by then is known
   bool m_hasConfig = false;
   bool m_halvesKnown = false;
   std::map<std::string, wire::HalfEpochs> m_epochs;
--- a/include/ferrytray/gate/options.hpp
+++ b/include/ferrytray/gate/options.hpp
@@ -31,6 +31,8 @@
   base::Duration m_loadTrust = std::chrono::seconds(10);
   base::Duration m_claimTimeout = std::chrono::seconds(2);
   base::Duration m_claimWindow = std::chrono::hours(1);
+  /// A change of the configuration is in force within so long after the log took it.
+  base::Duration m_configurationDue = std::chrono::seconds(3);
 };
 
 } // namespace ferrytray::gate
--- a/include/ferrytray/keeper/config_sync.hpp
+++ b/include/ferrytray/keeper/config_sync.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional> // for function
+#include <optional>   // for optional
 #include <string>     // for string
 #include <vector>     // for vector
 
@@ -35,6 +36,8 @@
   /// @brief Whether some state is known: the log was read to its end, or a peer told.
   [[nodiscard]] bool Ready() const { return m_follower.CaughtUp() || m_toldByPeer; }
   [[nodiscard]] bool LogReachable() const { return m_follower.Reachable(); }
+  /// @brief Whatever the log had taken by then is known here. Peers do not tell when they heard.
+  [[nodiscard]] std::optional<base::TimePoint> HeardAt() const { return m_follower.HeardAt(); }
 
 private:
   void OnPage(const wire::LogPage& aPage);
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -8,6 +8,7 @@
 #include <random>     // for mt19937_64
 #include <string>     // for string
 
+#include "ferrytray/base/known_age.hpp"            // for MayBeBehind
 #include "ferrytray/base/time.hpp"                 // for TimePoint
 #include "ferrytray/cache/part_planner.hpp"        // for PartPlanner, Stores
 #include "ferrytray/fleet/configuration_index.hpp" // for ConfigurationPtr
@@ -123,7 +124,7 @@
   /// @brief Whether a configuration that this host has not read may be in force.
   [[nodiscard]] bool MayBeBehind(base::TimePoint aNow) const
   {
-    return !m_operatorsHeardAt || aNow > *m_operatorsHeardAt + m_options.m_deniesWithin;
+    return base::MayBeBehind(m_operatorsHeardAt, m_options.m_deniesWithin, aNow);
   }
 };
 
--- a/include/ferrytray/wire/frames.hpp
+++ b/include/ferrytray/wire/frames.hpp
@@ -71,9 +71,19 @@
   std::vector<HalfEpochs> m_rules;
 };
 
+/// @brief How old the configuration may be at the keeper, in answer to a gate's report. The gate
+/// counts from when it sent that report, so that frames that lay about seem no fresher.
+struct ConfigurationAge
+{
+  std::uint64_t m_report = 0; ///< number of that report
+  /// Since the keeper's last answered read of the log was begun.
+  std::uint64_t m_ageMillis = 0;
+};
+
 /// @brief A gate's own news, every round.
 struct GateReport
 {
+  std::uint64_t m_number = 0;   ///< counts up at each gate
   std::string m_address;        ///< where it serves callers
   std::string m_control;        ///< where it takes ticket tables (TCP frames)
   std::uint64_t m_position = 0; ///< configuration in force there
@@ -105,7 +115,8 @@
                            GateReport,
                            TicketHandover,
                            TicketAck,
-                           HalfUpdate>;
+                           HalfUpdate,
+                           ConfigurationAge>;
 
 /// @brief A frame's bytes (cereal's binary archive).
 std::string EncodeFrame(const Frame& aFrame);
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -212,7 +212,7 @@
     const config::ClientAccount* account =
       m_core.m_keeper->Registry().AccountByKey(base::Sha256Hex(terms->m_key));
     if (account == nullptr) {
-      return base::Fail(ErrorCode::UnknownKey, "the key belongs to no client account");
+      return Deny(ErrorCode::UnknownKey, "the key belongs to no client account");
     }
     m_demand.try_emplace(account->m_name, 0);
     if (aRequest.m_path == "/v1/tickets") {
@@ -224,6 +224,18 @@
     return ServeService(aRequest, aReply, aId, *terms, *account);
   }
 
+  /// What looks unknown may be in a configuration that this gate has not heard of.
+  [[nodiscard]] base::Result<void> Deny(ErrorCode aCode, const std::string& aWhy) const
+  {
+    if (!m_core.m_keeper->MayBeBehind(base::MonotonicNow())) {
+      return base::Fail(aCode, aWhy);
+    }
+    return tl::unexpected(base::Failure{ ErrorCode::NotReady,
+                                         "the configuration may be out of date",
+                                         base::RunState::NotRun,
+                                         kSecond });
+  }
+
   base::Result<void> IssueTicket(const HttpRequest& aRequest,
                                  const ReplyPtr& aReply,
                                  const config::ClientAccount& aAccount)
@@ -300,7 +312,7 @@
     const replay::Registry& registry = m_core.m_keeper->Registry();
     const config::Fleet* fleet = registry.FleetByModel(model->m_model);
     if (fleet == nullptr) {
-      return base::Fail(ErrorCode::UnknownModel, "no fleet serves model '" + model->m_model + "'");
+      return Deny(ErrorCode::UnknownModel, "no fleet serves model '" + model->m_model + "'");
     }
     for (const config::HalfRule* rule :
          { registry.RuleForFleet(fleet->m_name), registry.RuleForAccount(aAccount.m_name) }) {
@@ -329,7 +341,7 @@
   {
     const config::Service* service = m_core.m_keeper->Registry().ServiceByPath(aRequest.m_path);
     if (service == nullptr) {
-      return base::Fail(ErrorCode::UnknownPath, "no service serves this path");
+      return Deny(ErrorCode::UnknownPath, "no service serves this path");
     }
     const auto owner = CheckOwner(m_core.m_keeper->Registry().RuleForAccount(aAccount.m_name));
     if (!owner) {
--- a/src/ferrytray/gate/keeper_link.cpp
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // for find, max
 
+#include "ferrytray/base/known_age.hpp"     // for DeniesWithin, MayBeBehind
 #include "ferrytray/config/parse.hpp"       // for Parse
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -11,6 +12,8 @@
 
 constexpr base::Duration kReconnect = std::chrono::milliseconds(250);
 constexpr base::Duration kReportEvery = std::chrono::milliseconds(250);
+/// An answer to an older report tells nothing that is of use: 16 s with one each 250 ms.
+constexpr std::size_t kReportsKept = 64;
 
 } // namespace
 
@@ -50,9 +53,31 @@
 
 void KeeperLink::ReportNow()
 {
-  if (m_channel) {
-    m_channel->Send(wire::EncodeFrame(m_handlers.m_makeReport()));
+  if (!m_channel) {
+    return;
   }
+  wire::GateReport report = m_handlers.m_makeReport();
+  report.m_number = ++m_reportsSent;
+  m_reportedAt.push_front(base::MonotonicNow());
+  if (m_reportedAt.size() > kReportsKept) {
+    m_reportedAt.pop_back();
+  }
+  m_channel->Send(wire::EncodeFrame(report));
+}
+
+void KeeperLink::Handle(const wire::ConfigurationAge& aAge)
+{
+  const std::uint64_t since = m_reportsSent - aAge.m_report;
+  if (aAge.m_report > m_reportsSent || since >= m_reportedAt.size()) {
+    return; // in answer to one that was sent too long ago
+  }
+  const base::TimePoint heardAt = m_reportedAt[since] - std::chrono::milliseconds(aAge.m_ageMillis);
+  m_heardAt = std::max(m_heardAt.value_or(heardAt), heardAt);
+}
+
+bool KeeperLink::MayBeBehind(base::TimePoint aNow) const
+{
+  return base::MayBeBehind(m_heardAt, base::DeniesWithin(m_options.m_configurationDue), aNow);
 }
 
 void KeeperLink::OnFrame(std::string_view aBytes)
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // for min
 
+#include "ferrytray/base/known_age.hpp" // for DeniesWithin
+
 namespace ferrytray::relay {
 
 namespace {
@@ -31,10 +33,6 @@
 // A host that hears of operators through another one reads by itself before the bound is over.
 constexpr int kOperatorNewsPart = 85;
 
-// Whatever was acknowledged before the read was begun is known. So what a host denies is right if
-// that read is no older than the bound; the rest is for clocks that run apart.
-constexpr int kDenialPart = 90;
-
 base::Duration Part(base::Duration aWhole, int aPercent)
 {
   constexpr int kWholePercent = 100;
@@ -65,7 +63,7 @@
 
 base::Duration DeniesWithin(const LogBounds& aBounds)
 {
-  return Part(OperatorsDue(aBounds), kDenialPart);
+  return base::DeniesWithin(OperatorsDue(aBounds));
 }
 
 } // namespace ferrytray::relay
--- a/tools/gate_main.cpp
+++ b/tools/gate_main.cpp
@@ -28,6 +28,7 @@
            SettingKind::Millis })
     .Add({ "drain-wait", "2000", "for the balancer to notice a stop", SettingKind::Millis })
     .Add({ "claim-timeout", "2000", "for the log to settle a caller's key", SettingKind::Millis })
+    .Add({ "config-due", "3000", "a change is in force within so long", SettingKind::Millis })
     .Add({ "claim-window",
            "3600000",
            "how long a caller's key is held; the log must keep longer",
@@ -47,6 +48,7 @@
   options.m_drainWait = aSettings.Millis("drain-wait");
   options.m_claimTimeout = aSettings.Millis("claim-timeout");
   options.m_claimWindow = aSettings.Millis("claim-window");
+  options.m_configurationDue = aSettings.Millis("config-due");
   options.m_incarnation = options.m_host + "-" + std::to_string(daemon::NewIncarnation());
   const auto addresses = daemon::ReadAddresses(aSettings,
                                                { { "listen", &options.m_listen },
