--- /dev/null
+++ b/src/ferrytray/keeper/endpoint_watch_test.cpp
@@ -0,0 +1,73 @@
+// Found by reading, looking for silence that is taken for no news: the platform answers "not
+// modified" to a tag that this keeper sends it. The keeper kept the tag of a list whose answer
+// broke off or could not be read, so it was told "not modified" of a list that it had never taken,
+// until the next change of any host: leaving endpoints got work, new ones none.
+#include "ferrytray/keeper/endpoint_watch.hpp"
+
+#include "tests/support/fake_http.hpp" // for FakeHttpClient
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kList =
+  R"({"hosts":[{"name":"h1","zone":"z1","role":"entry","address":"10.0.0.1:1"}]})";
+
+} // namespace
+
+TEST_GROUP(EndpointWatch)
+{
+  net::Loop m_loop;
+  support::FakeHttpClient m_http;
+  keeper::KeeperOptions m_options;
+  std::unique_ptr<keeper::EndpointWatch> m_watch;
+  std::size_t m_taken = 0; ///< lists
+
+  void setup() override
+  {
+    m_options.m_platform = "http://10.0.0.9:1";
+    m_options.m_hostListPoll = 1ms;
+    m_options.m_loadPoll = 1h;
+    m_watch = std::make_unique<keeper::EndpointWatch>(m_loop, m_http, m_options);
+    m_watch->Start([this](const auto&) { ++m_taken; });
+  }
+  void Answer(const std::string& aBody, net::WireEnd aEnd)
+  {
+    m_http.Head(200, {});
+    m_http.Data(aBody);
+    m_http.End(aEnd, "\"7\"");
+  }
+  /// Whether the next question lets the platform answer "not modified".
+  bool AsksForChangesOnly()
+  {
+    const std::size_t before = m_http.m_calls.size();
+    for (int i = 0; i < 1000 && m_http.m_calls.size() == before; ++i) {
+      m_loop.RunFor(1ms);
+    }
+    return !m_http.m_calls.back().m_request.m_headers.empty();
+  }
+};
+
+TEST(EndpointWatch, AListThatWasTakenIsAskedForOnlyIfItChanged)
+{
+  Answer(kList, net::WireEnd::Complete);
+  LONGS_EQUAL(1, m_taken);
+  CHECK(AsksForChangesOnly());
+}
+
+TEST(EndpointWatch, AListThatBrokeOffIsAskedForAgain)
+{
+  Answer(kList.substr(0, kList.size() / 2), net::WireEnd::BrokenReply);
+  LONGS_EQUAL(0, m_taken);
+  CHECK_FALSE(AsksForChangesOnly());
+}
+
+TEST(EndpointWatch, AListThatCannotBeReadIsAskedForAgain)
+{
+  Answer("{}", net::WireEnd::Complete);
+  LONGS_EQUAL(0, m_taken);
+  CHECK_FALSE(AsksForChangesOnly());
+}
--- a/tests/support/fake_http.hpp
+++ b/tests/support/fake_http.hpp
@@ -45,12 +45,13 @@
     const auto events = m_calls.back().m_events;
     events.m_onData(aPiece);
   }
-  void End(ferrytray::net::WireEnd aEnd)
+  void End(ferrytray::net::WireEnd aEnd, const std::string& aEtag = "")
   {
     const auto events = m_calls.back().m_events;
     ferrytray::net::ClientOutcome outcome;
     outcome.m_end = aEnd;
     outcome.m_status = m_calls.back().m_status;
+    outcome.m_etag = aEtag;
     events.m_onEnd(outcome);
   }
 
