--- a/include/ferrytray/keeper/endpoint_watch.hpp
+++ b/include/ferrytray/keeper/endpoint_watch.hpp
@@ -48,7 +48,8 @@
   };
 
   void PollHostList();
-  void OnHostList(const std::string& aJson);
+  /// @return whether the list could be read
+  bool OnHostList(const std::string& aJson);
   void PollLoads();
   void OnLoad(const std::string& aName, const std::string& aJson);
 
--- a/src/ferrytray/keeper/endpoint_watch.cpp
+++ b/src/ferrytray/keeper/endpoint_watch.cpp
@@ -51,19 +51,20 @@
   m_http.Fetch(std::move(request),
                [this](const net::ClientOutcome& aOutcome, const std::string& aBody) {
                  m_listing = false;
-                 if (aOutcome.m_status == kOk) {
+                 const bool whole = aOutcome.m_end == net::WireEnd::Complete;
+                 // The platform says "not modified" to a tag; so only of a list that was taken.
+                 if (whole && aOutcome.m_status == kOk && OnHostList(aBody)) {
                    m_listTag = aOutcome.m_etag;
-                   OnHostList(aBody);
                  }
                });
 }
 
-void EndpointWatch::OnHostList(const std::string& aJson)
+bool EndpointWatch::OnHostList(const std::string& aJson)
 {
   const auto hosts = wire::ParseHostList(aJson);
   if (!hosts) {
     telemetry::LogLine("host_list_unreadable").Add("why", hosts.error().m_message);
-    return;
+    return false;
   }
   std::vector<wire::ListedHost> entries;
   std::map<std::string, std::string> current;
@@ -87,6 +88,7 @@
   m_endpoints = std::move(listed);
   m_leaving.Prune(current);
   m_onHosts(entries);
+  return true;
 }
 
 void EndpointWatch::PollLoads()
