--- a/include/ferrytray/keeper/half_controller.hpp
+++ b/include/ferrytray/keeper/half_controller.hpp
@@ -6,7 +6,6 @@
 #include <vector> // for vector
 
 #include "ferrytray/config/document.hpp"   // for HalfRule
-#include "ferrytray/control/half_rule.hpp" // for HalfView
 #include "ferrytray/keeper/options.hpp"    // for KeeperOptions
 #include "ferrytray/membership/member.hpp" // for Member
 #include "ferrytray/wire/frames.hpp"       // for HalfUpdate
@@ -15,9 +14,6 @@
 
 namespace ferrytray::keeper {
 
-/// @brief A rule as control::HalfView sees it.
-control::HalfView ViewOf(const config::HalfRule& aRule, const wire::HalfEpochs& aEpochs);
-
 /// @brief Records the ends of hand-overs in this half's log: its own, once every gate has drained,
 /// and the other half's, once the other half says that it has recorded one.
 class HalfController
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -8,9 +8,11 @@
 #include "ferrytray/control/half_rule.hpp"     // for MayServe
 #include "ferrytray/gate/cache_watch.hpp"      // for CacheWatch
 #include "ferrytray/gate/model_exchange.hpp"   // for ModelExchange
+#include "ferrytray/gate/operator_pages.hpp"   // for AnswerOperator
 #include "ferrytray/gate/service_exchange.hpp" // for ServiceExchange
 #include "ferrytray/gate/ticket_handover.hpp"  // for TicketMover
 #include "ferrytray/telemetry/log_line.hpp"    // for LogLine
+#include "ferrytray/wire/half_view.hpp"        // for HalfViewOf
 
 namespace ferrytray::gate {
 
@@ -176,7 +178,7 @@
 
   void OnRequest(const HttpRequest& aRequest, const ReplyPtr& aReply)
   {
-    if (AnswerOperators(aRequest, aReply)) {
+    if (AnswerOperator(m_core, m_server->Counters(), m_draining, aRequest, aReply)) {
       return;
     }
     const std::string id = RequestIdOf(aRequest);
@@ -261,7 +263,7 @@
       return {};
     }
     const auto epochs = m_core.m_keeper->Epochs(aRule->m_name);
-    if (epochs && control::MayServe(ViewOf(*aRule, *epochs))) {
+    if (epochs && control::MayServe(wire::HalfViewOf(*aRule, *epochs))) {
       return {};
     }
     return tl::unexpected(base::Failure{ ErrorCode::OtherHalfOwns,
@@ -270,17 +272,6 @@
                                          kSecond });
   }
 
-  static control::HalfView ViewOf(const config::HalfRule& aRule, const wire::HalfEpochs& aEpochs)
-  {
-    control::HalfWish wish = control::HalfWish::There;
-    if (aRule.m_owner == config::Owner::Here) {
-      wish = control::HalfWish::Here;
-    } else if (aRule.m_owner == config::Owner::HandingOver) {
-      wish = control::HalfWish::HandingOver;
-    }
-    return { wish, aRule.m_epoch, aEpochs.m_given, aEpochs.m_received };
-  }
-
   /// Hand-overs that this gate refuses new work of and has none open of.
   [[nodiscard]] std::vector<std::string> DrainedRules() const
   {
@@ -357,56 +348,6 @@
     return {};
   }
 
-  // --- operators ---------------------------------------------------------------------------
-
-  bool AnswerOperators(const HttpRequest& aRequest, const ReplyPtr& aReply)
-  {
-    const auto text = [&](int aStatus, std::string aText) {
-      aReply->Send(aStatus, { { "Content-Type", "text/plain" } }, std::move(aText));
-      return true;
-    };
-    if (aRequest.m_path == "/healthz") {
-      return text(200, "ok\n");
-    }
-    if (aRequest.m_path == "/readyz") {
-      const bool ready = !m_draining && m_core.m_keeper->HasConfig() && m_core.m_view.Known();
-      return text(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-    }
-    if (aRequest.m_path == "/metrics") {
-      return text(200, RenderMetrics());
-    }
-    const std::string handover = "/handover/";
-    if (aRequest.m_path.rfind(handover, 0) == 0) {
-      const auto epochs = m_core.m_keeper->Epochs(aRequest.m_path.substr(handover.size()));
-      const nlohmann::json body{ { "epoch", epochs ? epochs->m_given : 0 } };
-      aReply->Send(200, { { "Content-Type", "application/json" } }, body.dump());
-      return true;
-    }
-    const std::string explain = "/explain/";
-    if (aRequest.m_path.rfind(explain, 0) == 0) {
-      const std::string found = m_core.m_decisions.Explain(aRequest.m_path.substr(explain.size()));
-      return text(found.empty() ? 404 : 200,
-                  found.empty() ? "no such request is remembered\n" : found);
-    }
-    return false;
-  }
-
-  std::string RenderMetrics()
-  {
-    const net::HttpServerCounters counters = m_server->Counters();
-    telemetry::Metrics& metrics = m_core.m_metrics;
-    metrics.Set("open_requests", static_cast<double>(m_core.m_openWork));
-    metrics.Set("open_connections", static_cast<double>(counters.m_accepted - counters.m_closed));
-    metrics.Set("connections_without_request_total",
-                static_cast<double>(counters.m_closedBeforeRequest));
-    metrics.Set("endpoints_known", static_cast<double>(m_core.m_view.Endpoints().size()));
-    metrics.Set("tickets", static_cast<double>(m_core.m_tickets.Size()));
-    metrics.Set("held_keys", static_cast<double>(m_core.m_claims.HeldKeys()));
-    metrics.Set("config_position", static_cast<double>(m_core.m_keeper->Position()));
-    metrics.Set("keeper_connected", m_core.m_keeper->Connected() ? 1 : 0);
-    return metrics.Render();
-  }
-
   GateCore m_core;
   FleetQueues m_queues;
   Exporter m_exporter;
--- a/src/ferrytray/keeper/half_controller.cpp
+++ b/src/ferrytray/keeper/half_controller.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp> // for json
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/wire/half_view.hpp"     // for HalfViewOf
 
 namespace ferrytray::keeper {
 
@@ -17,19 +18,6 @@
 constexpr const char* kReceived = "received";
 constexpr base::Duration kAskTimeout = std::chrono::seconds(2);
 
-control::HalfWish WishOf(config::Owner aOwner)
-{
-  switch (aOwner) {
-    case config::Owner::Here:
-      return control::HalfWish::Here;
-    case config::Owner::HandingOver:
-      return control::HalfWish::HandingOver;
-    case config::Owner::There:
-      break;
-  }
-  return control::HalfWish::There;
-}
-
 /// Every listed host must say so itself: one that is cut off may still serve by its old file.
 bool EveryGateDrained(const std::string& aMark,
                       const std::set<std::string>& aListed,
@@ -46,11 +34,6 @@
 
 } // namespace
 
-control::HalfView ViewOf(const config::HalfRule& aRule, const wire::HalfEpochs& aEpochs)
-{
-  return { WishOf(aRule.m_owner), aRule.m_epoch, aEpochs.m_given, aEpochs.m_received };
-}
-
 HalfController::HalfController(net::Loop& aLoop,
                                net::HttpClient& aHttp,
                                const KeeperOptions& aOptions)
@@ -108,7 +91,7 @@
     return;
   }
   for (const config::HalfRule* rule : aRules) {
-    const control::HalfView view = ViewOf(*rule, EpochsOf(rule->m_name));
+    const control::HalfView view = wire::HalfViewOf(*rule, EpochsOf(rule->m_name));
     const std::string mark = rule->m_name + "@" + std::to_string(rule->m_epoch);
     if (control::MayRecordEnd(view, EveryGateDrained(mark, aListed, aMembers))) {
       Record(kGiven, rule->m_name, rule->m_epoch);
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -6,10 +6,10 @@
 #include <span>      // for span
 #include <utility>   // for move
 
-#include "ferrytray/config/parse.hpp"         // for Parse
-#include "ferrytray/keeper/peer_catch_up.hpp" // for PeerCatchUp
-#include "ferrytray/keeper/status_json.hpp"   // for StatusJson
-#include "ferrytray/telemetry/log_line.hpp"   // for LogLine
+#include "ferrytray/config/parse.hpp"          // for Parse
+#include "ferrytray/keeper/operator_pages.hpp" // for OperatorPages
+#include "ferrytray/keeper/peer_catch_up.hpp"  // for PeerCatchUp
+#include "ferrytray/telemetry/log_line.hpp"    // for LogLine
 
 namespace ferrytray::keeper {
 
@@ -58,6 +58,8 @@
     , m_swaps(aLoop, *m_http, m_options)
     , m_halves(aLoop, *m_http, m_options)
     , m_catchUp(aLoop, m_config, m_options.m_host)
+    , m_pages({ m_options.m_host, m_config, m_endpoints, *m_http, m_metrics },
+              [this] { PushEndpoints(); })
   {
   }
 
@@ -73,7 +75,7 @@
     httpOptions.m_listen = m_options.m_http;
     auto http =
       net::HttpServer::Create(m_loop, httpOptions, [this](net::HttpRequest aRequest, auto aReply) {
-        OnHttp(aRequest, aReply);
+        m_pages.Answer(aRequest, *aReply, *m_members);
       });
     for (const base::Failure* failure : { gossip ? nullptr : &gossip.error(),
                                           control ? nullptr : &control.error(),
@@ -338,57 +340,6 @@
     return hasGate ? std::min(mine, m_gate.m_position) : mine;
   }
 
-  // --- status ------------------------------------------------------------------------------
-
-  void OnHttp(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply)
-  {
-    const auto sendText = [&](int aStatus, std::string aText) {
-      aReply->Send(aStatus, { { "Content-Type", "text/plain" } }, std::move(aText));
-    };
-    if (aRequest.m_path == "/healthz") {
-      sendText(200, "ok\n");
-    } else if (aRequest.m_path == "/readyz") {
-      sendText(m_config.Ready() ? 200 : 503,
-               m_config.Ready() ? "ready\n" : "no configuration yet\n");
-    } else if (aRequest.m_path == "/metrics") {
-      m_metrics.Set("members_live", static_cast<double>(m_members->Live().size()));
-      m_metrics.Set("config_position", static_cast<double>(m_config.Replay().Position()));
-      m_metrics.Set("http_bytes_total", static_cast<double>(m_http->BytesMoved()));
-      m_metrics.Set("log_reachable", m_config.LogReachable() ? 1 : 0);
-      sendText(200, m_metrics.Render());
-    } else if (aRequest.m_path == "/status") {
-      aReply->Send(200, { { "Content-Type", "application/json" } }, Status());
-    } else if (aRequest.m_path == "/drain" && aRequest.m_method == "POST") {
-      OnDrain(aRequest, aReply);
-    } else {
-      sendText(404, "no such path\n");
-    }
-  }
-
-  void OnDrain(const net::HttpRequest& aRequest, const std::shared_ptr<net::HttpReply>& aReply)
-  {
-    const std::string wanted = aRequest.QueryValue("endpoint");
-    for (const wire::EndpointStatus& endpoint : m_endpoints.Endpoints(base::MonotonicNow())) {
-      if (endpoint.m_host.m_name == wanted) {
-        m_endpoints.MarkLeaving(wanted, endpoint.m_host.m_incarnation);
-        PushEndpoints();
-        aReply->Send(200, {}, "draining\n");
-        return;
-      }
-    }
-    aReply->Send(404, {}, "no such endpoint\n");
-  }
-
-  [[nodiscard]] std::string Status() const
-  {
-    return StatusJson({ m_options.m_host,
-                        m_config.Replay(),
-                        m_config.Ready(),
-                        m_config.LogReachable(),
-                        m_members->Live(),
-                        m_endpoints.Endpoints(base::MonotonicNow()) });
-  }
-
   net::Loop& m_loop;
   KeeperOptions m_options;
   std::unique_ptr<net::HttpClient> m_http;
@@ -412,6 +363,7 @@
   net::TimerHandle m_push;
   net::TimerHandle m_leaving;
   std::uint64_t m_rounds = 0;
+  OperatorPages m_pages;
 };
 
 } // namespace
