A gate asks its keeper for the age of its configuration in a frame of its own

Reading the diff: the question went as a new field of GateReport, which a keeper of an older version on the same host could not have read, so it would have lost the gate's reports (tickets, drained rules) while a host is replaced program by program. Such a keeper passes over the new frame; its gate denies nothing until the keeper is replaced, too. Not run: two versions on one host. wire_test 8, integration_control_test 12: green.

--- a/include/ferrytray/gate/keeper_link.hpp
+++ b/include/ferrytray/gate/keeper_link.hpp
@@ -47,6 +47,7 @@
 
 private:
   void Connect();
+  void AskAge();
   void OnFrame(std::string_view aBytes);
   void Handle(const wire::StateUpdate& aUpdate);
   void Handle(const wire::EndpointUpdate& aUpdate);
@@ -66,8 +67,8 @@
   replay::Registry m_registry;
   std::map<std::string, std::uint64_t> m_accepted;
   std::uint64_t m_position = 0;
-  std::uint64_t m_reportsSent = 0;
-  std::deque<base::TimePoint> m_reportedAt; ///< of the newest reports, the last one first
+  std::uint64_t m_asked = 0;                ///< number of the newest question of age
+  std::deque<base::TimePoint> m_askedAt;    ///< of the newest ones, the last one first
   std::optional<base::TimePoint> m_heardAt; ///< what the log had taken by then is known
   bool m_hasConfig = false;
   bool m_halvesKnown = false;
--- a/include/ferrytray/wire/frames.hpp
+++ b/include/ferrytray/wire/frames.hpp
@@ -71,11 +71,18 @@
   std::vector<HalfEpochs> m_rules;
 };
 
-/// @brief How old the configuration may be at the keeper, in answer to a gate's report. The gate
-/// counts from when it sent that report, so that frames that lay about seem no fresher.
+/// @brief A gate asks its keeper how old the configuration may be. A frame of its own, so that a
+/// keeper of an older version passes over it and still reads the gate's reports.
+struct ConfigurationAgeQuestion
+{
+  std::uint64_t m_number = 0; ///< counts up at each gate
+};
+
+/// @brief The answer. The gate counts from when it asked, so that frames that lay in a buffer while
+/// it stood still seem no fresher.
 struct ConfigurationAge
 {
-  std::uint64_t m_report = 0; ///< number of that report
+  std::uint64_t m_question = 0; ///< its number
   /// Since the keeper's last answered read of the log was begun.
   std::uint64_t m_ageMillis = 0;
 };
@@ -83,7 +90,6 @@
 /// @brief A gate's own news, every round.
 struct GateReport
 {
-  std::uint64_t m_number = 0;   ///< counts up at each gate
   std::string m_address;        ///< where it serves callers
   std::string m_control;        ///< where it takes ticket tables (TCP frames)
   std::uint64_t m_position = 0; ///< configuration in force there
@@ -116,6 +122,7 @@
                            TicketHandover,
                            TicketAck,
                            HalfUpdate,
+                           ConfigurationAgeQuestion,
                            ConfigurationAge>;
 
 /// @brief A frame's bytes (cereal's binary archive).
--- a/src/ferrytray/gate/keeper_link.cpp
+++ b/src/ferrytray/gate/keeper_link.cpp
@@ -12,8 +12,8 @@
 
 constexpr base::Duration kReconnect = std::chrono::milliseconds(250);
 constexpr base::Duration kReportEvery = std::chrono::milliseconds(250);
-/// An answer to an older report tells nothing that is of use: 16 s with one each 250 ms.
-constexpr std::size_t kReportsKept = 64;
+/// An answer to an older question tells nothing that is of use: 16 s with one each 250 ms.
+constexpr std::size_t kQuestionsKept = 64;
 
 } // namespace
 
@@ -53,25 +53,28 @@
 
 void KeeperLink::ReportNow()
 {
-  if (!m_channel) {
-    return;
+  if (m_channel) {
+    m_channel->Send(wire::EncodeFrame(m_handlers.m_makeReport()));
+    AskAge();
   }
-  wire::GateReport report = m_handlers.m_makeReport();
-  report.m_number = ++m_reportsSent;
-  m_reportedAt.push_front(base::MonotonicNow());
-  if (m_reportedAt.size() > kReportsKept) {
-    m_reportedAt.pop_back();
+}
+
+void KeeperLink::AskAge()
+{
+  m_askedAt.push_front(base::MonotonicNow());
+  if (m_askedAt.size() > kQuestionsKept) {
+    m_askedAt.pop_back();
   }
-  m_channel->Send(wire::EncodeFrame(report));
+  m_channel->Send(wire::EncodeFrame(wire::ConfigurationAgeQuestion{ ++m_asked }));
 }
 
 void KeeperLink::Handle(const wire::ConfigurationAge& aAge)
 {
-  const std::uint64_t since = m_reportsSent - aAge.m_report;
-  if (aAge.m_report > m_reportsSent || since >= m_reportedAt.size()) {
+  const std::uint64_t since = m_asked - aAge.m_question;
+  if (aAge.m_question > m_asked || since >= m_askedAt.size()) {
     return; // in answer to one that was sent too long ago
   }
-  const base::TimePoint heardAt = m_reportedAt[since] - std::chrono::milliseconds(aAge.m_ageMillis);
+  const base::TimePoint heardAt = m_askedAt[since] - std::chrono::milliseconds(aAge.m_ageMillis);
   m_heardAt = std::max(m_heardAt.value_or(heardAt), heardAt);
 }
 
--- a/src/ferrytray/keeper/keeper.cpp
+++ b/src/ferrytray/keeper/keeper.cpp
@@ -203,15 +203,16 @@
       PushPeers();
     } else if (const auto* report = std::get_if<wire::GateReport>(&*frame)) {
       OnGateReport(*report);
-      TellAge(*found->m_channel, report->m_number);
+    } else if (const auto* question = std::get_if<wire::ConfigurationAgeQuestion>(&*frame)) {
+      TellAge(*found->m_channel, question->m_number);
     }
   }
 
-  void TellAge(net::FrameChannel& aGate, std::uint64_t aReport) const
+  void TellAge(net::FrameChannel& aGate, std::uint64_t aQuestion) const
   {
     if (const auto heardAt = m_config.HeardAt()) {
       const auto age = static_cast<std::uint64_t>(base::ToMillis(base::MonotonicNow() - *heardAt));
-      aGate.Send(wire::EncodeFrame(wire::ConfigurationAge{ aReport, age + 1 })); // rounded up
+      aGate.Send(wire::EncodeFrame(wire::ConfigurationAge{ aQuestion, age + 1 })); // rounded up
     }
   }
 
--- a/src/ferrytray/wire/frames.cpp
+++ b/src/ferrytray/wire/frames.cpp
@@ -184,15 +184,20 @@
 template<typename Archive>
 void serialize(Archive& aArchive, GateReport& aFrame)
 {
-  aArchive(aFrame.m_number);
   aArchive(aFrame.m_address, aFrame.m_control, aFrame.m_position, aFrame.m_openWork);
   aArchive(aFrame.m_tickets, aFrame.m_demand, aFrame.m_leaving, aFrame.m_drained);
 }
 
+template<typename Archive>
+void serialize(Archive& aArchive, ConfigurationAgeQuestion& aFrame)
+{
+  aArchive(aFrame.m_number);
+}
+
 template<typename Archive>
 void serialize(Archive& aArchive, ConfigurationAge& aFrame)
 {
-  aArchive(aFrame.m_report, aFrame.m_ageMillis);
+  aArchive(aFrame.m_question, aFrame.m_ageMillis);
 }
 
 template<typename Archive>
