--- a/include/ferrytray/experiment/trace.hpp
+++ b/include/ferrytray/experiment/trace.hpp
@@ -16,16 +16,16 @@
   std::uint32_t m_tail = 0;    ///< tokens after the context
 };
 
-/// @brief Which deployment's traffic.
+/// @brief What the traffic is made of.
 enum class Mix : std::uint8_t
 {
-  Directorate, ///< drafts of a sitting, excerpts, budget-week bursts
-  Kauri,       ///< long datasheet bundles that repeat, short lookups
+  BurstsOfDrafts,    ///< drafts of a sitting, excerpts, bursts of some weeks
+  BundlesAndLookups, ///< long datasheet bundles that repeat, short lookups
 };
 
 struct TraceOptions
 {
-  Mix m_mix = Mix::Directorate;
+  Mix m_mix = Mix::BurstsOfDrafts;
   std::uint64_t m_seed = 1;
   double m_seconds = 1800; ///< scaled time
   double m_load = 0.8;     ///< of the engines' prefill capacity if everything were computed
--- a/src/ferrytray/experiment/trace.cpp
+++ b/src/ferrytray/experiment/trace.cpp
@@ -28,7 +28,7 @@
 
 Shape ShapeOf(Mix aMix)
 {
-  if (aMix == Mix::Kauri) {
+  if (aMix == Mix::BundlesAndLookups) {
     return { 0.7, 40, 160, 6, 90, 1.0, false };
   }
   return { 0.6, 15, 80, 3, 60, 0.8, true };
--- a/tools/load_sweep.cpp
+++ b/tools/load_sweep.cpp
@@ -19,15 +19,15 @@
 struct Scenario
 {
   std::string m_name;
-  Mix m_mix = Mix::Directorate;
+  Mix m_mix = Mix::BurstsOfDrafts;
   std::uint32_t m_workers = 14;
   routing::CostWeights m_weights;
 };
 
 std::vector<Scenario> Scenarios()
 {
-  return { { "directorate", Mix::Directorate, 14, { 1, 0.2, 0.1 } },
-           { "kauri", Mix::Kauri, 18, { 1, 2, 0.5, 4 } } };
+  return { { "directorate", Mix::BurstsOfDrafts, 14, { 1, 0.2, 0.1 } },
+           { "kauri", Mix::BundlesAndLookups, 18, { 1, 2, 0.5, 4 } } };
 }
 
 std::vector<Policy> PoliciesFor(const Scenario& aScenario)
