--- /dev/null
+++ b/tests/suspension_test.cpp
@@ -0,0 +1,83 @@
+// A host that is suspended and resumed, such as a virtual machine that is moved.
+//
+// Seen: by the platform's pages a host may be suspended for seconds, which the steady clock does
+// not count. All ages, leases and due times were taken from that clock, so that a host that came
+// back took its lease for held, its configuration for fresh and its requests for in time. Proved by
+// the clocks below, which differ as they do after a suspension: the three first tests were red.
+#include <ctime>         // for clockid_t, timespec
+#include <sys/syscall.h> // for SYS_clock_gettime
+#include <unistd.h>      // for syscall
+
+#include "ferrytray/base/known_age.hpp"      // for MayBeBehind
+#include "ferrytray/base/time.hpp"           // for MonotonicNow
+#include "ferrytray/control/order_lease.hpp" // for OrderLease
+#include "ferrytray/net/loop.hpp"            // for Loop
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+namespace {
+
+/// For how long this process was suspended so far.
+time_t g_suspendedSeconds = 0;
+
+} // namespace
+
+/// Takes the place of the C library's in this program.
+extern "C" int clock_gettime(clockid_t aClock, timespec* aTime)
+{
+  const long result = syscall(SYS_clock_gettime, aClock, aTime);
+  if (result == 0 && (aClock == CLOCK_BOOTTIME || aClock == CLOCK_REALTIME)) {
+    aTime->tv_sec += g_suspendedSeconds;
+  }
+  return static_cast<int>(result);
+}
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Suspension){ void setup() override{ g_suspendedSeconds = 0;
+}
+}
+;
+
+TEST(Suspension, TimePassesWhileTheHostIsSuspended)
+{
+  const base::TimePoint before = base::MonotonicNow();
+  g_suspendedSeconds = 5;
+  const base::Duration passed = base::MonotonicNow() - before;
+  CHECK(passed >= 5s && passed < 60s);
+}
+
+TEST(Suspension, ALeaseThatRanOutMeanwhileIsNotHeldAndWhatWasHeardIsOld)
+{
+  control::OrderLease lease("self", {});
+  lease.OnRead(0, "", base::MonotonicNow());
+  lease.OnAppendSent(base::MonotonicNow());
+  lease.OnAppendTaken(0, base::MonotonicNow());
+  const std::optional<base::TimePoint> heardAt = base::MonotonicNow();
+  CHECK(lease.MayOrder(base::MonotonicNow()));
+  CHECK_FALSE(base::MayBeBehind(heardAt, 2s, base::MonotonicNow()));
+  g_suspendedSeconds = 5;
+  CHECK_FALSE(lease.MayOrder(base::MonotonicNow()));
+  CHECK(base::MayBeBehind(heardAt, 2s, base::MonotonicNow()));
+}
+
+TEST(Suspension, WhatFellDueMeanwhileIsDoneSoonAfterAndNotTheWholeDelayLater)
+{
+  net::Loop loop;
+  bool due = false;
+  bool notDue = true;
+  int ticks = 0;
+  const net::TimerHandle tick = loop.Every(10ms, [&] { ++ticks; });
+  const net::TimerHandle timer = loop.After(600s, [&] { due = true; });
+  const net::TimerHandle later = loop.After(1200s, [&] { notDue = false; });
+  loop.RunFor(30ms);
+  CHECK_FALSE(due);
+  g_suspendedSeconds = 601;
+  const int before = ticks;
+  while (ticks < before + 5) {
+    loop.RunFor(10ms);
+  }
+  CHECK(due);
+  CHECK(notDue);
+}
