Ages, leases and due times count the time in which the host was suspended

Cause: base::MonotonicNow() and the loop's timers read the steady clock, which stands still while the machine is suspended. So a holder of the order lease that came back gave orders by a lease that another host had by then, and what was heard seconds ago passed for fresh. ElapsedClock reads the boot-time clock; timers that fell due meanwhile run with the loop's next event (hosts, gates and keepers have ticks of 50 to 300 ms). libcurl's own timers still count running time: a call's due time is the exchange's timer.

--- a/include/ferrytray/base/time.hpp
+++ b/include/ferrytray/base/time.hpp
@@ -1,14 +1,28 @@
 #pragma once
 
-#include <chrono> // for microseconds, steady_clock, time_point
+#include <chrono> // for microseconds, time_point
 
 namespace ferrytray::base {
 
 /// @brief All spans of time are whole microseconds.
 using Duration = std::chrono::microseconds;
 
+/// @brief Time since the machine started, with the time in which it was suspended.
+///
+/// The steady clock stands still while the machine is suspended: by it, a lease that ran out
+/// meanwhile would be held and what was heard before would be fresh.
+struct ElapsedClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<ElapsedClock, duration>;
+  static constexpr bool is_steady = true;
+  static time_point now();
+};
+
 /// @brief A point on the monotonic clock. Decision parts are given it, never read it.
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using TimePoint = ElapsedClock::time_point;
 
 /// @brief Reads the monotonic clock. For daemons only.
 TimePoint MonotonicNow();
--- a/src/ferrytray/net/loop.cpp
+++ b/src/ferrytray/net/loop.cpp
@@ -4,9 +4,9 @@
 #include <sys/resource.h> // for getrlimit, setrlimit
 #include <utility>        // for move
 
-#include <asio/executor_work_guard.hpp> // for make_work_guard
-#include <asio/post.hpp>                // for post
-#include <asio/steady_timer.hpp>        // for steady_timer
+#include <asio/basic_waitable_timer.hpp> // for basic_waitable_timer
+#include <asio/executor_work_guard.hpp>  // for make_work_guard
+#include <asio/post.hpp>                 // for post
 
 #include "ferrytray/net/loop_impl.hpp" // for LoopImpl
 
@@ -51,7 +51,8 @@
   }
 
 private:
-  asio::steady_timer m_timer;
+  /// What fell due while the machine was suspended is noticed with the next event of the loop.
+  asio::basic_waitable_timer<base::ElapsedClock> m_timer;
   base::Duration m_period;
   bool m_repeat;
   bool m_cancelled = false;
