A request that only ran beside one that ends endpoints is sent once more, and cleared by a whole answer

What was blamed with others stayed away for good if no endpoint had answered it before, such as a long answer that is always alike and runs at every endpoint that others end. Explaining ends by other requests was tried and taken out: the popular one is found first and would have excused the ones that end endpoints. Now the first host by rank sends one of them 5 s after the last end, recorded before the send, so that no host does so again. It costs a request that does end endpoints one more of them; three are allowed.

--- a/include/ferrytray/base/time.hpp
+++ b/include/ferrytray/base/time.hpp
@@ -13,12 +13,14 @@
 /// meanwhile would be held and what was heard before would be fresh.
 struct ElapsedClock
 {
+  // NOLINTBEGIN(readability-identifier-naming): the names that clocks have in the standard library
   using duration = Duration;
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<ElapsedClock, duration>;
   static constexpr bool is_steady = true;
   static time_point now();
+  // NOLINTEND(readability-identifier-naming)
 };
 
 /// @brief A point on the monotonic clock. Decision parts are given it, never read it.
--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -23,8 +23,11 @@
   /// The same of a request that was answered whole before. Endpoints that fail together, such as
   /// those of one rack, may all run one that is popular.
   std::size_t m_endsThatTellOfGood = 6;
-  /// Of one request; more say nothing more of it, but explain what broke off beside it.
-  std::size_t m_mostEnds = 16;
+  /// Of one request; more say nothing more of it.
+  std::size_t m_mostEnds = 8;
+  /// After the last end. A request that only ran beside others that ended its endpoints may then be
+  /// sent once more, to be cleared by a whole answer.
+  base::Duration m_tryAfter = std::chrono::seconds(5);
   std::size_t m_mostSuspects = 4096;
   std::size_t m_mostNotices = 4096;
   std::size_t m_servedPlaces = 8192;
@@ -35,6 +38,7 @@
 {
   std::vector<EndpointKey> m_ends; ///< each once, sorted
   bool m_knownGood = false;        ///< some endpoint had answered it whole before
+  bool m_tried = false;            ///< it was sent once more after it had been kept away
   bool operator==(const Suspicion&) const = default;
 };
 
@@ -44,7 +48,9 @@
 /// request tells: its connection breaks like those of all others at that endpoint, and like one of
 /// a link that is cut. So requests that are alike are counted together, over all hosts, by the
 /// endpoints that broke off under them. A request is cleared by a whole answer; an end does not
-/// count if that endpoint answers again, or if it ran a request that is known to end endpoints.
+/// count if that endpoint answers again. What ran beside the request that ends endpoints is blamed
+/// with it: it is cleared by whole answers elsewhere, or when it is sent once more. That is done
+/// once only, whatever becomes of hosts, since a request that does end endpoints ends one more.
 class CrashBoard
 {
 public:
@@ -63,6 +69,11 @@
   /// @brief It was cleared: a record of it is gone.
   void OnRecordRemoved(const RequestKey& aRequest) { Drop(aRequest); }
 
+  /// @brief A host is to send the request once more though it is kept away.
+  void OnTried(const RequestKey& aRequest, base::TimePoint aNow);
+
+  /// @brief Whether the request is kept from all endpoints, and could be sent once more.
+  [[nodiscard]] bool MayTry(const RequestKey& aRequest, base::TimePoint aNow) const;
   /// @brief Whether the request is kept from all endpoints.
   [[nodiscard]] bool IsQuarantined(const RequestKey& aRequest) const;
   /// @brief What is known of a request that endpoints broke off under; empty if there is nothing.
@@ -87,13 +98,11 @@
 
   void AddEnd(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow);
   void MarkGood(const RequestKey& aRequest);
+  void MarkTried(const RequestKey& aRequest);
   void MarkAlive(EndpointKey aEndpoint);
   void TakeEnd(const RequestKey& aRequest, EndpointKey aEndpoint);
   void Drop(const RequestKey& aRequest);
   void MakeRoom();
-  /// Clears the requests that ran beside one that is known to end endpoints.
-  void Explain(const RequestKey& aRequest);
-  [[nodiscard]] bool IsExplained(EndpointKey aEndpoint, const RequestKey& aBut) const;
   [[nodiscard]] bool Tells(const Suspicion& aKnown) const;
 
   CrashBoardOptions m_options;
--- a/include/ferrytray/quarantine/crash_notice.hpp
+++ b/include/ferrytray/quarantine/crash_notice.hpp
@@ -16,6 +16,7 @@
   Broken,    ///< an endpoint closed the connection before its answer to the request was whole
   Answered,  ///< an endpoint answered it whole
   KnownGood, ///< an endpoint had answered it whole before
+  Tried,     ///< a host sends it once more though it is kept away
   Alive,     ///< an endpoint answered a request that was sent after it broke one off
 };
 
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -79,6 +79,14 @@
   void NoteAnswered();
   /// Requests that are alike end the endpoints that run them: this one is not sent any more.
   void KeepAway();
+  /// Asks whether this one may be sent though requests that are alike are kept away.
+  void ClaimTry();
+  /// Looks for a place and sends.
+  void Admit();
+  [[nodiscard]] bool IsKeptAway() const
+  {
+    return !m_isTry && m_core.m_crashes.IsQuarantined(m_key);
+  }
 
   RelayCore& m_core;
   CallerRequest m_request;
@@ -105,6 +113,7 @@
   bool m_lastAtHome = true;
   std::array<std::uint64_t, cache::kPartFates> m_lastTokens{}; ///< by cache::PartFate
   std::optional<base::TimePoint> m_beganAt;                    ///< the answer's first event
+  bool m_isTry = false; ///< sent once, though requests that are alike are kept away
   bool m_done = false;
 };
 
--- a/include/ferrytray/relay/quarantine_feed.hpp
+++ b/include/ferrytray/relay/quarantine_feed.hpp
@@ -31,6 +31,9 @@
   void OnOwn(const quarantine::RequestKey& aRequest);
   /// @brief The crash board has changed.
   void OnChange();
+  /// @brief Records that the request is sent once more though it is kept away.
+  /// @param aDone called once; whether this host may send it
+  void ClaimTry(const quarantine::RequestKey& aRequest, std::function<void(bool)> aDone);
   /// @brief Who records what other hosts saw.
   void OnRank(std::function<quarantine::WriterRank(const quarantine::RequestKey&)> aCall)
   {
@@ -49,6 +52,7 @@
   quarantine::RecordKeeper m_keeper;
   std::function<quarantine::WriterRank(const quarantine::RequestKey&)> m_rankOf;
   std::shared_ptr<store::TopicFollower> m_topic;
+  std::set<quarantine::RequestKey> m_claiming;
   std::set<quarantine::RequestKey> m_logged; ///< the requests that were last told to be kept away
   bool m_stopped = false;
   net::TimerHandle m_tick;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -105,6 +105,8 @@
   bool m_crashesLoaded = false;
   /// This host added to the crash board. Unset: nobody is told.
   std::function<void(const quarantine::RequestKey&)> m_onCrashesChanged;
+  /// Whether this host may send a request once more that is kept away; answers once. Unset: never.
+  std::function<void(const quarantine::RequestKey&, std::function<void(bool)>)> m_claimTry;
   peers::LoadBoard m_otherLoads; ///< other hosts' requests
   peers::ReloadBoard m_reloads;  ///< engines that load weights
   limits::RetryWindow m_retries;
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -71,7 +71,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, Suspicion& aSuspicion)
 {
-  aArchive(aSuspicion.m_ends, aSuspicion.m_knownGood);
+  aArchive(aSuspicion.m_ends, aSuspicion.m_knownGood, aSuspicion.m_tried);
 }
 
 } // namespace ferrytray::quarantine
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/quarantine/crash_board.hpp"
 
-#include <algorithm> // for any_of, lower_bound, nth_element
+#include <algorithm> // for lower_bound, nth_element
 #include <random>    // for random_device
 #include <tuple>     // for tuple
 
@@ -68,6 +68,9 @@
     case NoticeKind::Alive:
       MarkAlive(aNotice.m_endpoint);
       break;
+    case NoticeKind::Tried:
+      MarkTried(aNotice.m_request);
+      break;
   }
   return true;
 }
@@ -82,6 +85,21 @@
   if (aRecorded.m_knownGood) {
     MarkGood(aRequest);
   }
+  if (aRecorded.m_tried) {
+    MarkTried(aRequest);
+  }
+}
+
+bool CrashBoard::MayTry(const RequestKey& aRequest, base::TimePoint aNow) const
+{
+  const auto found = m_suspects.find(aRequest);
+  return found != m_suspects.end() && Tells(found->second.m_known) &&
+         !found->second.m_known.m_tried && aNow >= found->second.m_lastEndAt + m_options.m_tryAfter;
+}
+
+void CrashBoard::OnTried(const RequestKey& aRequest, base::TimePoint aNow)
+{
+  OnNotice({ NoticeKind::Tried, aRequest, 0, ++m_lastNumber }, aNow);
 }
 
 bool CrashBoard::Tells(const Suspicion& aKnown) const
@@ -126,9 +144,6 @@
 
 void CrashBoard::AddEnd(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow)
 {
-  if (IsExplained(aEndpoint, aRequest)) {
-    return;
-  }
   if (!m_suspects.contains(aRequest)) {
     MakeRoom();
   }
@@ -148,9 +163,6 @@
   End& end = m_ends[aEndpoint];
   end.m_requests.push_back(aRequest);
   end.m_heardAt = aNow;
-  if (Tells(suspect.m_known)) {
-    Explain(aRequest);
-  }
 }
 
 void CrashBoard::MarkGood(const RequestKey& aRequest)
@@ -161,26 +173,11 @@
   }
 }
 
-bool CrashBoard::IsExplained(EndpointKey aEndpoint, const RequestKey& aBut) const
-{
-  const auto found = m_ends.find(aEndpoint);
-  return found != m_ends.end() && !IsQuarantined(aBut) &&
-         std::any_of(
-           found->second.m_requests.begin(),
-           found->second.m_requests.end(),
-           [&](const RequestKey& aOther) { return aOther != aBut && IsQuarantined(aOther); });
-}
-
-void CrashBoard::Explain(const RequestKey& aRequest)
+void CrashBoard::MarkTried(const RequestKey& aRequest)
 {
-  const std::vector<EndpointKey> ends = m_suspects.at(aRequest).m_known.m_ends;
-  for (const EndpointKey end : ends) {
-    const std::vector<RequestKey> beside = m_ends.at(end).m_requests;
-    for (const RequestKey& other : beside) {
-      if (other != aRequest && !IsQuarantined(other)) {
-        TakeEnd(other, end);
-      }
-    }
+  const auto found = m_suspects.find(aRequest);
+  if (found != m_suspects.end()) {
+    found->second.m_known.m_tried = true;
   }
 }
 
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -53,10 +53,17 @@
   });
   // The reply holds the exchange until it is answered.
   m_reply->OnClosed([self = shared_from_this()] { self->OnCallerGone(); });
-  if (m_core.m_crashes.IsQuarantined(m_key)) {
+  if (!IsKeptAway()) {
+    Admit();
+  } else if (m_core.m_claimTry && m_core.m_crashes.MayTry(m_key, m_arrival)) {
+    ClaimTry();
+  } else {
     KeepAway(); // before it takes a place
-    return;
   }
+}
+
+void Exchange::Admit()
+{
   m_service = m_planner.PickService();
   m_admission = m_core.m_admission[m_service].Admit(m_admitted.m_route->m_targetLatency, m_arrival);
   if (!m_admission) {
@@ -99,7 +106,7 @@
 
 void Exchange::Send()
 {
-  if (m_core.m_crashes.IsQuarantined(m_key)) {
+  if (IsKeptAway()) {
     KeepAway();
     return;
   }
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -39,6 +39,22 @@
   }
 }
 
+void Exchange::ClaimTry()
+{
+  m_core.m_claimTry(m_key, [weak = weak_from_this()](bool aMay) {
+    const auto self = weak.lock();
+    if (!self || self->m_done) {
+      return;
+    }
+    self->m_isTry = aMay;
+    if (aMay) {
+      self->Admit();
+    } else {
+      self->KeepAway();
+    }
+  });
+}
+
 void Exchange::KeepAway()
 {
   const char* why = "requests like this one end the endpoints that run them";
--- a/src/ferrytray/relay/exchange_test.cpp
+++ b/src/ferrytray/relay/exchange_test.cpp
@@ -369,3 +369,40 @@
   LONGS_EQUAL(503, Ask("/once/x")->m_status);
   LONGS_EQUAL(0, m_client.m_calls.size());
 }
+
+TEST(Exchange, ARequestThatIsKeptAwayIsSentOnceMoreIfAllHostsAgree)
+{
+  const base::TimePoint before = base::MonotonicNow() - 1min;
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/again/x", "b" });
+  for (quarantine::EndpointKey end = 1; end <= 3; ++end) {
+    m_core.m_crashes.OnBroken(key, end, before);
+  }
+  bool may = false;
+  m_core.m_claimTry = [&](const quarantine::RequestKey&, const std::function<void(bool)>& aDone) {
+    aDone(may);
+  };
+  LONGS_EQUAL(503, Ask("/again/x", "k", "", "b")->m_status);
+  LONGS_EQUAL(0, m_client.m_calls.size());
+  may = true;
+  Ask("/again/x", "k", "", "b");
+  m_client.End(WireEnd::NoReply); // it ends this one, too: the host does not repeat it
+  LONGS_EQUAL(1, m_client.m_calls.size());
+  CHECK(m_core.m_crashes.IsQuarantined(key));
+}
+
+TEST(Exchange, AWholeAnswerToOneThatWasSentOnceMoreClearsAll)
+{
+  const base::TimePoint before = base::MonotonicNow() - 1min;
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/again/x", "b" });
+  for (quarantine::EndpointKey end = 1; end <= 3; ++end) {
+    m_core.m_crashes.OnBroken(key, end, before);
+  }
+  m_core.m_claimTry = [](const quarantine::RequestKey&, const std::function<void(bool)>& aDone) {
+    aDone(true);
+  };
+  const auto reply = Ask("/again/x", "k", "", "b");
+  m_client.Head(200, {});
+  m_client.End(WireEnd::Complete);
+  LONGS_EQUAL(200, reply->m_status);
+  CHECK_FALSE(m_core.m_crashes.IsQuarantined(key));
+}
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -106,6 +106,33 @@
                     });
 }
 
+void QuarantineFeed::ClaimTry(const quarantine::RequestKey& aRequest,
+                              std::function<void(bool)> aDone)
+{
+  std::optional<quarantine::Suspicion> known = m_core.m_crashes.Find(aRequest);
+  if (m_stopped || !known || !m_claiming.insert(aRequest).second) {
+    aDone(false);
+    return;
+  }
+  // The record comes before the send: were all hosts killed after it, none may try again.
+  known->m_tried = true;
+  m_log.AppendKeyed(
+    m_topicName,
+    base::ToHex(aRequest),
+    peers::Encode(*known),
+    [this, aRequest, done = std::move(aDone)](const base::Result<store::AppendResult>& aResult) {
+      m_claiming.erase(aRequest);
+      // The record may have been read back before this answer came, so it is not asked whether
+      // somebody tried meanwhile: only the first host by rank claims, two where hosts disagree.
+      const bool may = aResult && m_core.m_crashes.IsQuarantined(aRequest) && !m_stopped;
+      if (may) {
+        m_core.m_crashes.OnTried(aRequest, base::MonotonicNow());
+        LogChange(aRequest, "tried");
+      }
+      done(may);
+    });
+}
+
 void QuarantineFeed::OnRecord(const store::Record& aRecord)
 {
   const std::optional<quarantine::RequestKey> request = base::DigestFromHex(aRecord.m_key);
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -122,6 +122,14 @@
     }
     return m_news.IsReader() ? quarantine::WriterRank::Reader : quarantine::WriterRank::Other;
   });
+  m_core.m_claimTry = [this](const quarantine::RequestKey& aRequest,
+                             std::function<void(bool)> aDone) {
+    if (m_news.IsAmong(base::ToHex(aRequest), 1)) {
+      m_quarantine.ClaimTry(aRequest, std::move(aDone));
+    } else {
+      aDone(false);
+    }
+  };
   m_quarantine.Start();
 }
 
