Test that fails: gates send a request on that ends each service that runs it

The same cause as on the users' platform, looked for in the gate: an exchange knows its own sends only. Two gates, five services, the request again and again: all five ended.

--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -1,4 +1,5 @@
-#include <map> // for map
+#include <cstdlib> // for _Exit
+#include <map>     // for map
 
 #include "standins/standin.hpp" // for Serve
 
@@ -33,6 +34,9 @@
       SendError(aReply, 503, "leaving", false);
       return;
     }
+    if (aRequest.m_body.find("ends its service") != std::string::npos) {
+      std::_Exit(1);
+    }
     const std::string request(aRequest.Header("X-Request-Id"));
     const int count = ++m_ledger[request];
     const json answer{ { "echo", aRequest.m_body },
--- a/tests/integration/serving_test.cpp
+++ b/tests/integration/serving_test.cpp
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>  // for inet_pton
 #include <csignal>      // for SIGTERM
 #include <sys/socket.h> // for socket, connect
+#include <thread>       // for sleep_for
 #include <unistd.h>     // for write, close
 
 #include "ferrytray/net/address.hpp"        // for ParseAddress
@@ -260,3 +261,32 @@
   LONGS_EQUAL(2, decisions[0]["candidates"].size());
   CHECK(m_deployment.Operate({ "explain", "nobody" }).m_exitCode != 0);
 }
+
+// Seen with hosts on the users' platform: one request, which came again at any host, ended each
+// endpoint that ran it. A gate knew its own request's sends only, as well. Proved by this test: all
+// services were gone.
+TEST(Serving, ARequestThatEndsItsServicesIsKeptFromTheRestAtAllGates)
+{
+  EntryHost& other = m_deployment.AddHost("h2", "z1");
+  for (const char* name : { "c2", "c3", "c4", "c5" }) {
+    m_deployment.AddService(name);
+  }
+  Begin(1);
+  std::vector<EntryHost*> gates{ m_host, &other };
+  bool keptAway = false;
+  for (int i = 0; i < 12 && !keptAway; ++i) {
+    const Answer answer =
+      Send(CallService(*gates[static_cast<std::size_t>(i % 2)], "ends its service"));
+    keptAway = answer.Code() == 3007;
+    if (keptAway) {
+      LONGS_EQUAL(503, answer.m_status);
+      STRCMP_EQUAL("not_run", answer.Run().c_str());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500)); // callers come back later
+  }
+  CHECK(keptAway);
+  for (EntryHost* gate : gates) {
+    CHECK(WaitFor([&] { return Send(CallService(*gate, "ends its service")).Code() == 3007; }));
+    CHECK(WaitFor([&] { return Send(CallService(*gate, "bolts")).m_status == 200; }));
+  }
+}
