Gates keep a request away that ends the endpoints that run it, and tell each other through the log

Both kinds of exchanges ask it before a send and tell it of ends, whole answers and replies. Keepers send nothing to endpoints for callers; nothing of this is theirs.

--- a/include/ferrytray/gate/engine_attempt.hpp
+++ b/include/ferrytray/gate/engine_attempt.hpp
@@ -30,6 +30,7 @@
 struct AttemptBroken
 {
   std::string m_message;
+  bool m_closed = false; ///< the engine closed the connection, and could not go on
 };
 
 using AttemptEnd =
--- a/include/ferrytray/gate/gate_core.hpp
+++ b/include/ferrytray/gate/gate_core.hpp
@@ -8,6 +8,7 @@
 
 #include "ferrytray/gate/claims_link.hpp"       // for ClaimsLink
 #include "ferrytray/gate/context_log.hpp"       // for ContextLog
+#include "ferrytray/gate/crash_link.hpp"        // for CrashLink
 #include "ferrytray/gate/decision_log.hpp"      // for DecisionLog
 #include "ferrytray/gate/fleet_view.hpp"        // for FleetView
 #include "ferrytray/gate/keeper_link.hpp"       // for KeeperLink
@@ -30,6 +31,7 @@
   ContextLog m_contexts;
   DecisionLog m_decisions;
   ClaimsLink m_claims;
+  CrashLink m_crashes;
   once::TicketTable m_tickets;
   limits::AccountLimiter m_limiter;
   limits::RetryBudget m_retries;
--- a/include/ferrytray/gate/model_exchange.hpp
+++ b/include/ferrytray/gate/model_exchange.hpp
@@ -74,6 +74,8 @@
   void OnDeadline();
   void EndWork();
 
+  /// Of the engine that it was sent to: name and incarnation.
+  [[nodiscard]] std::string Life() const { return m_worker + "/" + m_workerIncarnation; }
   [[nodiscard]] routing::RequestShape Shape() const;
   [[nodiscard]] bool Idempotent() const;
   [[nodiscard]] base::RunState RunSoFar() const;
@@ -92,6 +94,8 @@
   std::string m_workerIncarnation;
   double m_workerSpeed = 1;
   std::uint32_t m_workerCached = 0;
+  quarantine::RequestKey m_key; ///< of all requests that are alike
+  base::TimePoint m_sentAt{};
   std::set<std::string> m_tried;
   base::TimePoint m_deadline;
   net::TimerHandle m_deadlineTimer;
--- a/include/ferrytray/gate/service_exchange.hpp
+++ b/include/ferrytray/gate/service_exchange.hpp
@@ -37,12 +37,17 @@
   void Answer(const net::ClientOutcome& aOutcome, const std::string& aBody);
   void Fail(base::ErrorCode aCode, const std::string& aMessage, base::RunState aRun);
   void EndWork();
+  /// What the reply's end says of the request and of the endpoint.
+  void NoteCrash(const net::ClientOutcome& aOutcome);
   [[nodiscard]] bool Idempotent() const;
 
   GateCore& m_core;
   ServiceCall m_call;
   std::shared_ptr<net::HttpReply> m_reply;
   std::shared_ptr<OnceGuard> m_guard;
+  quarantine::RequestKey m_key; ///< of all requests that are alike
+  std::string m_life;           ///< of the endpoint that it was sent to: name and incarnation
+  base::TimePoint m_sentAt{};
   std::set<std::string> m_tried;
   base::TimePoint m_deadline;
   std::uint32_t m_attempts = 0;
--- a/src/ferrytray/gate/engine_attempt.cpp
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -96,7 +96,7 @@
 void EngineAttempt::OnEvent(const EngineRefusal& aRefusal)
 {
   if (aRefusal.m_started) {
-    End(AttemptBroken{ aRefusal.m_message });
+    End(AttemptBroken{ aRefusal.m_message, false });
   } else {
     End(AttemptNotStarted{ aRefusal.m_message, false });
   }
@@ -117,14 +117,15 @@
   if (refused && first) {
     const EngineRefusal refusal = ReadRefusal(m_errorBody);
     if (refusal.m_started) {
-      End(AttemptBroken{ refusal.m_message });
+      End(AttemptBroken{ refusal.m_message, false });
     } else {
       End(AttemptNotStarted{ refusal.m_message, aOutcome.m_status == kUnavailable });
     }
     return;
   }
   if (refused || m_resumes >= kMaxResumes) {
-    End(AttemptBroken{ "the engine's stream broke: " + aOutcome.m_detail });
+    End(AttemptBroken{ "the engine's stream broke: " + aOutcome.m_detail,
+                       !refused && !aOutcome.m_timedOut });
     return;
   }
   ++m_resumes;
--- a/src/ferrytray/gate/gate.cpp
+++ b/src/ferrytray/gate/gate.cpp
@@ -91,6 +91,7 @@
       std::make_unique<KeeperLink>(m_core.m_loop, m_core.m_options, std::move(handlers));
     m_core.m_keeper->Start();
     m_core.m_claims.Start();
+    m_core.m_crashes.Start();
     m_queues.Start();
     m_cacheWatch.Start();
     m_expiry = m_core.m_loop.Every(kSecond, [this] { OnSecond(); });
--- a/src/ferrytray/gate/gate_core.cpp
+++ b/src/ferrytray/gate/gate_core.cpp
@@ -18,6 +18,7 @@
   , m_contexts(kRememberedContexts)
   , m_decisions(kRememberedDecisions)
   , m_claims(aLoop, *m_http, aOptions)
+  , m_crashes(aLoop, *m_http, aOptions)
   , m_tickets(aOptions.m_incarnation)
 {
 }
--- a/src/ferrytray/gate/model_exchange.cpp
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -43,6 +43,11 @@
 void ModelExchange::Start()
 {
   m_open = true;
+  m_key = quarantine::KeyOf({ m_call.m_account.m_name,
+                              m_call.m_http.m_method,
+                              "",
+                              m_call.m_http.m_target,
+                              m_call.m_http.m_body });
   m_core.Begin({ "fleet " + m_call.m_fleet.m_name, "account " + m_call.m_account.m_name });
   const base::Duration deadline =
     m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
@@ -134,6 +139,12 @@
   if (!m_open) {
     return;
   }
+  if (m_core.m_crashes.IsQuarantined(m_key)) {
+    Fail(ErrorCode::RequestQuarantined,
+         "requests like this one end the endpoints that run them",
+         kComeBack);
+    return;
+  }
   const base::TimePoint now = base::MonotonicNow();
   const auto candidates = m_core.m_view.Candidates(m_call.m_fleet, m_blocks, m_tried, now);
   std::vector<routing::WorkerView> workers;
@@ -256,6 +267,7 @@
 void ModelExchange::Run(const std::string& aImport)
 {
   ++m_attempts;
+  m_sentAt = base::MonotonicNow();
   const std::string attempt = m_core.NextAttempt();
   const base::Duration left = m_core.m_options.m_longestDeadline;
   const auto self = shared_from_this();
--- a/src/ferrytray/gate/model_exchange_end.cpp
+++ b/src/ferrytray/gate/model_exchange_end.cpp
@@ -21,6 +21,8 @@
 
 void ModelExchange::Handle(const AttemptComplete& aEnd)
 {
+  m_core.m_crashes.OnReply(Life(), m_sentAt);
+  m_core.m_crashes.OnAnswered(m_key);
   m_core.m_retries.OnSuccess();
   m_core.m_metrics.Count("requests_total{kind=\"model\",result=\"ok\"}");
   NoteUsage(aEnd.m_usage);
@@ -77,6 +79,9 @@
 void ModelExchange::Handle(const AttemptBroken& aEnd)
 {
   m_mayHaveRun = true;
+  if (aEnd.m_closed) {
+    m_core.m_crashes.OnBroken(m_key, Life());
+  }
   // Another run may word its answer differently, so text that was delivered cannot be continued.
   const bool delivered = m_answer.HasText();
   if (delivered || !TryAgain(RunState::Unknown)) {
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -14,6 +14,7 @@
 using base::RunState;
 
 constexpr int kUnavailable = 503;
+constexpr int kFirstServerSide = 500;
 constexpr base::Duration kExpectedCall = std::chrono::milliseconds(50);
 constexpr base::Duration kConnectTimeout = std::chrono::seconds(1);
 
@@ -43,6 +44,11 @@
 void ServiceExchange::Start()
 {
   m_open = true;
+  m_key = quarantine::KeyOf({ m_call.m_account.m_name,
+                              m_call.m_http.m_method,
+                              m_call.m_service.m_name,
+                              m_call.m_http.m_target,
+                              m_call.m_http.m_body });
   m_core.Begin({ "account " + m_call.m_account.m_name });
   const base::Duration deadline =
     m_call.m_terms.m_deadline.value_or(m_core.m_options.m_defaultDeadline);
@@ -79,9 +85,27 @@
   return m_call.m_terms.m_idempotent.value_or(m_call.m_service.m_idempotent && !guarded);
 }
 
+void ServiceExchange::NoteCrash(const net::ClientOutcome& aOutcome)
+{
+  if (aOutcome.m_end == net::WireEnd::Complete) {
+    m_core.m_crashes.OnReply(m_life, m_sentAt);
+    if (aOutcome.m_status < kFirstServerSide) {
+      m_core.m_crashes.OnAnswered(m_key);
+    }
+  } else if (aOutcome.m_end != net::WireEnd::NotSent && !aOutcome.m_timedOut) {
+    m_core.m_crashes.OnBroken(m_key, m_life);
+  }
+}
+
 void ServiceExchange::Send()
 {
   const base::TimePoint now = base::MonotonicNow();
+  if (m_core.m_crashes.IsQuarantined(m_key)) {
+    Fail(ErrorCode::RequestQuarantined,
+         "requests like this one end the endpoints that run them",
+         m_mayHaveRun ? RunState::Unknown : RunState::NotRun);
+    return;
+  }
   const wire::EndpointStatus* endpoint =
     m_core.m_view.PickService(m_call.m_service.m_name, m_tried, now);
   if (endpoint == nullptr) {
@@ -91,6 +115,8 @@
     return;
   }
   const std::string name = endpoint->m_host.m_name;
+  m_life = name + "/" + endpoint->m_host.m_incarnation;
+  m_sentAt = now;
   telemetry::LogLine("route_service")
     .Add("request", m_call.m_request)
     .Add("account", m_call.m_account.m_name)
@@ -122,6 +148,7 @@
                               const std::string& aBody)
 {
   m_core.m_view.EndService(aEndpoint);
+  NoteCrash(aOutcome);
   const bool complete = aOutcome.m_end == net::WireEnd::Complete;
   const bool refused = complete && SaysNotStarted(aOutcome, aBody);
   if (complete && !refused) {
