--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -17,8 +17,8 @@
 struct CrashBoardOptions
 {
   /// A request is kept from all endpoints when so many have broken off under it, one after the
-  /// other or at once, without a whole answer in between. A request that merely runs beside the
-  /// one that ends an endpoint meets that seldom twice.
+  /// other or at once, without a whole answer in between. One that merely runs beside the request
+  /// that ends them seldom meets that again and again.
   std::size_t m_endsThatTell = 3;
   /// The same of a request that was answered whole before. Endpoints that fail together, such as
   /// those of one rack, may all run one that is popular.
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -72,6 +72,8 @@
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
   void CheckLeft();
   void StartQuarantine();
+  /// The record log answers for the configuration and not for the quarantine.
+  void ServeWithoutQuarantine();
   /// Tells other hosts soon of what the crash board has got here.
   void OnCrashesChanged(const quarantine::RequestKey& aRequest);
 
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -88,8 +88,7 @@
   m_feeds.OnConfigured([this] {
     m_stores.OnConfiguration();
     if (!m_core.m_crashesLoaded && !m_withoutQuarantine) {
-      m_withoutQuarantine =
-        m_loop.After(kQuarantineWithin, [this] { m_core.m_crashesLoaded = true; });
+      m_withoutQuarantine = m_loop.After(kQuarantineWithin, [this] { ServeWithoutQuarantine(); });
     }
   });
   StartQuarantine();
@@ -109,6 +108,15 @@
   return {};
 }
 
+void RelayHost::ServeWithoutQuarantine()
+{
+  if (!std::exchange(m_core.m_crashesLoaded, true)) {
+    telemetry::LogLine("quarantine")
+      .Add("outcome", "not_read")
+      .Add("why", "the record log does not answer for it; requests are served without");
+  }
+}
+
 void RelayHost::StartQuarantine()
 {
   m_core.m_onCrashesChanged = [this](const quarantine::RequestKey& aRequest) {
