What the record log keeps of requests that end endpoints is read seldom while other hosts are heard

Hosts tell each other of these anyway, so the read is held open for 10 s; a host that hears of no other one for half of the bound asks at once, again and again.

--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -109,6 +109,12 @@
   {
     return m_looked && m_roster->IsAmong(aName, aFirst);
   }
+  /// @brief Whether there are other hosts, and none answered or asked for so long.
+  [[nodiscard]] bool IsAlone(base::Duration aFor, base::TimePoint aNow) const
+  {
+    const bool heard = m_heardAt && aNow < *m_heardAt + aFor;
+    return m_roster && m_roster->Hosts() > 1 && !heard;
+  }
   /// @brief Whether this host reads for others, or there are only a few.
   [[nodiscard]] bool IsReader() const { return m_direct; }
   [[nodiscard]] const std::string& Name() const { return m_options.m_name; }
@@ -202,6 +208,7 @@
   std::string m_source;                  ///< name of the host that was asked last
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
   std::optional<base::TimePoint> m_wasAskedAt;
+  std::optional<base::TimePoint> m_heardAt; ///< another host answered or asked
   FallbackReader m_fallback;
   ReplacedBoard m_replaced;
   std::map<std::string, CrashesKnown> m_crashesKnown; ///< by host
--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -34,12 +34,16 @@
   /// What another host passes on of the directory counts for so long after the log answered that
   /// host.
   base::Duration m_endpointNewsFresh = std::chrono::milliseconds(1300);
-  /// New records of requests that end endpoints wake a read that is held open for so long.
-  base::Duration m_quarantineWait = std::chrono::milliseconds(1500);
+  /// New records of requests that end endpoints wake a read that is held open for so long. Hosts
+  /// tell each other what is in them, so a read that is never answered costs nothing, and each one
+  /// is charged.
+  base::Duration m_quarantineWait = std::chrono::seconds(10);
+  /// A host that hears of no other one asks for them so often.
+  base::Duration m_quarantineAlone = std::chrono::milliseconds(1500);
   /// For an answer beyond that wait.
   base::Duration m_quarantinePatience = std::chrono::milliseconds(600);
   /// What another host passes on of these counts for so long after the log answered that host.
-  base::Duration m_quarantineNewsFresh = std::chrono::milliseconds(2500);
+  base::Duration m_quarantineNewsFresh = std::chrono::seconds(12);
 };
 
 /// @brief The figures that keep these bounds.
--- a/include/ferrytray/relay/quarantine_feed.hpp
+++ b/include/ferrytray/relay/quarantine_feed.hpp
@@ -29,6 +29,8 @@
   [[nodiscard]] const std::shared_ptr<store::TopicFollower>& Topic() const { return m_topic; }
   /// @brief This host saw an end of the request, or a whole answer to it.
   void OnOwn(const quarantine::RequestKey& aRequest);
+  /// @brief This host hears of no other one: the record log is asked at once.
+  void OnAlone() { m_topic->Renew(); }
   /// @brief The crash board has changed.
   void OnChange();
   /// @brief Records that the request is sent once more though it is kept away.
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -95,6 +95,7 @@
   net::TimerHandle m_leaveTimer;
   bool m_tellsReloads = false; ///< soon
   net::TimerHandle m_tellsCrashes;
+  net::TimerHandle m_aloneTimer;
   net::TimerHandle m_withoutQuarantine;
   base::TimePoint m_leavingSince{};
   std::function<void()> m_onLeft;
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -293,6 +293,7 @@
     return;
   }
   m_roster->OnAnswered(aSource.m_name);
+  m_heardAt = now;
   TakeReloads(reply->m_reloads, now);
   TakeReplaced(reply->m_replaced, now);
   OnCrashesTold(aSource, *reply, aAsked.m_crashesTold);
@@ -338,6 +339,7 @@
   }
   const base::TimePoint now = base::MonotonicNow();
   m_roster->Learn(question->m_sender);
+  m_heardAt = now;
   TakeReloads(question->m_reloads, now);
   TakeReplaced(question->m_replaced, now);
   TakeCrashes(question->m_crashes, now);
--- a/src/ferrytray/peers/news_exchange_test.cpp
+++ b/src/ferrytray/peers/news_exchange_test.cpp
@@ -231,6 +231,17 @@
   CHECK(Until([&] { return !m_reader->m_crashes.IsQuarantined(request); }));
 }
 
+TEST(NewsExchange, AHostIsAloneWhenOthersAreKnownAndNoneIsHeard)
+{
+  CHECK(Until([&] { return !m_follower->m_news.IsAlone(1h, base::MonotonicNow()); }));
+  CHECK(Until([&] { return !m_reader->m_news.IsAlone(1h, base::MonotonicNow()); }));
+  CHECK(Until([&] { return m_follower->m_news.IsAlone(1s, base::MonotonicNow() + 1min); }));
+  Host single(m_loop, *m_client, "single", 1);
+  CHECK(single.m_news.Start().has_value());
+  CHECK_FALSE(single.m_news.IsAlone(1s, base::MonotonicNow() + 1min));
+  single.m_news.Stop();
+}
+
 TEST(NewsExchange, AReaderThatStartsAnewIsToldAgainWhatItsFormerLifeWasTold)
 {
   std::uint64_t incarnation = 1;
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -34,9 +34,8 @@
 constexpr int kOperatorNewsPart = 85;
 
 // Hosts tell each other of requests that end endpoints, so the log is needed only by those that
-// start or are cut off from the others. A read that is never answered still leaves time for
-// another one.
-constexpr int kQuarantineWaitPart = 50;
+// start or are cut off from all others; what is left of the bound is for the answer.
+constexpr int kQuarantineAlonePart = 50;
 
 base::Duration Part(base::Duration aWhole, int aPercent)
 {
@@ -63,10 +62,9 @@
   options.m_endpointPause = Part(aBounds.m_drain, kPausePart);
   options.m_endpointServingPause = Part(aBounds.m_drain, kServingPausePart);
   options.m_endpointNewsFresh = options.m_endpointServingPause + kNewsSlack;
-  options.m_quarantineWait = Part(aBounds.m_quarantineDue, kQuarantineWaitPart);
+  options.m_quarantineAlone = Part(aBounds.m_quarantineDue, kQuarantineAlonePart);
   options.m_quarantinePatience =
     std::min(Part(aBounds.m_quarantineDue, kOperatorPatiencePart), kOperatorPatienceMost);
-  options.m_quarantineNewsFresh = Part(aBounds.m_quarantineDue, kOperatorNewsPart);
   return options;
 }
 
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -33,6 +33,7 @@
   store::FollowOptions follow;
   follow.m_topic = m_topicName;
   follow.m_wait = aOptions.m_quarantineWait;
+  follow.m_waryWait = aOptions.m_quarantineWait;
   follow.m_pause = {};
   follow.m_patience = aOptions.m_quarantinePatience;
   follow.m_newsFresh = aOptions.m_quarantineNewsFresh;
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -139,6 +139,12 @@
     }
   };
   m_quarantine.Start();
+  const base::Duration alone = m_options.m_feeds.m_quarantineAlone;
+  m_aloneTimer = m_loop.Every(alone, [this, alone] {
+    if (m_news.IsAlone(alone, base::MonotonicNow())) {
+      m_quarantine.OnAlone();
+    }
+  });
 }
 
 void RelayHost::OnCrashesChanged(const quarantine::RequestKey& aRequest)
@@ -287,6 +293,7 @@
   telemetry::LogLine("stop").Add("outcome", "done").Add("open", m_core.m_open);
   m_feeds.Stop();
   m_quarantine.Stop();
+  m_aloneTimer.reset();
   m_news.Stop();
   m_stores.Stop();
   m_leaveTimer->Cancel();
