--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -72,6 +72,8 @@
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
   void CheckLeft();
   void StartQuarantine();
+  /// The record log answers for the configuration and not for the quarantine.
+  void ServeWithoutQuarantine();
   /// Tells other hosts soon of what the crash board has got here.
   void OnCrashesChanged(const quarantine::RequestKey& aRequest);
 
@@ -93,6 +95,7 @@
   net::TimerHandle m_leaveTimer;
   bool m_tellsReloads = false; ///< soon
   net::TimerHandle m_tellsCrashes;
+  net::TimerHandle m_aloneTimer;
   net::TimerHandle m_withoutQuarantine;
   base::TimePoint m_leavingSince{};
   std::function<void()> m_onLeft;
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -88,8 +88,7 @@
   m_feeds.OnConfigured([this] {
     m_stores.OnConfiguration();
     if (!m_core.m_crashesLoaded && !m_withoutQuarantine) {
-      m_withoutQuarantine =
-        m_loop.After(kQuarantineWithin, [this] { m_core.m_crashesLoaded = true; });
+      m_withoutQuarantine = m_loop.After(kQuarantineWithin, [this] { ServeWithoutQuarantine(); });
     }
   });
   StartQuarantine();
@@ -109,6 +108,15 @@
   return {};
 }
 
+void RelayHost::ServeWithoutQuarantine()
+{
+  if (!std::exchange(m_core.m_crashesLoaded, true)) {
+    telemetry::LogLine("quarantine")
+      .Add("outcome", "not_read")
+      .Add("why", "the record log does not answer for it; requests are served without");
+  }
+}
+
 void RelayHost::StartQuarantine()
 {
   m_core.m_onCrashesChanged = [this](const quarantine::RequestKey& aRequest) {
@@ -131,6 +139,12 @@
     }
   };
   m_quarantine.Start();
+  const base::Duration alone = m_options.m_feeds.m_quarantineAlone;
+  m_aloneTimer = m_loop.Every(alone, [this, alone] {
+    if (m_news.IsAlone(alone, base::MonotonicNow())) {
+      m_quarantine.OnAlone();
+    }
+  });
 }
 
 void RelayHost::OnCrashesChanged(const quarantine::RequestKey& aRequest)
@@ -279,6 +293,7 @@
   telemetry::LogLine("stop").Add("outcome", "done").Add("open", m_core.m_open);
   m_feeds.Stop();
   m_quarantine.Stop();
+  m_aloneTimer.reset();
   m_news.Stop();
   m_stores.Stop();
   m_leaveTimer->Cancel();
