--- /dev/null
+++ b/src/ferrytray/relay/exchange_quarantine_test.cpp
@@ -0,0 +1,128 @@
+// Requests under which endpoints broke off, as one exchange deals with them.
+#include "ferrytray/peers/replaced_board.hpp" // for KeyOf
+#include "tests/support/exchange_fixture.hpp" // for ExchangeFixture
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using net::WireEnd;
+using support::EndpointOf;
+
+TEST_GROUP_BASE(ExchangeQuarantine, support::ExchangeFixture){};
+
+// Seen: one request ended an engine after the other; it came again as another request each time,
+// and each was sent on. An exchange knew its own sends only.
+TEST(ExchangeQuarantine, ARequestUnderWhichThreeEndpointsBrokeOffIsNotSentAnyMore)
+{
+  for (const char* name : { "c", "d", "e", "f" }) {
+    m_core.m_directory.Upsert(EndpointOf(name), base::MonotonicNow());
+  }
+  for (int i = 0; i < 3; ++i) {
+    Ask("/once/x", "k", "", "bad");
+    m_client.End(WireEnd::NoReply);
+  }
+  const std::size_t sent = m_client.m_calls.size();
+  const auto reply = Ask("/once/x", "k", "", "bad");
+  LONGS_EQUAL(sent, m_client.m_calls.size());
+  LONGS_EQUAL(503, reply->m_status);
+  STRCMP_EQUAL("not_run", reply->Header("run").c_str());
+  STRCMP_EQUAL("yes", reply->Header("come-back").c_str());
+  // Others are served: another body, another path.
+  Ask("/once/x", "k", "", "good");
+  Ask("/again/x", "k", "", "bad");
+  LONGS_EQUAL(sent + 2, m_client.m_calls.size());
+}
+
+TEST(ExchangeQuarantine, ARequestThatIsKnownToEndEndpointsIsNotRepeatedByTheHostItself)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const auto reply = Ask("/again/x", "k", "", "bad");
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/again/x", "bad" });
+  m_core.m_crashes.OnBroken(key, 1, now);
+  m_core.m_crashes.OnBroken(key, 2, now);
+  m_client.End(WireEnd::NoReply);
+  LONGS_EQUAL(1, m_client.m_calls.size());
+  LONGS_EQUAL(502, reply->m_status);
+}
+
+TEST(ExchangeQuarantine, SilenceAndLeavingEndpointsAndTheEndpointsOwnAnswersBlameNoRequest)
+{
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/once/x", "b" });
+  Ask("/once/x", "k", "", "b");
+  net::ClientOutcome silence;
+  silence.m_end = WireEnd::NoReply;
+  silence.m_timedOut = true;
+  const auto events = m_client.m_calls.back().m_events;
+  events.m_onEnd(silence);
+  Ask("/once/x", "k", "", "b");
+  m_client.Head(500, {});
+  m_client.End(WireEnd::Complete);
+  fleet::Endpoint a = EndpointOf("a");
+  fleet::Endpoint b = EndpointOf("b");
+  Ask("/once/x", "k", "", "b");
+  a.m_leaving = b.m_leaving = true;
+  m_core.m_directory.Upsert(a, base::MonotonicNow());
+  m_core.m_directory.Upsert(b, base::MonotonicNow());
+  m_client.End(WireEnd::NoReply);
+  CHECK_FALSE(m_core.m_crashes.Find(key).has_value());
+}
+
+TEST(ExchangeQuarantine, AWholeAnswerClearsARequestAndAnEndpointThatAnswersHasNotEnded)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/once/x", "b" });
+  const quarantine::RequestKey other = quarantine::KeyOf({ "lab", "", "h", "/once/x", "c" });
+  m_core.m_crashes.OnBroken(key, 1, now);
+  m_core.m_crashes.OnBroken(other, peers::KeyOf("a"), now - 1s);
+  m_core.m_crashes.OnBroken(other, peers::KeyOf("b"), now - 1s);
+  Ask("/once/x", "k", "", "b");
+  m_client.Head(200, {});
+  LONGS_EQUAL(1, m_core.m_crashes.Find(other)->m_ends.size());
+  m_client.End(WireEnd::Complete);
+  CHECK_FALSE(m_core.m_crashes.Find(key).has_value());
+}
+
+TEST(ExchangeQuarantine, UntilItIsKnownWhichRequestsEndEndpointsNothingIsSent)
+{
+  m_core.m_crashesLoaded = false;
+  LONGS_EQUAL(503, Ask("/once/x")->m_status);
+  LONGS_EQUAL(0, m_client.m_calls.size());
+}
+
+TEST(ExchangeQuarantine, ARequestThatIsKeptAwayIsSentOnceMoreIfAllHostsAgree)
+{
+  const base::TimePoint before = base::MonotonicNow() - 1min;
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/again/x", "b" });
+  for (quarantine::EndpointKey end = 1; end <= 3; ++end) {
+    m_core.m_crashes.OnBroken(key, end, before);
+  }
+  bool may = false;
+  m_core.m_claimTry = [&](const quarantine::RequestKey&, const std::function<void(bool)>& aDone) {
+    aDone(may);
+  };
+  LONGS_EQUAL(503, Ask("/again/x", "k", "", "b")->m_status);
+  LONGS_EQUAL(0, m_client.m_calls.size());
+  may = true;
+  Ask("/again/x", "k", "", "b");
+  m_client.End(WireEnd::NoReply); // it ends this one, too: the host does not repeat it
+  LONGS_EQUAL(1, m_client.m_calls.size());
+  CHECK(m_core.m_crashes.IsQuarantined(key));
+}
+
+TEST(ExchangeQuarantine, AWholeAnswerToOneThatWasSentOnceMoreClearsAll)
+{
+  const base::TimePoint before = base::MonotonicNow() - 1min;
+  const quarantine::RequestKey key = quarantine::KeyOf({ "lab", "", "h", "/again/x", "b" });
+  for (quarantine::EndpointKey end = 1; end <= 3; ++end) {
+    m_core.m_crashes.OnBroken(key, end, before);
+  }
+  m_core.m_claimTry = [](const quarantine::RequestKey&, const std::function<void(bool)>& aDone) {
+    aDone(true);
+  };
+  const auto reply = Ask("/again/x", "k", "", "b");
+  m_client.Head(200, {});
+  m_client.End(WireEnd::Complete);
+  LONGS_EQUAL(200, reply->m_status);
+  CHECK_FALSE(m_core.m_crashes.IsQuarantined(key));
+}
