An endpoint that had ended before blames nothing that is sent to it later

Cause: an address whose endpoint has ended may take connections and close them at once. Each request that met one counted as if it had ended it. Change: an end counts for what was under way when this host first heard of it, or if the endpoint has answered since. Hosts, gates alike. Ruled out: a bound on how fast it broke off; a slow link or a crash at the first byte look alike.

--- a/include/ferrytray/gate/crash_link.hpp
+++ b/include/ferrytray/gate/crash_link.hpp
@@ -22,7 +22,10 @@
     return m_board.IsQuarantined(aRequest);
   }
   /// @brief An endpoint broke off under it. @param aLife the endpoint's name and incarnation
-  void OnBroken(const quarantine::RequestKey& aRequest, const std::string& aLife);
+  /// @param aSentAt when this gate sent the request
+  void OnBroken(const quarantine::RequestKey& aRequest,
+                const std::string& aLife,
+                base::TimePoint aSentAt);
   /// @brief An endpoint answered it whole.
   void OnAnswered(const quarantine::RequestKey& aRequest);
   /// @brief An endpoint answered a request that this gate sent at that time.
--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -57,7 +57,14 @@
   explicit CrashBoard(CrashBoardOptions aOptions = {});
 
   /// @brief An endpoint closed the connection before its answer to this host was whole.
-  void OnBroken(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow);
+  ///
+  /// One that had ended before, and has not answered since, may close whatever comes; that tells
+  /// nothing of what is sent to it then.
+  /// @param aSentAt when this host sent the request
+  void OnBroken(const RequestKey& aRequest,
+                EndpointKey aEndpoint,
+                base::TimePoint aSentAt,
+                base::TimePoint aNow);
   /// @brief An endpoint answered it whole.
   void OnAnswered(const RequestKey& aRequest);
   /// @brief An endpoint answered a request that this host sent at that time.
@@ -93,6 +100,7 @@
   struct End
   {
     std::vector<RequestKey> m_requests; ///< that it broke off
+    base::TimePoint m_firstAt{};        ///< when the first of these was heard of
     base::TimePoint m_heardAt{};        ///< of the newest of these
   };
 
--- a/src/ferrytray/gate/crash_link.cpp
+++ b/src/ferrytray/gate/crash_link.cpp
@@ -91,10 +91,12 @@
   }
 }
 
-void CrashLink::OnBroken(const quarantine::RequestKey& aRequest, const std::string& aLife)
+void CrashLink::OnBroken(const quarantine::RequestKey& aRequest,
+                         const std::string& aLife,
+                         base::TimePoint aSentAt)
 {
   const quarantine::NoticeNumber before = m_board.Notices().End();
-  m_board.OnBroken(aRequest, KeyOfLife(aLife), base::MonotonicNow());
+  m_board.OnBroken(aRequest, KeyOfLife(aLife), aSentAt, base::MonotonicNow());
   telemetry::LogLine("endpoint_broke_off")
     .Add("request_key", base::ToHex(aRequest))
     .Add("endpoint", aLife)
--- a/src/ferrytray/gate/model_exchange_end.cpp
+++ b/src/ferrytray/gate/model_exchange_end.cpp
@@ -80,7 +80,7 @@
 {
   m_mayHaveRun = true;
   if (aEnd.m_closed) {
-    m_core.m_crashes.OnBroken(m_key, Life());
+    m_core.m_crashes.OnBroken(m_key, Life(), m_sentAt);
   }
   // Another run may word its answer differently, so text that was delivered cannot be continued.
   const bool delivered = m_answer.HasText();
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -93,7 +93,7 @@
       m_core.m_crashes.OnAnswered(m_key);
     }
   } else if (aOutcome.m_end != net::WireEnd::NotSent && !aOutcome.m_timedOut) {
-    m_core.m_crashes.OnBroken(m_key, m_life);
+    m_core.m_crashes.OnBroken(m_key, m_life, m_sentAt);
   }
 }
 
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -26,8 +26,15 @@
 {
 }
 
-void CrashBoard::OnBroken(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow)
+void CrashBoard::OnBroken(const RequestKey& aRequest,
+                          EndpointKey aEndpoint,
+                          base::TimePoint aSentAt,
+                          base::TimePoint aNow)
 {
+  const auto end = m_ends.find(aEndpoint);
+  if (end != m_ends.end() && aSentAt > end->second.m_firstAt) {
+    return; // it had ended before
+  }
   OnNotice({ NoticeKind::Broken, aRequest, aEndpoint, 0 }, aNow);
 }
 
@@ -160,7 +167,7 @@
     suspect.m_known.m_knownGood = true;
     m_notices.Add({ NoticeKind::KnownGood, aRequest, 0, 0 });
   }
-  End& end = m_ends[aEndpoint];
+  End& end = m_ends.try_emplace(aEndpoint, End{ {}, aNow, aNow }).first->second;
   end.m_requests.push_back(aRequest);
   end.m_heardAt = aNow;
 }
--- a/src/ferrytray/quarantine/crash_board_test.cpp
+++ b/src/ferrytray/quarantine/crash_board_test.cpp
@@ -27,7 +27,7 @@
 
   void Break(const RequestKey& aRequest, EndpointKey aEndpoint)
   {
-    m_board.OnBroken(aRequest, aEndpoint, kStart);
+    m_board.OnBroken(aRequest, aEndpoint, kStart, kStart);
   }
 
   /// Passes all that one host knows on to another one.
@@ -75,8 +75,8 @@
   CrashBoard second;
   CrashBoard third;
   Break(m_bad, 1);
-  second.OnBroken(m_bad, 2, kStart);
-  third.OnBroken(m_bad, 3, kStart);
+  second.OnBroken(m_bad, 2, kStart, kStart);
+  third.OnBroken(m_bad, 3, kStart, kStart);
   PassOn(third, second);
   PassOn(second, m_board);
   CHECK(m_board.IsQuarantined(m_bad));
@@ -218,3 +218,25 @@
   LONGS_EQUAL(3, log.After(0, 2));
   LONGS_EQUAL(3, log.Since(77, 10).size()); // a number of another process
 }
+
+// Seen: an address that closed each connection at once blamed a popular request, again and again.
+TEST(CrashBoard, WhatWasSentAfterAnEndpointHadEndedIsNotBlamed)
+{
+  Break(m_bad, 1);
+  m_board.OnBroken(m_good, 1, kStart + 1ms, kStart + 3ms);
+  CHECK_FALSE(m_board.Find(m_good).has_value());
+  // What was on its way when it ended may have ended it.
+  m_board.OnBroken(m_good, 1, kStart - 1ms, kStart + 3ms);
+  LONGS_EQUAL(1, m_board.Find(m_good)->m_ends.size());
+  // Later ends there do not make it end later.
+  m_board.OnBroken(Request("third"), 1, kStart + 2ms, kStart + 4ms);
+  CHECK_FALSE(m_board.Find(Request("third")).has_value());
+}
+
+TEST(CrashBoard, OnceItHasAnsweredAgainAnEndpointsEndCounts)
+{
+  Break(m_bad, 1);
+  m_board.OnReply(1, kStart + 1ms);
+  m_board.OnBroken(m_good, 1, kStart + 2ms, kStart + 3ms);
+  LONGS_EQUAL(1, m_board.Find(m_good)->m_ends.size());
+}
--- a/src/ferrytray/quarantine/record_keeper_test.cpp
+++ b/src/ferrytray/quarantine/record_keeper_test.cpp
@@ -21,7 +21,7 @@
 
   void Break(EndpointKey aEndpoint)
   {
-    m_board.OnBroken(m_request, aEndpoint, kStart);
+    m_board.OnBroken(m_request, aEndpoint, kStart, kStart);
   }
   std::vector<RecordWrite> DueAt(base::Duration aAfter)
   {
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -24,7 +24,8 @@
   if (endpoint != nullptr && endpoint->m_leaving) {
     return; // it ends because it leaves
   }
-  m_core.m_crashes.OnBroken(m_key, peers::KeyOf(aAttempt.m_endpoint), base::MonotonicNow());
+  m_core.m_crashes.OnBroken(
+    m_key, peers::KeyOf(aAttempt.m_endpoint), aAttempt.m_sentAt, base::MonotonicNow());
   if (m_core.m_onCrashesChanged) {
     m_core.m_onCrashesChanged(m_key);
   }
--- a/src/ferrytray/relay/quarantine_feed_test.cpp
+++ b/src/ferrytray/relay/quarantine_feed_test.cpp
@@ -34,7 +34,7 @@
   }
   void Break(quarantine::EndpointKey aEndpoint)
   {
-    m_core.m_crashes.OnBroken(m_request, aEndpoint, base::MonotonicNow());
+    m_core.m_crashes.OnBroken(m_request, aEndpoint, base::MonotonicNow(), base::MonotonicNow());
     m_feed->OnOwn(m_request);
   }
 };
