--- /dev/null
+++ b/tests/support/news_fixture.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <functional> // for function
+#include <memory>     // for unique_ptr, shared_ptr
+#include <optional>   // for optional
+#include <string>     // for string
+
+#include "ferrytray/peers/news_exchange.hpp"   // for NewsExchange
+#include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
+
+#include <CppUTest/TestHarness.h> // for CHECK
+#include <CppUTest/Utest.h>       // for Utest
+
+namespace support {
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+
+inline const cache::PartName kPart{ "m.1", "p" };
+inline const std::string kStore = "s:1";
+
+/// One host's side of the exchange, with its own view of the log.
+struct NewsHost
+{
+  NewsHost(net::Loop& aLoop,
+           net::HttpClient& aClient,
+           const std::string& aName,
+           std::uint32_t aCapacity,
+           const std::string& aZone = "z",
+           std::size_t aReaders = 1)
+    : m_news(aLoop,
+             aClient,
+             m_log,
+             m_stores,
+             m_others,
+             m_reloads,
+             m_crashes,
+             OptionsOf(aName, aCapacity, aZone, aReaders))
+  {
+    m_stores.try_emplace(kStore, cache::StoreTraits{ 10'000 });
+    m_news.OnDirect([this](bool aDirect) { m_direct = aDirect; });
+    m_news.OwnLoads([this] { return m_own; });
+  }
+
+  static peers::NewsOptions OptionsOf(const std::string& aName,
+                                      std::uint32_t aCapacity,
+                                      const std::string& aZone,
+                                      std::size_t aReaders)
+  {
+    peers::NewsOptions options;
+    options.m_listen = { "127.0.0.1", 0 };
+    options.m_name = aName;
+    options.m_zone = aZone;
+    options.m_capacity = aCapacity;
+    options.m_topic = "hosts";
+    options.m_roster.m_readers = aReaders;
+    options.m_askEvery = 5ms;
+    options.m_lookFirst = 5ms;
+    options.m_lookAgain = 5ms;
+    options.m_enrolRetry = 5ms;
+    options.m_answerWithin = 2s; // the test's own loop may be slow
+    return options;
+  }
+
+  bool MayFetch() { return m_stores.at(kStore).MayFetch(kPart, base::MonotonicNow()); }
+
+  support::MemoryRecordLog m_log;
+  cache::Stores m_stores;
+  peers::LoadBoard m_others;
+  peers::ReloadBoard m_reloads;
+  quarantine::CrashBoard m_crashes;
+  peers::EndpointLoads m_own;
+  bool m_direct = false;
+  peers::NewsExchange m_news;
+};
+
+/// Two hosts that exchange news: one that reads the topics and one that follows it.
+struct NewsFixture : public Utest
+{
+  net::Loop m_loop;
+  std::unique_ptr<net::HttpClient> m_client = net::HttpClient::Create(m_loop);
+  std::unique_ptr<NewsHost> m_reader = std::make_unique<NewsHost>(m_loop, *m_client, "reader", 9);
+  std::unique_ptr<NewsHost> m_follower =
+    std::make_unique<NewsHost>(m_loop, *m_client, "follower", 1);
+
+  void setup() override
+  {
+    CHECK(m_reader->m_news.Start().has_value());
+    CHECK(m_follower->m_news.Start().has_value());
+    // Both write to one log; the fakes are shared by hand.
+    auto& one = m_reader->m_log.m_topics["hosts"];
+    auto& other = m_follower->m_log.m_topics["hosts"];
+    one.push_back(other.front());
+    other.push_back(one.front());
+    one.back().m_offset = other.back().m_offset = 1;
+  }
+  void teardown() override
+  {
+    for (const auto* host : { &m_reader, &m_follower }) {
+      if (*host) {
+        (*host)->m_news.Stop();
+      }
+    }
+    m_client.reset();
+  }
+
+  bool Until(const std::function<bool()>& aCondition)
+  {
+    for (int i = 0; i < 6000 && !aCondition(); ++i) {
+      m_loop.RunFor(5ms);
+    }
+    return aCondition();
+  }
+
+  std::shared_ptr<store::TopicFollower> FollowWith(peers::NewsExchange& aNews,
+                                                   store::RecordLog& aLog,
+                                                   std::string& aTold,
+                                                   const char* aTopic = "t")
+  {
+    store::FollowOptions options;
+    options.m_topic = aTopic;
+    options.m_pause = 5ms;
+    options.m_newsFresh = 20s;
+    store::FollowEvents events;
+    events.m_onRecord = [&aTold](const store::Record& aRecord) {
+      aTold += aRecord.m_key;
+      return true;
+    };
+    auto topic = std::make_shared<store::TopicFollower>(m_loop, aLog, options, std::move(events));
+    aNews.AddTopic(topic);
+    return topic;
+  }
+  std::shared_ptr<store::TopicFollower> Follow(NewsHost& aHost, std::string& aTold)
+  {
+    return FollowWith(aHost.m_news, aHost.m_log, aTold);
+  }
+
+  /// Asks the reader as another host would.
+  peers::NewsReply AskReader(peers::NewsRequest aQuestion)
+  {
+    const auto reader = peers::DecodePeer(m_reader->m_log.m_topics["hosts"].front().m_value);
+    aQuestion.m_sender = { "asker", "z", "127.0.0.1:1", 1 };
+    net::ClientRequest request;
+    request.m_method = "POST";
+    request.m_url = "http://" + reader->m_address + "/news";
+    request.m_body = peers::Encode(aQuestion);
+    std::optional<peers::NewsReply> reply;
+    m_client->Fetch(std::move(request), [&](const net::ClientOutcome&, const std::string& aBody) {
+      reply = peers::DecodeNewsReply(aBody).value_or(peers::NewsReply{});
+    });
+    CHECK(Until([&] { return reply.has_value(); }));
+    return reply.value_or(peers::NewsReply{});
+  }
+
+  void ReaderHears(std::uint64_t aEpoch, bool aAdded)
+  {
+    cache::StoreNews news;
+    news.m_epoch = aEpoch;
+    news.m_clockMillis = 1000;
+    news.m_changes = { { kPart, 400, aAdded } };
+    const base::TimePoint now = base::MonotonicNow();
+    m_reader->m_stores.at(kStore).OnNews(news, false, now, now);
+  }
+};
+
+} // namespace support
