What is sent once more goes to an endpoint that has just answered

Cause: the one further send of a request that is kept away went to any endpoint. One that was down broke it off, and the request stayed away for good, though it harmed nobody. Change: its service's endpoints that ended, or have not answered this host within a second, are left out; with none left it waits. 15 s after the last end any endpoint that has not ended will do, for services with few requests. Ruled out: a second further send; where hosts disagree about who sends it, that would be four, of three that are allowed.

--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -28,6 +28,8 @@
   /// After the last end. A request that only ran beside others that ended its endpoints may then be
   /// sent once more, to be cleared by a whole answer.
   base::Duration m_tryAfter = std::chrono::seconds(5);
+  /// The same if no endpoint is known to answer just then.
+  base::Duration m_tryAnywhereAfter = std::chrono::seconds(15);
   std::size_t m_mostSuspects = 4096;
   std::size_t m_mostNotices = 4096;
   std::size_t m_servedPlaces = 8192;
@@ -81,6 +83,10 @@
 
   /// @brief Whether the request is kept from all endpoints, and could be sent once more.
   [[nodiscard]] bool MayTry(const RequestKey& aRequest, base::TimePoint aNow) const;
+  /// @brief The same, also to an endpoint that has not answered lately.
+  [[nodiscard]] bool MayTryAnywhere(const RequestKey& aRequest, base::TimePoint aNow) const;
+  /// @brief Whether an endpoint broke off requests and has not answered since.
+  [[nodiscard]] bool HasEnded(EndpointKey aEndpoint) const { return m_ends.contains(aEndpoint); }
   /// @brief Whether the request is kept from all endpoints.
   [[nodiscard]] bool IsQuarantined(const RequestKey& aRequest) const;
   /// @brief What is known of a request that endpoints broke off under; empty if there is nothing.
@@ -112,6 +118,9 @@
   void Drop(const RequestKey& aRequest);
   void MakeRoom();
   [[nodiscard]] bool Tells(const Suspicion& aKnown) const;
+  [[nodiscard]] bool MayTryAfter(const RequestKey& aRequest,
+                                 base::Duration aRest,
+                                 base::TimePoint aNow) const;
 
   CrashBoardOptions m_options;
   std::unordered_map<RequestKey, Suspect, base::DigestHash> m_suspects;
--- a/include/ferrytray/routing/endpoint_board.hpp
+++ b/include/ferrytray/routing/endpoint_board.hpp
@@ -32,7 +32,7 @@
   /// @param aWork see WorkOf(); the same at the end
   void OnSent(const std::string& aEndpoint, Work aWork);
   void OnEnded(const std::string& aEndpoint, Work aWork);
-  void OnReply(const std::string& aEndpoint);
+  void OnReply(const std::string& aEndpoint, base::TimePoint aNow);
   void OnUnreachable(const std::string& aEndpoint, base::TimePoint aNow);
   void OnFull(const std::string& aEndpoint, base::TimePoint aNow);
   /// @brief It told after how long it closes idle connections.
@@ -55,6 +55,8 @@
   /// that very moment is lost for good if it may not be sent twice.
   [[nodiscard]] base::Duration MaxIdle(const std::string& aEndpoint) const;
   [[nodiscard]] bool Avoided(const std::string& aEndpoint, base::TimePoint aNow) const;
+  /// @brief Whether it has answered this host since then.
+  [[nodiscard]] bool AnsweredSince(const std::string& aEndpoint, base::TimePoint aThen) const;
 
 private:
   struct Entry
@@ -63,6 +65,7 @@
     Work m_work = 0;            ///< of the open ones
     std::uint32_t m_misses = 0; ///< in a row
     std::optional<base::TimePoint> m_avoidUntil;
+    std::optional<base::TimePoint> m_repliedAt;
     std::optional<base::Duration> m_idleTimeout;
   };
 
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -98,10 +98,22 @@
 }
 
 bool CrashBoard::MayTry(const RequestKey& aRequest, base::TimePoint aNow) const
+{
+  return MayTryAfter(aRequest, m_options.m_tryAfter, aNow);
+}
+
+bool CrashBoard::MayTryAnywhere(const RequestKey& aRequest, base::TimePoint aNow) const
+{
+  return MayTryAfter(aRequest, m_options.m_tryAnywhereAfter, aNow);
+}
+
+bool CrashBoard::MayTryAfter(const RequestKey& aRequest,
+                             base::Duration aRest,
+                             base::TimePoint aNow) const
 {
   const auto found = m_suspects.find(aRequest);
   return found != m_suspects.end() && Tells(found->second.m_known) &&
-         !found->second.m_known.m_tried && aNow >= found->second.m_lastEndAt + m_options.m_tryAfter;
+         !found->second.m_known.m_tried && aNow >= found->second.m_lastEndAt + aRest;
 }
 
 void CrashBoard::OnTried(const RequestKey& aRequest, base::TimePoint aNow)
--- a/src/ferrytray/quarantine/crash_board_test.cpp
+++ b/src/ferrytray/quarantine/crash_board_test.cpp
@@ -148,6 +148,8 @@
   }
   CHECK_FALSE(m_board.MayTry(m_good, kStart + 4999ms));
   CHECK(m_board.MayTry(m_good, kStart + 5s));
+  CHECK_FALSE(m_board.MayTryAnywhere(m_good, kStart + 14999ms));
+  CHECK(m_board.MayTryAnywhere(m_good, kStart + 15s));
   CHECK_FALSE(m_board.MayTry(m_bad, kStart + 5s));
   m_board.OnTried(m_good, kStart + 5s);
   CHECK(m_board.IsQuarantined(m_good));
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -54,7 +54,7 @@
   m_reply->OnClosed([self = shared_from_this()] { self->OnCallerGone(); });
   if (!IsKeptAway()) {
     Admit();
-  } else if (m_core.m_claimTry && m_core.m_crashes.MayTry(m_key, m_arrival)) {
+  } else if (m_core.m_claimTry && m_core.m_crashes.MayTry(m_key, m_arrival) && HasGoodTarget()) {
     ClaimTry();
   } else {
     KeepAway(); // before it takes a place
@@ -63,7 +63,9 @@
 
 void Exchange::Admit()
 {
-  m_service = m_planner.PickService();
+  if (m_service.empty()) {
+    m_service = m_planner.PickService();
+  }
   m_admission = m_core.m_admission[m_service].Admit(m_admitted.m_route->m_targetLatency, m_arrival);
   if (!m_admission) {
     const limits::AdmissionLimit& limit = m_core.m_admission[m_service];
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -8,6 +8,13 @@
 
 namespace ferrytray::relay {
 
+namespace {
+
+/// An endpoint that has answered since then is taken to be up.
+constexpr base::Duration kAnsweredLately = std::chrono::seconds(1);
+
+} // namespace
+
 void Exchange::EndAttempt()
 {
   if (m_attempt) {
@@ -40,6 +47,21 @@
   }
 }
 
+bool Exchange::HasGoodTarget()
+{
+  m_service = m_planner.PickService();
+  const bool anywhere = m_core.m_crashes.MayTryAnywhere(m_key, m_arrival);
+  for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(m_service)) {
+    const std::string& name = endpoint->m_incarnation;
+    const bool answers =
+      anywhere || m_core.m_board.AnsweredSince(name, m_arrival - kAnsweredLately);
+    if (!answers || m_core.m_crashes.HasEnded(peers::KeyOf(name))) {
+      m_tried.insert(name);
+    }
+  }
+  return m_planner.PickTarget(m_service, m_tried, m_assigned).m_endpoint != nullptr;
+}
+
 void Exchange::ClaimTry()
 {
   m_core.m_claimTry(m_key, [weak = weak_from_this()](bool aMay) {
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -24,7 +24,7 @@
 
 void Exchange::Learn(const ReplyHead& aHead)
 {
-  m_core.m_board.OnReply(m_attempt->m_endpoint);
+  m_core.m_board.OnReply(m_attempt->m_endpoint, base::MonotonicNow());
   if (aHead.m_idleTimeout) {
     m_core.m_board.OnIdleTimeout(m_attempt->m_endpoint, *aHead.m_idleTimeout);
   }
--- a/src/ferrytray/routing/endpoint_board.cpp
+++ b/src/ferrytray/routing/endpoint_board.cpp
@@ -20,11 +20,12 @@
   }
 }
 
-void EndpointBoard::OnReply(const std::string& aEndpoint)
+void EndpointBoard::OnReply(const std::string& aEndpoint, base::TimePoint aNow)
 {
   const auto found = m_entries.find(aEndpoint);
   if (found != m_entries.end()) {
     found->second.m_misses = 0;
+    found->second.m_repliedAt = aNow;
   }
 }
 
@@ -83,4 +84,11 @@
          aNow < *found->second.m_avoidUntil;
 }
 
+bool EndpointBoard::AnsweredSince(const std::string& aEndpoint, base::TimePoint aThen) const
+{
+  const auto found = m_entries.find(aEndpoint);
+  return found != m_entries.end() && found->second.m_repliedAt &&
+         *found->second.m_repliedAt >= aThen;
+}
+
 } // namespace ferrytray::routing
--- a/src/ferrytray/routing/endpoint_board_test.cpp
+++ b/src/ferrytray/routing/endpoint_board_test.cpp
@@ -23,11 +23,23 @@
   CHECK_FALSE(m_board.Avoided("a", kStart + 500ms));
   m_board.OnUnreachable("a", kStart + 1s);
   CHECK(m_board.Avoided("a", kStart + 1999ms));
-  m_board.OnReply("a");
+  m_board.OnReply("a", kStart + 2s);
   m_board.OnUnreachable("a", kStart + 3s);
   CHECK_FALSE(m_board.Avoided("a", kStart + 3500ms));
 }
 
+TEST(EndpointBoard, KnowsWhetherAnEndpointHasAnsweredLately)
+{
+  CHECK_FALSE(m_board.AnsweredSince("a", kStart));
+  m_board.OnSent("a", 1);
+  m_board.OnReply("a", kStart + 1s);
+  CHECK(m_board.AnsweredSince("a", kStart + 1s));
+  CHECK_FALSE(m_board.AnsweredSince("a", kStart + 1001ms));
+  CHECK_FALSE(m_board.AnsweredSince("b", kStart));
+  m_board.Forget("a");
+  CHECK_FALSE(m_board.AnsweredSince("a", kStart));
+}
+
 TEST(EndpointBoard, AConnectionIsNotUsedWhenItsEndpointIsAboutToCloseIt)
 {
   CHECK(m_board.MaxIdle("a") == 4s);
