Failing tests: each host finds out for itself that an endpoint has ended

Cause: hosts tell each other at once which endpoint broke off under which request, but only the quarantine uses that; each host sends to it until a request of its own fails, and what may not run twice is lost.

--- a/src/ferrytray/relay/exchange_quarantine_test.cpp
+++ b/src/ferrytray/relay/exchange_quarantine_test.cpp
@@ -183,3 +183,30 @@
   LONGS_EQUAL(2, m_client.m_calls.size());
   STRCMP_EQUAL(answered.c_str(), Sent("to").c_str());
 }
+
+// Each host found out by a request of its own that an endpoint had ended; what may not run twice
+// then failed. The ends that hosts tell each other for the quarantine say so, too.
+TEST(ExchangeQuarantine, AnEndpointThatBrokeOffForAnotherHostIsAvoidedForAWhile)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const quarantine::RequestKey other = quarantine::KeyOf({ "lab", "", "h", "/once/x", "bad" });
+  const quarantine::CrashNotice told{ quarantine::NoticeKind::Broken, other, peers::KeyOf("a"), 1 };
+  m_core.m_crashes.OnNotice(told, now);
+  for (int i = 0; i < 20; ++i) {
+    Ask("/once/x", "k", i % 2 == 0 ? "m" : "", "b" + std::to_string(i));
+    STRCMP_EQUAL("b", Sent("to").c_str());
+  }
+}
+
+TEST(ExchangeQuarantine, AnEndpointThatBrokeOffLongAgoIsUsed)
+{
+  const base::TimePoint before = base::MonotonicNow() - 1min;
+  const quarantine::RequestKey other = quarantine::KeyOf({ "lab", "", "h", "/once/x", "bad" });
+  m_core.m_crashes.OnBroken(other, peers::KeyOf("a"), before, before);
+  bool used = false;
+  for (int i = 0; i < 20; ++i) {
+    Ask("/once/x", "k", "", "b" + std::to_string(i));
+    used = used || Sent("to") == "a";
+  }
+  CHECK(used);
+}
