--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -87,6 +87,10 @@
   [[nodiscard]] bool MayTryAnywhere(const RequestKey& aRequest, base::TimePoint aNow) const;
   /// @brief Whether an endpoint broke off requests and has not answered since.
   [[nodiscard]] bool HasEnded(EndpointKey aEndpoint) const { return m_ends.contains(aEndpoint); }
+  /// @brief The same, and this host heard of it since then.
+  [[nodiscard]] bool EndedSince(EndpointKey aEndpoint, base::TimePoint aThen) const;
+  /// @brief Whether any endpoint broke off requests and has not answered since.
+  [[nodiscard]] bool AnyEnded() const { return !m_ends.empty(); }
   /// @brief Whether the request is kept from all endpoints.
   [[nodiscard]] bool IsQuarantined(const RequestKey& aRequest) const;
   /// @brief What is known of a request that endpoints broke off under; empty if there is nothing.
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -133,6 +133,12 @@
   return found != m_suspects.end() && Tells(found->second.m_known);
 }
 
+bool CrashBoard::EndedSince(EndpointKey aEndpoint, base::TimePoint aThen) const
+{
+  const auto found = m_ends.find(aEndpoint);
+  return found != m_ends.end() && found->second.m_heardAt >= aThen;
+}
+
 std::optional<Suspicion> CrashBoard::Find(const RequestKey& aRequest) const
 {
   const auto found = m_suspects.find(aRequest);
