Records that can't be read are counted, and logged once in ten seconds by cause

Cause: an entry of another writer was logged each time it came, and nowhere counted; one writer's mistake fills every host's log. Change: telemetry::LogGate (pure; at most 64 causes in that time) behind store::UnreadableRecords, used by all three readers of topics. Ruled out: a bound for all causes together only; the first cause would hide the next.

--- a/include/ferrytray/peers/news_exchange.hpp
+++ b/include/ferrytray/peers/news_exchange.hpp
@@ -21,6 +21,7 @@
 #include "ferrytray/quarantine/crash_board.hpp"   // for CrashBoard
 #include "ferrytray/store/record_log.hpp"         // for RecordLog
 #include "ferrytray/store/topic_follower.hpp"     // for TopicFollower
+#include "ferrytray/store/unreadable_records.hpp" // for UnreadableRecords
 
 namespace ferrytray::peers {
 
@@ -194,6 +195,7 @@
   LoadBoard& m_loads;
   ReloadBoard& m_reloads;
   quarantine::CrashBoard& m_crashes;
+  store::UnreadableRecords m_unreadable;
   NewsOptions m_options;
   std::uint64_t m_incarnation;
   std::optional<Roster> m_roster; ///< once the own address is known
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -26,6 +26,7 @@
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
 #include "ferrytray/routing/cold_starts.hpp"       // for ColdStarts
 #include "ferrytray/routing/endpoint_board.hpp"    // for EndpointBoard
+#include "ferrytray/store/unreadable_records.hpp"  // for UnreadableRecords
 #include "ferrytray/telemetry/metrics.hpp"         // for Metrics
 
 namespace ferrytray::relay {
@@ -116,6 +117,7 @@
   cache::Stores m_stores;
   cache::PartPlanner m_parts;
   telemetry::Metrics m_metrics;
+  store::UnreadableRecords m_unreadable{ &m_metrics };
   std::mt19937_64 m_random{ std::random_device{}() };
   std::map<std::string, fleet::WeightVersion> m_wanted; ///< newest named weights, by model
   fleet::NamedWeightsLog m_named;                       ///< when those were named
--- /dev/null
+++ b/include/ferrytray/store/unreadable_records.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string_view> // for string_view
+
+#include "ferrytray/base/error.hpp"         // for Failure
+#include "ferrytray/store/record_log.hpp"   // for Record
+#include "ferrytray/telemetry/log_gate.hpp" // for LogGate
+#include "ferrytray/telemetry/metrics.hpp"  // for Metrics
+
+namespace ferrytray::store {
+
+/// @brief Counts records that this host could not read, and logs each cause at a bounded rate:
+/// other writers' mistakes must not fill its log.
+class UnreadableRecords
+{
+public:
+  /// @param aMetrics must outlive this; null: they are logged only
+  explicit UnreadableRecords(telemetry::Metrics* aMetrics = nullptr)
+    : m_metrics(aMetrics)
+  {
+  }
+
+  void Note(const Record& aRecord, const base::Failure& aWhy);
+
+private:
+  telemetry::Metrics* m_metrics;
+  telemetry::LogGate m_gate;
+};
+
+} // namespace ferrytray::store
--- a/src/ferrytray/peers/news_exchange.cpp
+++ b/src/ferrytray/peers/news_exchange.cpp
@@ -21,17 +21,13 @@
   return (static_cast<std::uint64_t>(device()) << kHalf) | device();
 }
 
-std::optional<Peer> FromRecord(const store::Record& aRecord)
+base::Result<Peer> FromRecord(const store::Record& aRecord)
 {
   base::Result<Peer> peer = DecodePeer(aRecord.m_value);
-  if (!peer || peer->m_name != aRecord.m_key) {
-    telemetry::LogLine("record_unreadable")
-      .Add("key", aRecord.m_key)
-      .Add("offset", aRecord.m_offset)
-      .Add("why", peer ? "the record is another host's" : peer.error().m_message);
-    return std::nullopt;
+  if (peer && peer->m_name != aRecord.m_key) {
+    return base::Fail(base::ErrorCode::PlatformMalformed, "the record is another host's");
   }
-  return std::move(*peer);
+  return peer;
 }
 
 } // namespace
@@ -111,6 +107,8 @@
     if (const auto peer = FromRecord(record)) {
       m_roster->Learn(*peer);
       listed = listed || *peer == m_roster->Self();
+    } else {
+      m_unreadable.Note(record, peer.error());
     }
   }
   telemetry::LogLine("hosts").Add("known", m_roster->Hosts()).Add("listed", listed ? "yes" : "no");
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -138,10 +138,8 @@
 {
   const std::optional<quarantine::RequestKey> request = base::DigestFromHex(aRecord.m_key);
   if (!request) {
-    telemetry::LogLine("record_unreadable")
-      .Add("key", aRecord.m_key)
-      .Add("offset", aRecord.m_offset)
-      .Add("why", "the key names no request");
+    m_core.m_unreadable.Note(
+      aRecord, base::Fail(base::ErrorCode::PlatformMalformed, "the key names no request").value());
     return;
   }
   if (aRecord.m_removed) {
@@ -152,11 +150,7 @@
   }
   base::Result<quarantine::Suspicion> read = peers::DecodeSuspicion(aRecord.m_value);
   if (!read) {
-    telemetry::LogLine("record_unreadable")
-      .Add("key", aRecord.m_key)
-      .Add("offset", aRecord.m_offset)
-      .Add("code", static_cast<int>(read.error().m_code))
-      .Add("why", read.error().m_message);
+    m_core.m_unreadable.Note(aRecord, read.error());
     return;
   }
   m_core.m_crashes.OnRecord(*request, *read, base::MonotonicNow());
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -13,15 +13,6 @@
 /// The users' platform judges a host from 3 s after its start.
 constexpr base::Duration kStartExcuse = std::chrono::milliseconds(2500);
 
-void LogUnreadable(const store::Record& aRecord, const base::Failure& aFailure)
-{
-  telemetry::LogLine("record_unreadable")
-    .Add("key", aRecord.m_key)
-    .Add("offset", aRecord.m_offset)
-    .Add("code", static_cast<int>(aFailure.m_code))
-    .Add("why", aFailure.m_message);
-}
-
 } // namespace
 
 StateFeeds::StateFeeds(RelayCore& aCore,
@@ -172,7 +163,7 @@
 {
   base::Result<fleet::Configuration> read = m_format.ReadConfiguration(aRecord.m_value);
   if (!read) {
-    LogUnreadable(aRecord, read.error());
+    m_core.m_unreadable.Note(aRecord, read.error());
     return;
   }
   const std::uint64_t current =
@@ -196,7 +187,7 @@
 {
   const base::Result<NamedWeights> read = m_format.ReadNamedWeights(aRecord.m_value);
   if (!read) {
-    LogUnreadable(aRecord, read.error());
+    m_core.m_unreadable.Note(aRecord, read.error());
     return;
   }
   fleet::WeightVersion& wanted = m_core.m_wanted[read->m_model];
@@ -259,7 +250,7 @@
                       "the service " + read->m_service + " is not declared");
   }
   if (!read) {
-    LogUnreadable(aRecord, read.error());
+    m_core.m_unreadable.Note(aRecord, read.error());
     // A host that is given the newest records has only this one: the next readable one is news.
     m_told.erase(aRecord.m_key);
     return false;
