An endpoint counts as down for two seconds, for blame and for choice alike

Cause: two spans for one question. An endpoint whose link had been reset counted as ended until it answered, so a request that then ended it in earnest was not blamed. Change: CrashBoardOptions::m_downFor answers both.

--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -30,6 +30,9 @@
   base::Duration m_tryAfter = std::chrono::seconds(5);
   /// The same if no endpoint is known to answer just then.
   base::Duration m_tryAnywhereAfter = std::chrono::seconds(15);
+  /// An endpoint that broke off requests and has not answered since is taken to be down for so
+  /// long; by then most that have ended are listed no more, and the others may be back.
+  base::Duration m_downFor = std::chrono::seconds(2);
   std::size_t m_mostSuspects = 4096;
   std::size_t m_mostNotices = 4096;
   std::size_t m_servedPlaces = 8192;
@@ -60,8 +63,8 @@
 
   /// @brief An endpoint closed the connection before its answer to this host was whole.
   ///
-  /// One that had ended before, and has not answered since, may close whatever comes; that tells
-  /// nothing of what is sent to it then.
+  /// One that is down already may close whatever comes; that tells nothing of what is sent to it
+  /// then.
   /// @param aSentAt when this host sent the request
   void OnBroken(const RequestKey& aRequest,
                 EndpointKey aEndpoint,
@@ -87,8 +90,8 @@
   [[nodiscard]] bool MayTryAnywhere(const RequestKey& aRequest, base::TimePoint aNow) const;
   /// @brief Whether an endpoint broke off requests and has not answered since.
   [[nodiscard]] bool HasEnded(EndpointKey aEndpoint) const { return m_ends.contains(aEndpoint); }
-  /// @brief The same, and this host heard of it since then.
-  [[nodiscard]] bool EndedSince(EndpointKey aEndpoint, base::TimePoint aThen) const;
+  /// @brief The same, and this host heard of it so lately that it may still be down.
+  [[nodiscard]] bool IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const;
   /// @brief Whether any endpoint broke off requests and has not answered since.
   [[nodiscard]] bool AnyEnded() const { return !m_ends.empty(); }
   /// @brief Whether the request is kept from all endpoints.
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -32,8 +32,8 @@
                           base::TimePoint aNow)
 {
   const auto end = m_ends.find(aEndpoint);
-  if (end != m_ends.end() && aSentAt > end->second.m_firstAt) {
-    return; // it had ended before
+  if (end != m_ends.end() && aSentAt > end->second.m_firstAt && IsDown(aEndpoint, aSentAt)) {
+    return;
   }
   OnNotice({ NoticeKind::Broken, aRequest, aEndpoint, 0 }, aNow);
 }
@@ -133,10 +133,10 @@
   return found != m_suspects.end() && Tells(found->second.m_known);
 }
 
-bool CrashBoard::EndedSince(EndpointKey aEndpoint, base::TimePoint aThen) const
+bool CrashBoard::IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const
 {
   const auto found = m_ends.find(aEndpoint);
-  return found != m_ends.end() && found->second.m_heardAt >= aThen;
+  return found != m_ends.end() && aNow < found->second.m_heardAt + m_options.m_downFor;
 }
 
 std::optional<Suspicion> CrashBoard::Find(const RequestKey& aRequest) const
--- a/src/ferrytray/quarantine/crash_board_test.cpp
+++ b/src/ferrytray/quarantine/crash_board_test.cpp
@@ -235,6 +235,16 @@
   CHECK_FALSE(m_board.Find(Request("third")).has_value());
 }
 
+// A link that resets looks like an endpoint that ends, which may then end in earnest.
+TEST(CrashBoard, AnEndpointThatBrokeOffLongBeforeMayBeEnded)
+{
+  Break(m_good, 1);
+  m_board.OnBroken(m_bad, 1, kStart + 1999ms, kStart + 2s);
+  CHECK_FALSE(m_board.Find(m_bad).has_value());
+  m_board.OnBroken(m_bad, 1, kStart + 2s, kStart + 2100ms);
+  LONGS_EQUAL(1, m_board.Find(m_bad)->m_ends.size());
+}
+
 TEST(CrashBoard, OnceItHasAnsweredAgainAnEndpointsEndCounts)
 {
   Break(m_bad, 1);
--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -2,22 +2,18 @@
 
 #include <algorithm> // for max
 
-#include "ferrytray/relay/cold_engines.hpp"    // for MaySendCold
 #include "ferrytray/peers/replaced_board.hpp"  // for KeyOf
+#include "ferrytray/relay/cold_engines.hpp"    // for MaySendCold
 #include "ferrytray/routing/engine_memory.hpp" // for HasRoom, SizeOf
 
 namespace ferrytray::relay {
 
 namespace {
 
-/// An endpoint that broke off requests, here or at another host, and has not answered since: most
-/// that have ended leave the directory within so long.
-constexpr base::Duration kAvoidEnded = std::chrono::seconds(2);
-
-bool HasJustEnded(const RelayCore& aCore, const std::string& aIncarnation, base::TimePoint aNow)
+/// It broke off requests, here or at another host.
+bool IsDown(const RelayCore& aCore, const std::string& aIncarnation, base::TimePoint aNow)
 {
-  return aCore.m_crashes.AnyEnded() &&
-         aCore.m_crashes.EndedSince(peers::KeyOf(aIncarnation), aNow - kAvoidEnded);
+  return aCore.m_crashes.AnyEnded() && aCore.m_crashes.IsDown(peers::KeyOf(aIncarnation), aNow);
 }
 
 /// Engines whose announced reload is over are taken to have their new weights.
@@ -85,7 +81,7 @@
     const routing::Work work = aCore.m_board.OpenWork(name) + aCore.m_otherLoads.Others(tag);
     const bool reloading = aNeeds && aCore.m_reloads.IsReloading(tag, aNow);
     const bool avoided =
-      reloading || aCore.m_board.Avoided(name, aNow) || HasJustEnded(aCore, name, aNow);
+      reloading || aCore.m_board.Avoided(name, aNow) || IsDown(aCore, name, aNow);
     candidates.m_endpoints.push_back(endpoint);
     candidates.m_places.push_back(
       { name, work, avoided, aNeeds && IsFull(aService, *aNeeds, work) });
