--- a/include/ferrytray/wire/log_client.hpp
+++ b/include/ferrytray/wire/log_client.hpp
@@ -49,6 +49,10 @@
   void Read(std::uint64_t aFrom, base::Duration aWait, base::Duration aPatience, ReadDone aDone);
 
 private:
+  /// Sends it, and tells what the answer's body says or why there is none.
+  template<typename Parse, typename Done>
+  void Ask(net::ClientRequest aRequest, const char* aCall, Parse aParse, Done aDone);
+
   net::HttpClient& m_http;
   std::string m_base;
   std::shared_ptr<bool> m_alive;
--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -62,30 +62,36 @@
   *m_alive = false;
 }
 
-void LogClient::Append(std::string aBody, AppendDone aDone)
+template<typename Parse, typename Done>
+void LogClient::Ask(net::ClientRequest aRequest, const char* aCall, Parse aParse, Done aDone)
 {
-  net::ClientRequest request;
-  request.m_method = "POST";
-  request.m_url = m_base;
-  request.m_headers = { { "Content-Type", "application/json" } };
-  request.m_body = std::move(aBody);
-  request.m_timeout = kAppendTimeout;
-  request.m_ownConnection = true;
   m_http.Fetch(
-    std::move(request),
-    [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
-                                               std::string aReply) {
+    std::move(aRequest),
+    [alive = m_alive, aCall, aParse, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
+                                                              std::string aReply) {
       if (!*alive) {
         return;
       }
       if (!Succeeded(aOutcome)) {
-        done(base::Fail(base::ErrorCode::PlatformUnavailable, "log append: " + aOutcome.m_detail));
+        done(base::Fail(base::ErrorCode::PlatformUnavailable, aCall + aOutcome.m_detail));
         return;
       }
-      done(ParseOffset(aReply));
+      done(aParse(aReply));
     });
 }
 
+void LogClient::Append(std::string aBody, AppendDone aDone)
+{
+  net::ClientRequest request;
+  request.m_method = "POST";
+  request.m_url = m_base;
+  request.m_headers = { { "Content-Type", "application/json" } };
+  request.m_body = std::move(aBody);
+  request.m_timeout = kAppendTimeout;
+  request.m_ownConnection = true;
+  Ask(std::move(request), "log append: ", ParseOffset, std::move(aDone));
+}
+
 void LogClient::Read(std::uint64_t aFrom,
                      base::Duration aWait,
                      base::Duration aPatience,
@@ -96,19 +102,7 @@
   request.m_url =
     m_base + "?from=" + std::to_string(aFrom) + "&wait_ms=" + std::to_string(waitMillis);
   request.m_timeout = aWait + aPatience;
-  m_http.Fetch(
-    std::move(request),
-    [alive = m_alive, done = std::move(aDone)](const net::ClientOutcome& aOutcome,
-                                               std::string aReply) {
-      if (!*alive) {
-        return;
-      }
-      if (!Succeeded(aOutcome)) {
-        done(base::Fail(base::ErrorCode::PlatformUnavailable, "log read: " + aOutcome.m_detail));
-        return;
-      }
-      done(ParsePage(aReply));
-    });
+  Ask(std::move(request), "log read: ", ParsePage, std::move(aDone));
 }
 
 } // namespace ferrytray::wire
