--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -79,9 +79,9 @@
   void NoteAnswered();
   /// Requests that are alike end the endpoints that run them: this one is not sent any more.
   void KeepAway();
-  /// Chooses a service and leaves out its endpoints that may be down: what is sent once more and
-  /// meets one of these is spent without being cleared. @return whether there is another one
-  bool HasGoodTarget();
+  /// Before it is sent though it is kept away: chooses a service and leaves out its endpoints that
+  /// may be down, since it is sent once only. @return whether another one is left
+  bool ChooseForTry();
   /// Asks whether this one may be sent though requests that are alike are kept away.
   void ClaimTry();
   /// Looks for a place and sends.
--- a/include/ferrytray/store/unreadable_records.hpp
+++ b/include/ferrytray/store/unreadable_records.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <string_view> // for string_view
-
 #include "ferrytray/base/error.hpp"         // for Failure
 #include "ferrytray/store/record_log.hpp"   // for Record
 #include "ferrytray/telemetry/log_gate.hpp" // for LogGate
--- a/include/ferrytray/telemetry/log_gate.hpp
+++ b/include/ferrytray/telemetry/log_gate.hpp
@@ -17,7 +17,7 @@
   std::size_t m_mostCauses = 64;                     ///< within that time
 };
 
-/// @brief Lets through so many log lines of each cause, and tells how many it kept. Pure.
+/// @brief Lets one log line of each cause through in a while, and tells how many it kept. Pure.
 ///
 /// What others write into a shared log may be wrong thousands of times a second.
 class LogGate
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -33,7 +33,7 @@
 {
   const auto end = m_ends.find(aEndpoint);
   if (end != m_ends.end() && aSentAt > end->second.m_firstAt && IsDown(aEndpoint, aSentAt)) {
-    return;
+    return; // it was down before the request reached it
   }
   OnNotice({ NoticeKind::Broken, aRequest, aEndpoint, 0 }, aNow);
 }
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -47,7 +47,7 @@
   }
 }
 
-bool Exchange::HasGoodTarget()
+bool Exchange::ChooseForTry()
 {
   m_service = m_planner.PickService();
   const bool anywhere = m_core.m_crashes.MayTryAnywhere(m_key, m_arrival);
--- a/src/ferrytray/store/unreadable_records.cpp
+++ b/src/ferrytray/store/unreadable_records.cpp
@@ -1,5 +1,7 @@
 #include "ferrytray/store/unreadable_records.hpp"
 
+#include <string> // for to_string
+
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::store {
