Once: failing test of a ticket that another gate redeems right after its issue

The other gates learn of a new gate incarnation with the next membership rounds and answer 409 until then.

--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -177,6 +177,25 @@
   LONGS_EQUAL(5007, Send(foreign).ErrorCode());
 }
 
+// The other gates learn of a new incarnation only with the next rounds of the membership protocol.
+TEST(Once, RedeemsTicketOfRestartedGateAtAnotherGate)
+{
+  StartDeployment(2);
+  for (int restart = 0; restart < 3; ++restart) {
+    Host("h1").m_gate.Kill();
+    m_deployment.RestartGate(Host("h1"));
+    CHECK(WaitFor([&] { return Get(Host("h1").GateUrl() + "/readyz").m_status == 200; }));
+    const std::string request = "r" + std::to_string(restart);
+    const Response response =
+      Send(MakeServiceCall(Host("h2"),
+                           "order",
+                           { { "Ferrytray-Ticket", RequestTicket(Host("h1")) },
+                             { "X-Request-Id", request } }));
+    LONGS_EQUAL(200, response.m_status);
+    LONGS_EQUAL(1, m_deployment.Executions(request));
+  }
+}
+
 TEST(Once, ATicketOfAKilledGateIsReportedUnknownAndNotRun)
 {
   StartDeployment(2);
