Once: a gate waits for the announcement of a ticket's issuer

Cause: redeeming at another gate right after the issue found no member with the ticket's incarnation and answered 409, as if the issuer were gone. The gate now checks every 50 ms for up to 2 s, four membership rounds; a ticket of an incarnation that stays unknown gets its 409 after that. Forwarded requests do not wait.

--- a/include/ferrytray/gate/once_guard.hpp
+++ b/include/ferrytray/gate/once_guard.hpp
@@ -8,6 +8,7 @@
 
 #include "ferrytray/gate/caller_request.hpp" // for RequestOptions
 #include "ferrytray/gate/gate_core.hpp"      // for GateCore
+#include "ferrytray/net/loop.hpp"            // for TimerHandle
 
 namespace ferrytray::gate {
 
@@ -55,7 +56,8 @@
   void BeginTicket();
   void BeginClaim();
   void OnClaim(const once::ClaimAction& aAction);
-  [[nodiscard]] OnceDecision DecideRemoteTicket(const once::RedeemForward& aRemoteTicket) const;
+  /// Forwards to the gate that issued the ticket, once the membership protocol has announced it.
+  void ResolveRemoteTicket(std::string aIncarnation, base::TimePoint aGiveUpAt);
   [[nodiscard]] OnceDecision DecideLostClaim(const once::LiveClaim& aHolder) const;
   [[nodiscard]] OnceDecision ForwardToIncarnation(const std::string& aIncarnation) const;
 
@@ -67,6 +69,7 @@
   std::optional<base::Digest128> m_claim;
   bool m_claimRejected = false; ///< lost or unsettled, possibly before Claim() returned
   bool m_ticketRedeemed = false;
+  net::TimerHandle m_holderTimer;
   std::function<void(const OnceDecision&)> m_onDecision;
 };
 
--- a/include/ferrytray/gate/options.hpp
+++ b/include/ferrytray/gate/options.hpp
@@ -30,6 +30,9 @@
   base::Duration m_drainWait = std::chrono::seconds(2); ///< for the load balancer to notice
   base::Duration m_maxLoadReportAge = std::chrono::seconds(10);
   base::Duration m_claimTimeout = std::chrono::seconds(2);
+  /// How long a request waits for the membership protocol to announce the gate incarnation that
+  /// issued its ticket: four rounds.
+  base::Duration m_ticketHolderTimeout = std::chrono::seconds(2);
   base::Duration m_claimWindow = std::chrono::hours(1);
   /// Maximum time from the append of a configuration change to the log until it is in force.
   base::Duration m_maxConfigurationDelay = std::chrono::seconds(3);
--- a/src/ferrytray/gate/once_guard.cpp
+++ b/src/ferrytray/gate/once_guard.cpp
@@ -10,6 +10,7 @@
 using base::RunState;
 
 constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
+constexpr base::Duration kHolderCheckInterval = std::chrono::milliseconds(50);
 
 base::Failure MakeFailure(ErrorCode aCode, RunState aRun, std::string aMessage)
 {
@@ -58,7 +59,8 @@
     m_ticketRedeemed = true;
     Resolve(RunLocally{});
   } else if (const auto* remoteTicket = std::get_if<once::RedeemForward>(&redeemed)) {
-    Resolve(DecideRemoteTicket(*remoteTicket));
+    ResolveRemoteTicket(remoteTicket->m_incarnation,
+                        base::MonotonicNow() + m_core.m_options.m_ticketHolderTimeout);
   } else if (const auto* replay = std::get_if<once::RedeemReplay>(&redeemed)) {
     Resolve(ReplayResponse{ replay->m_answer });
   } else {
@@ -66,9 +68,18 @@
   }
 }
 
-OnceDecision OnceGuard::DecideRemoteTicket(const once::RedeemForward& aRemoteTicket) const
+void OnceGuard::ResolveRemoteTicket(std::string aIncarnation, base::TimePoint aGiveUpAt)
 {
-  return ForwardToIncarnation(aRemoteTicket.m_incarnation);
+  const auto self = shared_from_this();
+  const bool announced = m_core.m_keeper->FindTicketHolder(aIncarnation) != nullptr;
+  if (announced || m_requestOptions.m_forwarded || base::MonotonicNow() >= aGiveUpAt) {
+    m_holderTimer.reset();
+    Resolve(ForwardToIncarnation(aIncarnation));
+    return;
+  }
+  m_holderTimer = m_core.m_loop.After(kHolderCheckInterval, [self, aIncarnation, aGiveUpAt] {
+    self->ResolveRemoteTicket(aIncarnation, aGiveUpAt);
+  });
 }
 
 OnceDecision OnceGuard::ForwardToIncarnation(const std::string& aIncarnation) const
