--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>     // for uint64_t
+#include <span>        // for span
 #include <string>      // for string
 #include <string_view> // for string_view
 #include <vector>      // for vector
@@ -27,12 +28,14 @@
   std::vector<store::TopicCursor> m_topics;     ///< that the sender follows through the receiver
   LoadScope m_scope = LoadScope::Own;
   EndpointLoads m_loads;   ///< with the scope above
-  bool m_logLost = false;  ///< the sender cannot read the log itself
   ReloadNotices m_reloads; ///< that the sender knows of, if it is a reader
   ReplacementNotices m_replaced;
   quarantine::CrashNotices m_crashes; ///< that the sender has not sent to the receiver yet
   /// The first of the receiver's crash notices that the sender lacks; used with scope Own.
   quarantine::NoticeOffset m_crashesFrom = 0;
+  bool m_isRegistered = false; ///< the sender is in the topic of hosts
+  /// DigestOf() the sources that the receiver sent last.
+  std::uint64_t m_sourcesDigest = 0;
 };
 
 /// @brief Reply to a SyncRequest.
@@ -46,11 +49,15 @@
   EndpointLoads m_loads;
   ReloadNotices m_reloads; ///< known to the replying host
   ReplacementNotices m_replaced;
-  std::vector<Peer> m_readers;                ///< readers for the zone of the requesting host
+  /// Readers and relays for the zone of the requesting host; empty if their digest is unchanged.
+  std::vector<Peer> m_sources;
   quarantine::CrashNotices m_crashes;         ///< only for a request of scope Own
   quarantine::NoticeOffset m_crashesNext = 0; ///< number of the first notice after these
 };
 
+/// @brief Digest of names and addresses; zero only for no peers.
+std::uint64_t DigestOf(std::span<const Peer> aPeers);
+
 std::string Encode(const Peer& aPeer);
 std::string Encode(const SyncRequest& aRequest);
 std::string Encode(const SyncReply& aReply);
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -12,6 +12,7 @@
 #include "ferrytray/net/http_client.hpp"          // for HttpClient
 #include "ferrytray/net/http_server.hpp"          // for HttpServer
 #include "ferrytray/net/loop.hpp"                 // for Loop
+#include "ferrytray/peers/exchange_counters.hpp"  // for ExchangeCounters
 #include "ferrytray/peers/fallback_reader.hpp"    // for FallbackReader
 #include "ferrytray/peers/messages.hpp"           // for SyncReply, SyncRequest
 #include "ferrytray/peers/placement_messages.hpp" // for PlacementReply, PlacementRequest
@@ -36,10 +37,14 @@
   /// Between two sync requests; adds up to this much to the age of received data
   /// (ContentsOptions::m_maxAge).
   base::Duration m_pollInterval = std::chrono::milliseconds(300);
+  /// The same while other hosts poll this one, since each level of the tree adds to the age.
+  base::Duration m_relayPollInterval = std::chrono::milliseconds(150);
+  base::Duration m_relayHoldTime = std::chrono::seconds(4); ///< after the last request
   base::Duration m_requestTimeout = std::chrono::milliseconds(700);
   base::Duration m_connectTimeout = std::chrono::milliseconds(300);
-  /// A host that others poll stays a reader until it has not been polled for this long.
-  base::Duration m_readerHoldTime = std::chrono::seconds(4);
+  /// Until the first read of the topic of hosts.
+  /// @see StartDelay
+  base::Duration m_startDelay{};
   /// From the registration of this host to the next read of the hosts. Hosts that start together
   /// register within some hundred milliseconds of each other, and the ones with most capacity must
   /// be known by then; every read is charged.
@@ -52,10 +57,16 @@
   /// For the reply to a placement request. It usually takes a millisecond. A good placement saves a
   /// prompt some hundred milliseconds at a busy engine; a long wait would cost as much.
   base::Duration m_placementTimeout = std::chrono::milliseconds(40);
-  /// How long another host may take to relay the complete topics once the hosts are known: three
-  /// sync requests. Without this wait every host would read them, all at once when all of them
-  /// start.
+  /// How long the polled host may take to reply once the hosts are known, three sync requests, and
+  /// to relay the complete topics while it replies. Without this wait every host would read them,
+  /// all at once when all of them start.
   base::Duration m_topicRelayTimeout = std::chrono::milliseconds(1000);
+  base::Duration m_maxTopicRelayTimeout = std::chrono::milliseconds(6000);
+  /// After the last reply of the polled host, until this host may read the log if it is neither a
+  /// reader nor a relay: two requests that were not answered.
+  base::Duration m_sourceLostAfter = std::chrono::milliseconds(1400);
+  /// Between two changes of a source that lacks records.
+  base::Duration m_sourceChangeInterval = std::chrono::seconds(1);
 };
 
 /// @brief Exchanges state between hosts: new records of the log and the contents of KV stores, so
@@ -133,6 +144,7 @@
   /// there are only a few hosts.
   [[nodiscard]] bool IsReader() const { return m_isReader; }
   [[nodiscard]] const std::string& Name() const { return m_options.m_name; }
+  [[nodiscard]] const ExchangeCounters& Counters() const { return m_counters; }
   /// @brief Whether that is this host.
   [[nodiscard]] bool IsSelf(const Peer& aPeer) const { return aPeer == m_roster->Self(); }
   /// @brief Asks a host which engine a prompt is to go to.
@@ -163,8 +175,16 @@
 
   void ReadHosts();
   void OnHosts(const base::Result<store::Snapshot>& aResult);
+  /// Polling can begin.
+  void OnHostsKnown();
+  /// The topic of hosts could not be read, or this host could not be registered.
+  void OnHostsUnavailable();
   void Register();
   void ScheduleReadHosts(base::Duration aDelay);
+  /// Decides whether topics without updates are read from the log or through another source.
+  void UpdateTakeover(base::TimePoint aNow);
+  /// Whether this host polls more often because others poll it.
+  [[nodiscard]] bool IsRelaying(base::TimePoint aNow) const;
   /// Reads the topics that no other host relays.
   void StartTopics();
   void Tick();
@@ -183,6 +203,8 @@
                const PendingRequest& aPending,
                const net::ClientOutcome& aOutcome,
                const std::string& aBody);
+  /// Polls the next source if aSource is the one that this host polls.
+  void OnSourceFailed(const Peer& aSource, base::TimePoint aNow);
   void HandleRequest(const net::HttpRequest& aRequest,
                      const std::shared_ptr<net::HttpReply>& aReply);
   void SetReader(bool aIsReader, const char* aWhy);
@@ -197,7 +219,6 @@
                                   quarantine::NoticeOffset aUpTo);
   [[nodiscard]] std::vector<store::TopicUpdate> CollectTopicUpdates(
     const std::vector<store::TopicCursor>& aCursors,
-    store::RelayLimit aLimit,
     base::TimePoint aNow) const;
   void ApplyTopicUpdates(const std::vector<store::TopicUpdate>& aUpdates,
                          base::TimePoint aAskedAt) const;
@@ -228,8 +249,13 @@
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                  ///< name of the reader that is followed
   std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
-  std::optional<base::TimePoint> m_lastPolledAt;
+  std::optional<base::TimePoint> m_lastPolledAt; ///< by a host that follows this one
+  std::optional<base::TimePoint> m_lastSourceReplyAt;
+  base::TimePoint m_sourceChangeAt{};    ///< earliest time of the next change
+  base::TimePoint m_nextPollAt{};
+  std::uint64_t m_sourcesDigest = 0;     ///< of the sources that the polled host sent last
   std::optional<base::TimePoint> m_lastContactAt; ///< last reply or request of another host
+  ExchangeCounters m_counters;
   FallbackReader m_fallback;
   ReplacementTable m_replaced;
   std::map<std::string, CrashSyncState> m_crashSync; ///< by host
@@ -237,10 +263,11 @@
   bool m_isReader = false;
   bool m_leaving = false;
   bool m_stopped = false;
-  bool m_registered = false; ///< in this process
   /// Polling can begin: the hosts are known, and this host is registered unless the log failed.
   bool m_hostsKnown = false;
   base::TimePoint m_startTopicsAt{}; ///< earliest time to read unrelayed topics from the log
+  base::TimePoint m_startTopicsLatest{}; ///< bound of m_startTopicsAt
+  net::TimerHandle m_nextPiece;          ///< polls again after an incomplete update
   net::TimerHandle m_tick;
   net::TimerHandle m_hostsTimer;
 };
--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -26,6 +26,9 @@
   /// Maximum age of operator records received from another host, measured from when that host began
   /// its last answered read.
   base::Duration m_operatorPeerMaxAge = std::chrono::milliseconds(1700);
+  /// Maximum random delay of the read of the operators' topic after the records received from
+  /// another host have become too old: what the bound leaves besides the read itself.
+  base::Duration m_operatorTakeoverDelay{};
   /// Pause between two reads of the directory; a fraction of the time for which a leaving endpoint
   /// may still receive requests.
   base::Duration m_endpointPause = std::chrono::milliseconds(600);
@@ -34,6 +37,8 @@
   /// Maximum age of directory records received from another host, measured from the log's last
   /// answer to that host.
   base::Duration m_endpointPeerMaxAge = std::chrono::milliseconds(1300);
+  /// The same as m_operatorTakeoverDelay for the directory.
+  base::Duration m_endpointTakeoverDelay{};
   /// Long-poll time of reads of the quarantine topic. Long because every read is charged; an
   /// unanswered read does no harm, as hosts also send each other the contents.
   base::Duration m_quarantineWait = std::chrono::seconds(10);
@@ -44,6 +49,8 @@
   /// Maximum age of quarantine records received from another host, measured from the log's last
   /// answer to that host.
   base::Duration m_quarantinePeerMaxAge = std::chrono::seconds(12);
+  /// The same as m_operatorTakeoverDelay for the quarantine topic.
+  base::Duration m_quarantineTakeoverDelay{};
 };
 
 /// @brief Options that keep these bounds.
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -69,6 +69,8 @@
   void OnEndpointReplaced(peers::IncarnationKey aKey);
   /// Sets the gauges of open requests in zones that are being evacuated.
   void UpdateEvacuationGauges();
+  /// Logs what this host has sent, received and computed since its start.
+  void LogTraffic() const;
   [[nodiscard]] peers::EndpointLoads LocalLoads() const;
   void OnReloadPlanned(const rollout::PlannedReload& aReload);
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
@@ -99,6 +101,7 @@
   bool m_reloadNoticePending = false; ///< a notice is posted but not sent
   net::TimerHandle m_crashNoticeTimer;
   net::TimerHandle m_isolationTimer;
+  net::TimerHandle m_trafficTimer;
   net::TimerHandle m_quarantineLoadTimer;
   base::TimePoint m_stoppingSince{};
   std::function<void()> m_onStopped;
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -54,6 +54,8 @@
   bool UpdateLastRecord(const std::string& aKey, const fleet::Endpoint& aEndpoint);
   /// Drops what this host learned about the incarnation from its own requests.
   void ForgetEndpoint(const std::string& aIncarnation);
+  /// Counts a log line on an endpoint. @return whether it is to be written
+  bool AdmitEndpointLine(base::TimePoint aNow);
   store::FollowEvents MakeFollowEvents(const std::string& aTopic);
 
   RelayCore& m_core;
@@ -62,6 +64,8 @@
   std::shared_ptr<store::TopicFollower> m_endpoints;
   std::function<void()> m_onConfigured;
   std::unordered_map<std::string, fleet::Endpoint> m_lastRecords; ///< by key; readable records only
+  base::TimePoint m_endpointLinesSince{};
+  std::size_t m_endpointLines = 0; ///< since then, with those not written
   bool m_operatorsLoaded = false;
   bool m_endpointsLoaded = false;
 };
--- a/include/ferrytray/store/record_tail.hpp
+++ b/include/ferrytray/store/record_tail.hpp
@@ -2,7 +2,6 @@
 
 #include <algorithm> // for max
 #include <cstddef>   // for size_t
-#include <cstdint>   // for uint8_t
 #include <deque>     // for deque
 #include <optional>  // for optional
 #include <vector>    // for vector
@@ -11,18 +10,13 @@
 
 namespace ferrytray::store {
 
-/// @brief How much is relayed to another host at a time.
-enum class RelayLimit : std::uint8_t
-{
-  Bounded,   ///< at most m_maxRelayBytes, otherwise none; the other host reads them from the log
-  Unbounded, ///< without a limit; the other host cannot reach the log
-};
-
 struct RecordTailOptions
 {
-  std::size_t m_maxRecords = 512; ///< records kept; a busy topic gets some tens a second
-  /// Bytes relayed at a time; more would keep hosts with slow links busy.
-  std::size_t m_maxRelayBytes = 32U << 10U;
+  /// Bytes of the records kept, with their overhead. Room for the removal of 10,000 keys.
+  std::size_t m_maxBytes = 1U << 20U;
+  /// Bytes relayed at a time, so that a slow link is not busy for long: compressed to a fifth, some
+  /// 20 ms at 20 Mbit/s.
+  std::size_t m_maxRelayBytes = 256U << 10U;
 };
 
 /// @brief The newest records of a topic, kept for hosts that follow it through this one. Does no
@@ -39,35 +33,37 @@
   void Restart(Offset aEnd)
   {
     m_records.clear();
+    m_bytes = 0;
     m_begin = aEnd;
     m_end = aEnd;
   }
 
-  /// @brief Appends a record and drops the oldest one if there are too many.
-  void Add(const Record& aRecord)
-  {
-    m_records.push_back(aRecord);
-    m_end = aRecord.m_offset + 1;
-    if (m_records.size() > m_options.m_maxRecords) {
-      m_begin = m_records.front().m_offset + 1;
-      m_records.pop_front();
-    }
-  }
+  /// @brief Appends a record and drops the oldest ones if there are too many.
+  void Add(const Record& aRecord);
 
   /// @brief Moves the end to aEnd: the records skipped carry nothing new and are not relayed.
   void SkipTo(Offset aEnd) { m_end = std::max(m_end, aEnd); }
 
-  /// @brief Returns the records from an offset on that carry something new; none if they are no
-  /// longer kept or exceed the limit.
-  [[nodiscard]] std::optional<std::vector<Record>> Since(
-    Offset aFrom,
-    RelayLimit aLimit = RelayLimit::Bounded) const;
+  /// @brief The first records from an offset on that carry something new, within the size limit; at
+  /// least one, whatever its size.
+  struct Piece
+  {
+    std::vector<Record> m_records;
+    Offset m_end = 0;       ///< offset from which the next piece continues
+    bool m_hasMore = false; ///< further records are kept
+  };
+  /// @brief Returns the records from an offset on; none if some are no longer kept.
+  [[nodiscard]] std::optional<Piece> Since(Offset aFrom) const;
+  /// @brief Bytes that a record counts for.
+  [[nodiscard]] static std::size_t SizeOf(const Record& aRecord);
+  [[nodiscard]] std::size_t MaxRelayBytes() const { return m_options.m_maxRelayBytes; }
   [[nodiscard]] Offset End() const { return m_end; }
 
 private:
   RecordTailOptions m_options;
   Offset m_begin = 0; ///< from here on all records that carry something new are kept
   Offset m_end = 0;
+  std::size_t m_bytes = 0;
   std::deque<Record> m_records;
 };
 
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -2,12 +2,14 @@
 
 #include <cstdint>       // for uint64_t
 #include <functional>    // for function
+#include <map>           // for map
 #include <memory>        // for shared_ptr
 #include <optional>      // for optional
+#include <random>        // for minstd_rand, random_device
 #include <set>           // for set
 #include <span>          // for span
 #include <string>        // for string
-#include <unordered_map> // for unordered_map
+#include <vector>        // for vector
 
 #include "ferrytray/base/time.hpp"          // for Duration
 #include "ferrytray/net/loop.hpp"           // for Loop
@@ -43,6 +45,16 @@
   base::Duration m_maxReplyTimeout = std::chrono::milliseconds(2400);
   base::Duration m_retryMin = std::chrono::milliseconds(100);
   base::Duration m_retryMax = std::chrono::milliseconds(500);
+  /// While other hosts relay the topic to this one, it is one of many that lose the log together.
+  base::Duration m_relayedRetryMax = std::chrono::seconds(8);
+  /// When relayed updates end, this host reads the log after a random time up to this, since all
+  /// hosts that follow the same reader lose it together.
+  base::Duration m_maxTakeoverDelay{};
+  /// How long an update that is not complete keeps this host from reading the log. Its own read
+  /// would return the same records.
+  base::Duration m_progressTime = std::chrono::seconds(1);
+  /// Between two checks whether this host may read the log.
+  base::Duration m_takeoverCheckInterval = std::chrono::milliseconds(200);
   /// Relayed updates are used while the log answered the relaying host no longer ago than this;
   /// after that this host reads the log itself.
   base::Duration m_maxUpdateAge = std::chrono::milliseconds(1000);
@@ -84,10 +96,9 @@
   /// @brief Returns how far the topic has been followed.
   [[nodiscard]] TopicCursor Cursor() const;
   /// @brief Returns the update for a host that has followed the topic up to aFrom; none if nothing
-  /// is known yet.
+  /// is known yet. If the records since then are no longer kept, the update starts a snapshot.
   [[nodiscard]] std::optional<TopicUpdate> UpdateSince(const TopicCursor& aFrom,
-                                                       base::TimePoint aNow,
-                                                       RelayLimit aLimit = RelayLimit::Bounded);
+                                                       base::TimePoint aNow);
   /// @brief Whether this host's last read failed and no other host relays the topic.
   [[nodiscard]] bool IsUnreachable() const { return m_unreachable; }
   /// @brief Whether another host relays the topic, so that this one does not read it.
@@ -101,17 +112,36 @@
   /// the log.
   /// @param aAskedAt when that host was sent the request
   void OnUpdate(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
-  /// @brief The other host changes or no longer relays the topic: this host reads the log until the
-  /// next usable update.
+  /// @brief Sets whether this host may read the log when relayed updates have ended. If not, it
+  /// waits for further updates. A host that many others resemble must not read the log while a host
+  /// that relays the topic can be reached.
+  void AllowTakeover(bool aAllowed) { m_takeoverAllowed = aAllowed; }
+  /// @brief Whether the relayed updates have ended or become too old, and this host has not read
+  /// the log since.
+  [[nodiscard]] bool IsOverdue() const { return m_wasRelayed && !m_relayed; }
+  /// @brief Another host relays the topic from now on.
+  void OnRelayChanged() { m_relayOutages.reset(); }
+  /// @brief No other host relays the topic any longer: this host reads the log until the next
+  /// usable update.
   void OnRelayEnded();
 
 private:
+  /// Pieces of a snapshot that another host relays, until the last one arrives.
+  struct PartialSnapshot
+  {
+    std::vector<Record> m_records;
+    std::string m_after; ///< key of the last record received
+    Offset m_end = 0;    ///< lowest end of the pieces; records from there on may be missing
+  };
+
   void LoadSnapshot();
   void OnSnapshot(base::Result<Snapshot> aResult);
   void ReadNext();
   /// Reads the available records; the log does not hold this read open.
   void ReadImmediately();
   void Read(base::Duration aWait);
+  /// Reads the log in place of the host that relayed the topic.
+  void TakeOver();
   void OnFailure(const base::Failure& aFailure);
   void OnBatch(std::uint64_t aRead, base::Result<Batch> aResult);
   [[nodiscard]] base::Duration CurrentWait() const;
@@ -122,10 +152,15 @@
   /// @param aEnd end of the range; its other records carry nothing new
   void ApplyUpdate(std::span<const Record> aRecords, Offset aEnd);
   void DeliverSnapshot(const std::vector<Record>& aRecords, Offset aEnd);
-  [[nodiscard]] TopicUpdate FullUpdate() const;
+  /// Puts the piece of the snapshot that follows a key into the update.
+  void FillSnapshotPiece(TopicUpdate& aUpdate, const std::string& aAfter) const;
+  /// Adds a received piece. @return whether m_partial is complete
+  bool AddSnapshotPiece(const TopicUpdate& aUpdate);
   void OnContact(base::TimePoint aAt, bool aRecovered);
   [[nodiscard]] base::Duration CurrentPause() const;
   void OnUnreachable(const base::Failure& aFailure);
+  /// @return at random up to aMax
+  [[nodiscard]] base::Duration RandomDelay(base::Duration aMax);
   void Schedule(base::Duration aDelay, void (TopicFollower::*aStep)());
 
   net::Loop& m_loop;
@@ -146,11 +181,15 @@
   base::Duration m_retryDelay{};
   RecordTail m_tail;
   bool m_relayed = false; ///< another host relays the topic; this one does not read it
+  bool m_wasRelayed = false;     ///< this host has not read the log since it was relayed
+  bool m_takeoverAllowed = true; ///< @see AllowTakeover
+  std::minstd_rand m_random{ std::random_device{}() };
   std::optional<base::TimePoint> m_lastContactAt; ///< latest known reply of the log to any host
   std::uint64_t m_outages = 0;                    ///< number of times that the log recovered
   std::optional<std::uint64_t> m_relayOutages;    ///< m_outages of the last relayed update
   std::optional<base::TimePoint> m_lastServedAt;  ///< when another host last requested an update
-  std::unordered_map<std::string, Record> m_newestByKey; ///< newest delivered record of each key
+  std::map<std::string, Record> m_newestByKey;    ///< newest delivered record of each key
+  std::optional<PartialSnapshot> m_partial;
   net::TimerHandle m_timer;
 };
 
--- a/include/ferrytray/store/topic_update.hpp
+++ b/include/ferrytray/store/topic_update.hpp
@@ -14,22 +14,26 @@
 {
   std::string m_topic;
   Offset m_next = 0;
-  bool m_unread = false; ///< the host has not read the topic yet
+  bool m_unread = false; ///< the host needs the whole topic
+  std::string m_after{}; ///< key after which the snapshot continues, if the host needs it
 };
 
-/// @brief What one host relays to another of a topic that it reads.
+/// @brief What one host relays to another of a topic that it follows. Bounded in size.
 struct TopicUpdate
 {
   std::string m_topic;
   Offset m_from = 0;             ///< the cursor of the requesting host
-  Offset m_end = 0;              ///< the topic's end when it was last read
+  Offset m_end = 0;              ///< up to which m_records reach
   std::vector<Record> m_records; ///< all from the cursor to the end that carry something new
-  bool m_isSnapshot = false;     ///< m_records are the newest record of each key instead
-  /// The records are not included: no longer kept, too many, or the log is unreachable. The
-  /// requesting host has to read them from the log.
+  /// m_records are one piece of the snapshot instead: the newest records of the keys that follow
+  /// m_after, in the order of keys.
+  bool m_isSnapshot = false;
+  /// The log is unreachable from the relaying host. The requesting host has to read it.
   bool m_unavailable = false;
   base::Duration m_age{};      ///< since the log last answered
   std::uint64_t m_outages = 0; ///< how often the log recovered, as seen by the relaying host
+  std::string m_after{};       ///< of the cursor of the requesting host
+  bool m_hasMore = false;      ///< further records are available now
 };
 
 } // namespace ferrytray::store
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/peers/messages.hpp"
 
-#include "ferrytray/peers/archive.hpp" // for ReadMessage, WriteMessage
+#include "ferrytray/base/digest.hpp"   // for Hash64
+#include "ferrytray/peers/archive.hpp" // for ReadCompressed, ReadMessage, WriteCompressed
 
 namespace ferrytray::cache {
 
@@ -41,7 +42,7 @@
 template<typename Archive>
 void serialize(Archive& aArchive, TopicCursor& aCursor)
 {
-  aArchive(aCursor.m_topic, aCursor.m_next, aCursor.m_unread);
+  aArchive(aCursor.m_topic, aCursor.m_next, aCursor.m_unread, aCursor.m_after);
 }
 
 template<typename Archive>
@@ -56,6 +57,7 @@
   aArchive(
     aUpdate.m_topic, aUpdate.m_from, aUpdate.m_end, aUpdate.m_records, aUpdate.m_unavailable);
   aArchive(aUpdate.m_age, aUpdate.m_outages, aUpdate.m_isSnapshot);
+  aArchive(aUpdate.m_after, aUpdate.m_hasMore);
 }
 
 } // namespace ferrytray::store
@@ -107,58 +109,67 @@
 template<typename Archive>
 void serialize(Archive& aArchive, SyncRequest& aRequest)
 {
-  aArchive(aRequest.m_sender, aRequest.m_incarnation, aRequest.m_cursors);
-  aArchive(aRequest.m_topics, aRequest.m_scope, aRequest.m_loads, aRequest.m_logLost);
+  aArchive(aRequest.m_sender, aRequest.m_isRegistered, aRequest.m_incarnation);
+  aArchive(aRequest.m_cursors, aRequest.m_topics, aRequest.m_scope, aRequest.m_loads);
   aArchive(aRequest.m_reloads, aRequest.m_replaced);
-  aArchive(aRequest.m_crashes, aRequest.m_crashesFrom);
+  aArchive(aRequest.m_crashes, aRequest.m_crashesFrom, aRequest.m_sourcesDigest);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, SyncReply& aReply)
 {
   aArchive(aReply.m_incarnation, aReply.m_topics, aReply.m_stores, aReply.m_loads);
-  aArchive(aReply.m_reloads, aReply.m_replaced, aReply.m_readers);
+  aArchive(aReply.m_reloads, aReply.m_replaced, aReply.m_sources);
   aArchive(aReply.m_crashes, aReply.m_crashesNext);
 }
 
+std::uint64_t DigestOf(std::span<const Peer> aPeers)
+{
+  std::uint64_t digest = 0;
+  for (const Peer& peer : aPeers) {
+    digest = base::Hash64(std::to_string(digest) + peer.m_name, peer.m_address);
+  }
+  return digest;
+}
+
 std::string Encode(const Peer& aPeer)
 {
-  return WriteMessage(aPeer);
+  return WriteMessage(aPeer, kRecordVersion);
 }
 
 std::string Encode(const SyncRequest& aRequest)
 {
-  return WriteMessage(aRequest);
+  return WriteCompressed(aRequest);
 }
 
 std::string Encode(const SyncReply& aReply)
 {
-  return WriteMessage(aReply);
+  return WriteCompressed(aReply);
 }
 
 std::string Encode(const quarantine::Suspicion& aSuspicion)
 {
-  return WriteMessage(aSuspicion);
+  return WriteMessage(aSuspicion, kRecordVersion);
 }
 
 base::Result<Peer> DecodePeer(std::string_view aBytes)
 {
-  return ReadMessage<Peer>(aBytes);
+  return ReadMessage<Peer>(aBytes, kRecordVersion);
 }
 
 base::Result<SyncRequest> DecodeSyncRequest(std::string_view aBytes)
 {
-  return ReadMessage<SyncRequest>(aBytes);
+  return ReadCompressed<SyncRequest>(aBytes);
 }
 
 base::Result<SyncReply> DecodeSyncReply(std::string_view aBytes)
 {
-  return ReadMessage<SyncReply>(aBytes);
+  return ReadCompressed<SyncReply>(aBytes);
 }
 
 base::Result<quarantine::Suspicion> DecodeSuspicion(std::string_view aBytes)
 {
-  return ReadMessage<quarantine::Suspicion>(aBytes);
+  return ReadMessage<quarantine::Suspicion>(aBytes, kRecordVersion);
 }
 
 } // namespace ferrytray::peers
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/peers/peer_exchange.hpp"
 
-#include <random>  // for random_device
-#include <utility> // for exchange, move
+#include <algorithm> // for any_of, clamp, min
+#include <random>    // for random_device
+#include <utility>   // for exchange, move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
@@ -14,6 +15,11 @@
 constexpr int kUnavailable = 503;
 constexpr std::string_view kSyncPath = "/news";
 
+/// Timers may fire early by this much relative to the previous call.
+constexpr base::Duration kTimerSlack = std::chrono::milliseconds(2);
+
+constexpr base::Duration kMinPiecePause = std::chrono::milliseconds(5);
+
 std::uint64_t RandomNumber()
 {
   std::random_device device;
@@ -72,8 +78,18 @@
                          net::ToString(m_server->ListenAddress()),
                          m_options.m_capacity },
                    m_options.m_roster);
-  ReadHosts();
-  m_tick = m_loop.Every(m_options.m_pollInterval, [this] { Tick(); });
+  m_roster->SetRegistered(false);
+  if (m_options.m_startDelay > base::Duration::zero()) {
+    m_hostsTimer = m_loop.After(m_options.m_startDelay, [this] { ReadHosts(); });
+  } else {
+    ReadHosts();
+  }
+  m_tick = m_loop.Every(std::min(m_options.m_pollInterval, m_options.m_relayPollInterval), [this] {
+    const base::TimePoint now = base::MonotonicNow();
+    if (IsRelaying(now) || now >= m_nextPollAt) {
+      Tick();
+    }
+  });
   return {};
 }
 
@@ -82,6 +98,7 @@
   m_stopped = true;
   m_tick.reset();
   m_hostsTimer.reset();
+  m_nextPiece.reset();
 }
 
 void PeerExchange::ReadHosts()
@@ -97,13 +114,11 @@
 {
   if (!aResult) {
     telemetry::LogLine("hosts").Add("outcome", "failed").Add("why", aResult.error().m_message);
-    StartTopics();
-    // Hosts from an earlier read can be polled although the log is unreachable now.
-    m_hostsKnown = m_hostsKnown || m_roster->HostCount() > 1;
+    OnHostsUnavailable();
     ScheduleReadHosts(m_options.m_hostsReadRetry);
     return;
   }
-  bool listed = m_registered;
+  bool listed = m_roster->IsRegistered();
   for (const store::Record& record : aResult->m_records) {
     if (const auto peer = DecodePeerRecord(record)) {
       m_roster->AddOrUpdate(*peer);
@@ -115,18 +130,35 @@
   telemetry::LogLine("hosts")
     .Add("known", m_roster->HostCount())
     .Add("listed", listed ? "yes" : "no");
-  if (!listed) {
+  m_roster->SetRegistered(listed);
+  if (!listed && m_roster->ShouldRegister()) {
     Register();
     return;
   }
-  const bool first = !std::exchange(m_hostsKnown, true);
-  ScheduleReadHosts(first ? m_options.m_hostsReadRetry : m_options.m_hostsReadInterval);
-  if (first) {
-    m_startTopicsAt = base::MonotonicNow() + m_options.m_topicRelayTimeout;
+  ScheduleReadHosts(m_hostsKnown ? m_options.m_hostsReadInterval : m_options.m_hostsReadRetry);
+  OnHostsKnown();
+}
+
+void PeerExchange::OnHostsKnown()
+{
+  if (!std::exchange(m_hostsKnown, true)) {
+    const base::TimePoint now = base::MonotonicNow();
+    m_startTopicsAt = now + m_options.m_topicRelayTimeout;
+    m_startTopicsLatest = now + m_options.m_maxTopicRelayTimeout;
     Tick();
   }
 }
 
+void PeerExchange::OnHostsUnavailable()
+{
+  // Hosts from an earlier read can be polled although the log is unreachable now.
+  if (m_roster->HostCount() > 1) {
+    OnHostsKnown();
+  } else {
+    StartTopics();
+  }
+}
+
 void PeerExchange::Register()
 {
   m_log.AppendKeyed(m_options.m_topic,
@@ -136,22 +168,22 @@
                       if (m_stopped) {
                         return;
                       }
-                      m_registered = aResult.has_value();
+                      m_roster->SetRegistered(aResult.has_value());
                       if (!aResult) {
                         telemetry::LogLine("enrolled")
                           .Add("outcome", "failed")
                           .Add("why", aResult.error().m_message);
-                        StartTopics();
+                        OnHostsUnavailable();
                       }
-                      ScheduleReadHosts(m_registered ? m_options.m_firstHostsReadDelay
-                                                     : m_options.m_registrationRetry);
+                      ScheduleReadHosts(aResult ? m_options.m_firstHostsReadDelay
+                                                : m_options.m_registrationRetry);
                     });
 }
 
 void PeerExchange::ScheduleReadHosts(base::Duration aDelay)
 {
   m_hostsTimer = m_loop.After(aDelay, [this] {
-    // A follower gets the list of readers from the reader that it follows.
+    // Other hosts get the list of readers and relays from the host that they poll.
     if (m_isReader || !m_hostsKnown) {
       ReadHosts();
     } else {
@@ -167,22 +199,40 @@
   }
 }
 
+bool PeerExchange::IsRelaying(base::TimePoint aNow) const
+{
+  return !m_isReader && m_lastPolledAt && aNow < *m_lastPolledAt + m_options.m_relayHoldTime;
+}
+
+void PeerExchange::UpdateTakeover(base::TimePoint aNow)
+{
+  const bool sourceLost =
+    !m_lastSourceReplyAt || aNow >= *m_lastSourceReplyAt + m_options.m_sourceLostAfter;
+  const bool allowed = m_isReader || m_roster->IsRegistered() || sourceLost;
+  bool overdue = false;
+  for (const auto& topic : m_topics) {
+    topic->AllowTakeover(allowed);
+    overdue = overdue || topic->IsOverdue();
+  }
+  if (overdue && !allowed && aNow >= m_sourceChangeAt) {
+    m_roster->ChangeSource();
+    m_sourceChangeAt = aNow + m_options.m_sourceChangeInterval;
+  }
+}
+
 void PeerExchange::Tick()
 {
   const base::TimePoint now = base::MonotonicNow();
+  m_nextPollAt = now + m_options.m_pollInterval - kTimerSlack;
   m_loads.Expire(now);
   m_reloads.Expire(now);
   m_replaced.Expire(now);
   if (!m_hostsKnown) {
     return; // no other host is known yet
   }
+  UpdateTakeover(now);
   const std::optional<Peer> source = m_roster->Source(now);
-  const bool polled = m_lastPolledAt && now < *m_lastPolledAt + m_options.m_readerHoldTime;
-  if (source) {
-    SetReader(polled, polled ? "polled by other hosts" : "another host is the reader");
-  } else {
-    SetReader(true, "reader by rank");
-  }
+  SetReader(!source, source ? "another host is the reader" : "reader by rank");
   if (m_isReader || now >= m_startTopicsAt) {
     StartTopics();
   }
@@ -217,10 +267,13 @@
     // The new source reports the loads of the same hosts. Counted twice, all endpoints would look
     // busier.
     m_loads.OnReport(m_source, LoadScope::Summary, {}, aNow);
-    EndTopicUpdates();
+    for (const auto& topic : m_topics) {
+      topic->OnRelayChanged();
+    }
     m_source = aSource.m_name;
     telemetry::LogLine("asks_host").Add("host", aSource.m_name).Add("address", aSource.m_address);
     m_sourceIncarnation = 0;
+    m_sourcesDigest = 0;
   }
   SyncRequest syncRequest;
   syncRequest.m_incarnation = m_sourceIncarnation;
@@ -231,7 +284,8 @@
   }
   syncRequest.m_topics = TopicCursors();
   syncRequest.m_scope = LoadScope::Own;
-  syncRequest.m_loads = m_ownLoads();
+  syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
+  syncRequest.m_sourcesDigest = m_sourcesDigest;
   syncRequest.m_replaced = m_replaced.Notices(aNow);
   SendSyncRequest(aSource, syncRequest, aNow);
 }
@@ -255,6 +309,7 @@
   }
   SyncRequest syncRequest = aSyncRequest;
   syncRequest.m_sender = m_roster->Self();
+  syncRequest.m_isRegistered = m_roster->IsRegistered();
   AddCrashNotices(aPeer, syncRequest);
   const quarantine::NoticeOffset sentUpTo =
     m_crashes.Notices().NextOffset(m_crashSync[aPeer.m_name].m_sentUpTo, kMaxCrashNotices);
@@ -263,6 +318,7 @@
   request.m_url = "http://" + aPeer.m_address + std::string(kSyncPath);
   request.m_headers = { { "Content-Type", "application/octet-stream" } };
   request.m_body = Encode(syncRequest);
+  m_counters.OnRequestSent(request.m_body.size());
   request.m_connectTimeout = m_options.m_connectTimeout;
   request.m_timeout = m_options.m_requestTimeout;
   m_client.Fetch(
@@ -292,19 +348,18 @@
       .Add("why", reply.error().m_message);
     m_roster->OnRequestFailed(aSource.m_name, now);
     m_fallback.OnAnswer(aSource.m_name, false);
-    if (aSource.m_name == m_source && !m_fallback.IsActive()) {
-      EndTopicUpdates();
-    }
+    OnSourceFailed(aSource, now);
     return;
   }
+  m_counters.OnReplyReceived(*reply, aBody.size());
   m_roster->OnRequestSucceeded(aSource.m_name);
   m_lastContactAt = now;
   ApplyReloads(reply->m_reloads, now);
   ApplyReplacements(reply->m_replaced, now);
   OnCrashNoticesAcknowledged(aSource, *reply, aPending.m_crashesSentUpTo);
   ApplyCrashes(reply->m_crashes, now);
-  for (const Peer& reader : reply->m_readers) {
-    m_roster->AddOrUpdate(reader);
+  for (const Peer& source : reply->m_sources) {
+    m_roster->AddOrUpdate(source);
   }
   const bool fromSource = !m_isReader && aSource.m_name == m_source;
   if (m_isReader || fromSource) {
@@ -317,6 +372,14 @@
     return; // this host has become a reader meanwhile, or follows another one
   }
   m_sourceIncarnation = reply->m_incarnation;
+  if (!reply->m_sources.empty()) {
+    m_sourcesDigest = DigestOf(reply->m_sources);
+  }
+  m_lastSourceReplyAt = now;
+  m_startTopicsAt = now + m_options.m_topicRelayTimeout;
+  if (m_roster->IsRegistered()) {
+    m_startTopicsAt = std::min(m_startTopicsAt, m_startTopicsLatest);
+  }
   ApplyTopicUpdates(reply->m_topics, aPending.m_sentAt);
   for (const cache::ContentsDelta& delta : reply->m_stores) {
     const auto known = m_stores.find(delta.m_store);
@@ -324,6 +387,29 @@
       known->second.OnDelta(delta, aPending.m_sentAt, now);
     }
   }
+  const bool hasMore =
+    std::any_of(reply->m_topics.begin(),
+                reply->m_topics.end(),
+                [](const store::TopicUpdate& aUpdate) { return aUpdate.m_hasMore; });
+  if (hasMore) {
+    // Leaves half of the link to other traffic.
+    const base::Duration pause =
+      std::clamp(now - aPending.m_sentAt, kMinPiecePause, m_options.m_pollInterval);
+    m_nextPiece = m_loop.After(pause, [this] { Tick(); });
+  }
+}
+
+void PeerExchange::OnSourceFailed(const Peer& aSource, base::TimePoint aNow)
+{
+  if (m_isReader || aSource.m_name != m_source) {
+    return;
+  }
+  // Records are relayed by the next host within their maximum age, so the log is not read.
+  if (const std::optional<Peer> next = m_roster->Source(aNow)) {
+    PollSource(*next, aNow);
+  } else if (!m_fallback.IsActive()) {
+    EndTopicUpdates();
+  }
 }
 
 void PeerExchange::HandleRequest(const net::HttpRequest& aRequest,
@@ -342,8 +428,11 @@
     aReply->Send(kUnavailable, {}, "this host is shutting down");
     return;
   }
+  m_counters.OnRequestReceived(*syncRequest, aRequest.m_body.size());
   const base::TimePoint now = base::MonotonicNow();
-  m_roster->AddOrUpdate(syncRequest->m_sender);
+  if (syncRequest->m_isRegistered) {
+    m_roster->AddOrUpdate(syncRequest->m_sender);
+  }
   m_lastContactAt = now;
   ApplyReloads(syncRequest->m_reloads, now);
   ApplyReplacements(syncRequest->m_replaced, now);
@@ -353,16 +442,15 @@
   reply.m_incarnation = m_incarnation;
   reply.m_reloads = m_reloads.Notices(now);
   reply.m_replaced = m_replaced.Notices(now);
-  reply.m_topics = CollectTopicUpdates(syncRequest->m_topics,
-                                       syncRequest->m_logLost ? store::RelayLimit::Unbounded
-                                                              : store::RelayLimit::Bounded,
-                                       now);
+  reply.m_topics = CollectTopicUpdates(syncRequest->m_topics, now);
   reply.m_loads = m_ownLoads();
   if (syncRequest->m_scope == LoadScope::Own) {
     m_lastPolledAt = now;
-    SetReader(true, "polled by other hosts");
     reply.m_loads = Sum(reply.m_loads, m_loads.AllExcept(syncRequest->m_sender.m_name));
-    reply.m_readers = m_roster->ReadersOf(syncRequest->m_sender.m_zone, now);
+    reply.m_sources = m_roster->SourcesOf(syncRequest->m_sender.m_zone, now);
+    if (DigestOf(reply.m_sources) == syncRequest->m_sourcesDigest) {
+      reply.m_sources.clear();
+    }
     const quarantine::NoticeOffset from =
       syncRequest->m_incarnation == m_incarnation ? syncRequest->m_crashesFrom : 0;
     reply.m_crashes = m_crashes.Notices().Since(from, kMaxCrashNotices);
@@ -382,7 +470,9 @@
       reply.m_stores.push_back(std::move(*delta));
     }
   }
-  aReply->Send(kOk, { { "Content-Type", "application/octet-stream" } }, Encode(reply));
+  std::string body = Encode(reply);
+  m_counters.OnReplySent(body.size());
+  aReply->Send(kOk, { { "Content-Type", "application/octet-stream" } }, std::move(body));
 }
 
 } // namespace ferrytray::peers
--- a/src/ferrytray/peers/peer_topics.cpp
+++ b/src/ferrytray/peers/peer_topics.cpp
@@ -20,7 +20,6 @@
   }
   SyncRequest syncRequest;
   syncRequest.m_topics = TopicCursors();
-  syncRequest.m_logLost = true;
   syncRequest.m_scope = LoadScope::Summary;
   if (m_isReader) {
     syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
@@ -76,7 +75,6 @@
 
 std::vector<store::TopicUpdate> PeerExchange::CollectTopicUpdates(
   const std::vector<store::TopicCursor>& aCursors,
-  store::RelayLimit aLimit,
   base::TimePoint aNow) const
 {
   std::vector<store::TopicUpdate> all;
@@ -85,7 +83,7 @@
       if (topic->Topic() != cursor.m_topic) {
         continue;
       }
-      if (auto update = topic->UpdateSince(cursor, aNow, aLimit)) {
+      if (auto update = topic->UpdateSince(cursor, aNow)) {
         all.push_back(std::move(*update));
       }
     }
--- a/src/ferrytray/peers/placement_messages.cpp
+++ b/src/ferrytray/peers/placement_messages.cpp
@@ -21,22 +21,22 @@
 
 std::string Encode(const PlacementRequest& aRequest)
 {
-  return WriteMessage(aRequest);
+  return WriteMessage(aRequest, kMessageVersion);
 }
 
 std::string Encode(const PlacementReply& aReply)
 {
-  return WriteMessage(aReply);
+  return WriteMessage(aReply, kMessageVersion);
 }
 
 base::Result<PlacementRequest> DecodePlacementRequest(std::string_view aBytes)
 {
-  return ReadMessage<PlacementRequest>(aBytes);
+  return ReadMessage<PlacementRequest>(aBytes, kMessageVersion);
 }
 
 base::Result<PlacementReply> DecodePlacementReply(std::string_view aBytes)
 {
-  return ReadMessage<PlacementReply>(aBytes);
+  return ReadMessage<PlacementReply>(aBytes, kMessageVersion);
 }
 
 } // namespace ferrytray::peers
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -1,6 +1,9 @@
 #include "ferrytray/peers/roster.hpp"
 
-#include <algorithm> // for max, min, sort, stable_sort
+#include <algorithm> // for count_if, find, min, min_element, sort
+#include <cmath>     // for log
+#include <string>    // for to_string
+#include <utility>   // for move
 
 #include "ferrytray/base/digest.hpp" // for Hash64
 
@@ -8,35 +11,33 @@
 
 namespace {
 
-constexpr std::string_view kReaderRankSeed = "reader";
+constexpr std::string_view kRankSeed = "reader";
 
-/// Sorts by a hash that is the same on all hosts.
-void SortByHash(std::vector<const Peer*>& aPeers, std::string_view aSeed)
+/// Weighted rendezvous hashing: a peer is chosen with a probability in proportion to its capacity.
+double WeightedScore(const Peer& aPeer, const std::string& aName)
 {
-  std::sort(aPeers.begin(), aPeers.end(), [aSeed](const Peer* aLeft, const Peer* aRight) {
-    return base::Hash64(aSeed, aLeft->m_name) < base::Hash64(aSeed, aRight->m_name);
-  });
+  constexpr double kHashRange = 18446744073709551616.0; // 2^64
+  const double uniform =
+    (static_cast<double>(base::Hash64(aName, aPeer.m_name)) + 1.0) / (kHashRange + 1.0);
+  return -std::log(uniform) / std::max(aPeer.m_capacity, 1U);
 }
 
-/// Sorts by descending capacity; the order is the same on all hosts.
-void SortByRank(std::vector<const Peer*>& aPeers)
+} // namespace
+
+Roster::Roster(Peer aSelf, RosterOptions aOptions)
+  : m_self{ aSelf, base::Hash64(kRankSeed, aSelf.m_name), 0, {} }
+  , m_options(aOptions)
 {
-  SortByHash(aPeers, kReaderRankSeed);
-  std::stable_sort(aPeers.begin(), aPeers.end(), [](const Peer* aLeft, const Peer* aRight) {
-    return aLeft->m_capacity > aRight->m_capacity;
-  });
 }
 
-} // namespace
-
 void Roster::AddOrUpdate(const Peer& aPeer)
 {
-  if (aPeer.m_name == m_self.m_name) {
+  if (aPeer.m_name == m_self.m_peer.m_name) {
     return;
   }
   Entry& entry = m_peers[aPeer.m_name];
   if (entry.m_peer != aPeer) {
-    entry = { aPeer, 0, {} };
+    entry = { aPeer, base::Hash64(kRankSeed, aPeer.m_name), 0, {} };
   }
 }
 
@@ -62,12 +63,15 @@
   ++entry.m_failures;
 }
 
-std::vector<const Peer*> Roster::Reachable(base::TimePoint aNow) const
+Roster::Entries Roster::Reachable(base::TimePoint aNow) const
 {
-  std::vector<const Peer*> reachable{ &m_self };
+  Entries reachable;
+  if (m_registered) {
+    reachable.push_back(&m_self);
+  }
   for (const auto& [name, entry] : m_peers) {
     if (!entry.m_backoffUntil || *entry.m_backoffUntil <= aNow) {
-      reachable.push_back(&entry.m_peer);
+      reachable.push_back(&entry);
     }
   }
   return reachable;
@@ -75,54 +79,98 @@
 
 std::set<std::string> Roster::Zones() const
 {
-  std::set<std::string> zones{ m_self.m_zone };
+  std::set<std::string> zones{ m_self.m_peer.m_zone };
   for (const auto& [name, entry] : m_peers) {
     zones.insert(entry.m_peer.m_zone);
   }
   return zones;
 }
 
-std::vector<const Peer*> Roster::RankedReaders(const std::string& aZone, base::TimePoint aNow) const
+std::size_t Roster::ReaderCount() const
+{
+  const std::size_t zones = Zones().size();
+  return zones <= m_options.m_readers ? m_options.m_readers / zones : m_options.m_readers;
+}
+
+Roster::Entries Roster::Ranked(const std::string& aZone, base::TimePoint aNow) const
+{
+  Entries hosts = Reachable(aNow);
+  if (HasZoneReaders() && !aZone.empty()) {
+    std::erase_if(hosts, [&](const Entry* aEntry) { return aEntry->m_peer.m_zone != aZone; });
+  }
+  std::sort(hosts.begin(), hosts.end(), &Roster::Outranks);
+  return hosts;
+}
+
+bool Roster::Outranks(const Entry* aLeft, const Entry* aRight)
+{
+  if (aLeft->m_peer.m_capacity != aRight->m_peer.m_capacity) {
+    return aLeft->m_peer.m_capacity > aRight->m_peer.m_capacity;
+  }
+  return aLeft->m_rankHash < aRight->m_rankHash;
+}
+
+Roster::Entries Roster::Readers(const std::string& aZone, base::TimePoint aNow) const
 {
-  std::vector<const Peer*> readers = Reachable(aNow);
   if (HostCount() <= m_options.m_readers) {
-    return readers;
+    return Reachable(aNow);
   }
-  const std::size_t zones = Zones().size();
-  // With more zones than readers, all hosts share the same readers.
-  const bool byZone = zones <= m_options.m_readers;
-  const std::size_t maxReaders = byZone ? m_options.m_readers / zones : m_options.m_readers;
-  std::erase_if(readers, [&](const Peer* aPeer) { return byZone && aPeer->m_zone != aZone; });
-  SortByRank(readers);
-  readers.resize(std::min(readers.size(), maxReaders));
+  Entries readers = Ranked(aZone, aNow);
+  readers.resize(std::min(readers.size(), ReaderCount()));
   return readers;
 }
 
+bool Roster::ShouldRegister() const
+{
+  const bool byZone = HasZoneReaders();
+  const auto equal = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& aPair) {
+    const Peer& peer = aPair.second.m_peer;
+    return (!byZone || peer.m_zone == m_self.m_peer.m_zone) &&
+           peer.m_capacity >= m_self.m_peer.m_capacity;
+  });
+  return static_cast<std::size_t>(equal) < ReaderCount() + m_options.m_relaysPerZone;
+}
+
 std::optional<Peer> Roster::Source(base::TimePoint aNow) const
 {
-  std::vector<const Peer*> readers = RankedReaders(m_self.m_zone, aNow);
+  const Entries readers = Readers(m_self.m_peer.m_zone, aNow);
   if (std::find(readers.begin(), readers.end(), &m_self) != readers.end()) {
     return std::nullopt;
   }
-  // Spreads the hosts of the zone over its readers.
-  SortByHash(readers, m_self.m_name);
-  return *readers.front();
+  Entries sources = Ranked(m_self.m_peer.m_zone, aNow);
+  const auto self = std::find(sources.begin(), sources.end(), &m_self);
+  const std::size_t relaysEnd = readers.size() + m_options.m_relaysPerZone;
+  const bool isRelay =
+    self != sources.end() && static_cast<std::size_t>(self - sources.begin()) < relaysEnd;
+  sources.resize(std::min(sources.size(), isRelay ? readers.size() : relaysEnd));
+  if (sources.empty()) {
+    return std::nullopt;
+  }
+  const std::string name =
+    m_self.m_peer.m_name + (m_sourceChoice == 0 ? "" : "#" + std::to_string(m_sourceChoice));
+  const auto best = std::min_element(
+    sources.begin(), sources.end(), [&](const Entry* aLeft, const Entry* aRight) {
+      return WeightedScore(aLeft->m_peer, name) < WeightedScore(aRight->m_peer, name);
+    });
+  return (*best)->m_peer;
 }
 
 Peer Roster::HighestRanked(const std::string& aZone, base::TimePoint aNow) const
 {
-  std::vector<const Peer*> hosts = Reachable(aNow);
-  std::erase_if(hosts, [&](const Peer* aPeer) { return !aZone.empty() && aPeer->m_zone != aZone; });
-  if (hosts.empty()) {
-    return m_self;
-  }
-  SortByRank(hosts);
-  return *hosts.front();
+  Entries hosts = Reachable(aNow);
+  std::erase_if(hosts, [&](const Entry* aEntry) {
+    return !aZone.empty() && aEntry->m_peer.m_zone != aZone;
+  });
+  const auto highest = std::min_element(hosts.begin(), hosts.end(), &Roster::Outranks);
+  return highest == hosts.end() ? m_self.m_peer : (*highest)->m_peer;
 }
 
 bool Roster::IsAmongFirst(std::string_view aName, std::size_t aCount) const
 {
-  const std::uint64_t own = base::Hash64(aName, m_self.m_name);
+  if (!m_registered) {
+    return false;
+  }
+  const std::uint64_t own = base::Hash64(aName, m_self.m_peer.m_name);
   std::size_t before = 0;
   for (const auto& [name, entry] : m_peers) {
     before += base::Hash64(aName, name) < own ? 1 : 0;
@@ -130,27 +178,30 @@
   return before < aCount;
 }
 
-std::vector<Peer> Roster::ReadersOf(const std::string& aZone, base::TimePoint aNow) const
+std::vector<Peer> Roster::SourcesOf(const std::string& aZone, base::TimePoint aNow) const
 {
-  std::vector<Peer> readers;
-  for (const Peer* reader : RankedReaders(aZone, aNow)) {
-    readers.push_back(*reader);
+  Entries sources = Ranked(aZone, aNow);
+  sources.resize(std::min(sources.size(), ReaderCount() + m_options.m_relaysPerZone));
+  std::vector<Peer> peers;
+  peers.reserve(sources.size());
+  for (const Entry* source : sources) {
+    peers.push_back(source->m_peer);
   }
-  return readers;
+  return peers;
 }
 
 std::vector<Peer> Roster::OtherReaders(base::TimePoint aNow) const
 {
-  std::set<const Peer*> readers;
+  std::set<const Entry*> readers;
   for (const std::string& zone : Zones()) {
-    const std::vector<const Peer*> ofZone = RankedReaders(zone, aNow);
+    const Entries ofZone = Readers(zone, aNow);
     readers.insert(ofZone.begin(), ofZone.end());
   }
   readers.erase(&m_self);
   std::vector<Peer> others;
   others.reserve(readers.size());
-  for (const Peer* reader : readers) {
-    others.push_back(*reader);
+  for (const Entry* reader : readers) {
+    others.push_back(reader->m_peer);
   }
   return others;
 }
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/relay/feed_options.hpp"
 
-#include <algorithm> // for min
+#include <algorithm> // for max, min
 
 #include "ferrytray/base/known_age.hpp" // for DeniesWithin
 
@@ -35,6 +35,13 @@
 // ends.
 constexpr int kOperatorPeerAgePercent = 85;
 
+// A leaving endpoint may get requests until the drain time ends; by this part of it all hosts have
+// begun to read the directory themselves.
+constexpr int kEndpointTakeoverPercent = 75;
+
+// Of the bound on operators' records, for the processing of a read.
+constexpr base::Duration kOperatorTakeoverMargin = std::chrono::milliseconds(200);
+
 // Hosts notify each other of crashing requests, so only hosts that start or are cut off from all
 // others need the log. The rest of the bound is for the answer.
 constexpr int kQuarantineIsolatedPercent = 50;
@@ -61,11 +68,18 @@
   options.m_operatorGrace = std::min(PercentOf(due, kOperatorGracePercent), kMaxOperatorGrace);
   options.m_operatorPeerMaxAge =
     std::min(2 * options.m_operatorWait + kPeerAgeSlack, PercentOf(due, kOperatorPeerAgePercent));
+  options.m_operatorTakeoverDelay =
+    std::max(due - options.m_operatorPeerMaxAge - options.m_operatorGrace - kOperatorTakeoverMargin,
+             base::Duration::zero());
   options.m_endpointPause = PercentOf(aBounds.m_drain, kPausePercent);
   options.m_endpointServingPause = PercentOf(aBounds.m_drain, kServingPausePercent);
   options.m_endpointPeerMaxAge = options.m_endpointServingPause + kPeerAgeSlack;
+  options.m_endpointTakeoverDelay =
+    std::max(PercentOf(aBounds.m_drain, kEndpointTakeoverPercent) - options.m_endpointPeerMaxAge,
+             base::Duration::zero());
   options.m_quarantineIsolatedInterval =
     PercentOf(aBounds.m_quarantineDue, kQuarantineIsolatedPercent);
+  options.m_quarantineTakeoverDelay = options.m_quarantineIsolatedInterval;
   options.m_quarantineGrace =
     std::min(PercentOf(aBounds.m_quarantineDue, kOperatorGracePercent), kMaxOperatorGrace);
   return options;
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -37,6 +37,7 @@
   follow.m_pause = {};
   follow.m_replyTimeout = aOptions.m_quarantineGrace;
   follow.m_maxUpdateAge = aOptions.m_quarantinePeerMaxAge;
+  follow.m_maxTakeoverDelay = aOptions.m_quarantineTakeoverDelay;
   store::FollowEvents events;
   events.m_onRecord = [this](const store::Record& aRecord) {
     OnRecord(aRecord);
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -1,5 +1,6 @@
 #include "ferrytray/relay/relay_host.hpp"
 
+#include <ctime>   // for clock
 #include <map>     // for map
 #include <utility> // for exchange, move
 
@@ -33,6 +34,8 @@
 
 constexpr base::Duration kShutdownCheckInterval = std::chrono::milliseconds(50);
 
+constexpr base::Duration kTrafficLogInterval = std::chrono::seconds(10);
+
 } // namespace
 
 RelayHost::RelayHost(net::Loop& aLoop, const HostPorts& aPorts, HostOptions aOptions)
@@ -102,6 +105,7 @@
   m_rollout.AddDuty(m_upkeep);
   m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReloadPlanned(aReload); });
   m_rollout.Start();
+  m_trafficTimer = m_loop.Every(kTrafficLogInterval, [this] { LogTraffic(); });
   telemetry::LogLine("start")
     .Add("callers", net::ToString(CallerAddress()))
     .Add("readiness", net::ToString(ReadinessAddress()))
@@ -207,6 +211,24 @@
   return {};
 }
 
+void RelayHost::LogTraffic() const
+{
+  const peers::ExchangeCounters& counters = m_peerExchange.Counters();
+  constexpr std::clock_t kMillisPerSecond = 1000;
+  telemetry::LogLine("traffic")
+    .Add("requests_sent", counters.m_requestsSent)
+    .Add("requests_received", counters.m_requestsReceived)
+    .Add("bytes_sent", counters.m_bytesSent)
+    .Add("bytes_received", counters.m_bytesReceived)
+    .Add("records", counters.m_records)
+    .Add("store_deltas", counters.m_storeDeltas)
+    .Add("store_changes", counters.m_storeChanges)
+    .Add("loads", counters.m_loads)
+    .Add("notices", counters.m_notices)
+    .Add("client_bytes", m_core.m_client.BytesTransferred())
+    .Add("processor_ms", std::clock() * kMillisPerSecond / CLOCKS_PER_SEC);
+}
+
 void RelayHost::OnEndpointReplaced(peers::IncarnationKey aKey)
 {
   for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
@@ -302,6 +324,7 @@
   m_feeds.Stop();
   m_quarantine.Stop();
   m_isolationTimer.reset();
+  m_trafficTimer.reset();
   m_peerExchange.Stop();
   m_stores.Stop();
   m_shutdownTimer->Cancel();
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -13,6 +13,11 @@
 /// The users' platform judges a host only from 3 s after its start.
 constexpr base::Duration kStartupGrace = std::chrono::milliseconds(2500);
 
+/// Log lines on endpoints per interval. A host of a large fleet reads thousands of entries at its
+/// start, and formatting their lines would take longer than reading them.
+constexpr std::size_t kMaxEndpointLines = 400;
+constexpr base::Duration kEndpointLineInterval = std::chrono::seconds(1);
+
 } // namespace
 
 StateFeeds::StateFeeds(RelayCore& aCore,
@@ -28,6 +33,7 @@
   operators.m_pause = {};
   operators.m_replyTimeout = aOptions.m_operatorGrace;
   operators.m_maxUpdateAge = aOptions.m_operatorPeerMaxAge;
+  operators.m_maxTakeoverDelay = aOptions.m_operatorTakeoverDelay;
   store::FollowEvents onOperators = MakeFollowEvents(operators.m_topic);
   onOperators.m_onRecord = [this](const store::Record& aRecord) {
     OnOperatorRecord(aRecord);
@@ -44,6 +50,7 @@
   endpoints.m_pause = aOptions.m_endpointPause;
   endpoints.m_servingPause = aOptions.m_endpointServingPause;
   endpoints.m_maxUpdateAge = aOptions.m_endpointPeerMaxAge;
+  endpoints.m_maxTakeoverDelay = aOptions.m_endpointTakeoverDelay;
   store::FollowEvents onEndpoints = MakeFollowEvents(endpoints.m_topic);
   onEndpoints.m_onRecord = [this](const store::Record& aRecord) {
     return OnEndpointRecord(aRecord);
@@ -233,11 +240,25 @@
   return changed;
 }
 
+bool StateFeeds::AdmitEndpointLine(base::TimePoint aNow)
+{
+  if (aNow >= m_endpointLinesSince + kEndpointLineInterval) {
+    if (m_endpointLines > kMaxEndpointLines) {
+      telemetry::LogLine("endpoints_not_logged").Add("count", m_endpointLines - kMaxEndpointLines);
+    }
+    m_endpointLinesSince = aNow;
+    m_endpointLines = 0;
+  }
+  return ++m_endpointLines <= kMaxEndpointLines;
+}
+
 bool StateFeeds::OnEndpointRecord(const store::Record& aRecord)
 {
   const base::TimePoint now = base::MonotonicNow();
   if (aRecord.m_removed) {
-    telemetry::LogLine("endpoint_removed").Add("endpoint", aRecord.m_key);
+    if (AdmitEndpointLine(now)) {
+      telemetry::LogLine("endpoint_removed").Add("endpoint", aRecord.m_key);
+    }
     if (const fleet::Endpoint* removed = m_core.m_directory.FindById(aRecord.m_key)) {
       ForgetEndpoint(removed->m_incarnation);
     }
@@ -259,7 +280,7 @@
   }
   const bool changed = UpdateLastRecord(aRecord.m_key, *read);
   const fleet::Endpoint* known = m_core.m_directory.Find(read->m_incarnation);
-  if (known == nullptr || known->m_leaving != read->m_leaving) {
+  if ((known == nullptr || known->m_leaving != read->m_leaving) && AdmitEndpointLine(now)) {
     telemetry::LogLine("endpoint")
       .Add("endpoint", read->m_incarnation)
       .Add("service", read->m_service)
--- a/src/ferrytray/store/record_tail.cpp
+++ b/src/ferrytray/store/record_tail.cpp
@@ -1,28 +1,48 @@
 #include "ferrytray/store/record_tail.hpp"
 
+#include <algorithm> // for lower_bound
+
 namespace ferrytray::store {
 
-std::optional<std::vector<Record>> RecordTail::Since(Offset aFrom, RelayLimit aLimit) const
+std::size_t RecordTail::SizeOf(const Record& aRecord)
+{
+  return sizeof(Record) + aRecord.m_key.size() + aRecord.m_value.size();
+}
+
+void RecordTail::Add(const Record& aRecord)
 {
-  std::vector<Record> records;
-  if (aFrom >= m_end) {
-    return records; // the requesting host has all of them
+  m_records.push_back(aRecord);
+  m_bytes += SizeOf(aRecord);
+  m_end = aRecord.m_offset + 1;
+  while (m_bytes > m_options.m_maxBytes && m_records.size() > 1) {
+    m_begin = m_records.front().m_offset + 1;
+    m_bytes -= SizeOf(m_records.front());
+    m_records.pop_front();
   }
+}
+
+std::optional<RecordTail::Piece> RecordTail::Since(Offset aFrom) const
+{
   if (aFrom < m_begin) {
     return std::nullopt;
   }
+  Piece piece;
+  piece.m_end = std::max(aFrom, m_end);
+  auto next = std::lower_bound(
+    m_records.begin(), m_records.end(), aFrom, [](const Record& aRecord, Offset aOffset) {
+      return aRecord.m_offset < aOffset;
+    });
   std::size_t bytes = 0;
-  for (const Record& record : m_records) {
-    if (record.m_offset < aFrom) {
-      continue;
-    }
-    bytes += record.m_key.size() + record.m_value.size();
-    if (aLimit == RelayLimit::Bounded && bytes > m_options.m_maxRelayBytes) {
-      return std::nullopt;
+  for (; next != m_records.end(); ++next) {
+    bytes += SizeOf(*next);
+    if (bytes > m_options.m_maxRelayBytes && !piece.m_records.empty()) {
+      piece.m_end = next->m_offset;
+      piece.m_hasMore = true;
+      break;
     }
-    records.push_back(record);
+    piece.m_records.push_back(*next);
   }
-  return records;
+  return piece;
 }
 
 } // namespace ferrytray::store
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -21,7 +21,7 @@
 
 void TopicFollower::Start()
 {
-  if (!m_loaded && !m_loading && !m_unreachable && !m_stopped) {
+  if (!m_loaded && !m_loading && !m_unreachable && !m_relayed && !m_stopped) {
     LoadSnapshot();
   }
 }
@@ -52,6 +52,7 @@
     OnUnreachable(aResult.error());
     return;
   }
+  m_wasRelayed = false;
   OnContact(m_readStartedAt, std::exchange(m_unreachable, false));
   DeliverSnapshot(aResult->m_records, aResult->m_end);
   m_shortWaitUntil = base::MonotonicNow() + m_options.m_shortWaitPeriod;
@@ -128,7 +129,11 @@
     LoadSnapshot();
     return;
   }
-  OnContact(m_readStartedAt, std::exchange(m_unreachable, false));
+  const bool complete =
+    aResult->m_records.empty() || aResult->m_records.back().m_offset + 1 >= aResult->m_end;
+  // A reply that does not reach the end of the topic does not show that nothing newer exists.
+  OnContact(complete ? m_readStartedAt : m_lastContactAt.value_or(m_readStartedAt),
+            std::exchange(m_unreachable, false));
   const base::Duration took = base::MonotonicNow() - m_readStartedAt;
   if (m_options.m_wait.count() == 0 && took > m_options.m_slowThreshold && m_events.m_onSlow) {
     m_events.m_onSlow(took);
@@ -136,6 +141,11 @@
   for (const Record& record : aResult->m_records) {
     Apply(record);
   }
+  if (!complete) {
+    ReadImmediately();
+    return;
+  }
+  m_wasRelayed = false;
   Schedule(CurrentPause(), &TopicFollower::ReadNext);
 }
 
@@ -198,43 +208,50 @@
 
 TopicCursor TopicFollower::Cursor() const
 {
-  return { m_options.m_topic, m_next, !m_loaded };
+  const bool unread = !m_loaded || m_partial;
+  return { m_options.m_topic, m_next, unread, m_partial ? m_partial->m_after : std::string() };
 }
 
-TopicUpdate TopicFollower::FullUpdate() const
+void TopicFollower::FillSnapshotPiece(TopicUpdate& aUpdate, const std::string& aAfter) const
 {
-  TopicUpdate update;
-  update.m_isSnapshot = true;
-  for (const auto& [key, record] : m_newestByKey) {
-    if (!record.m_removed) {
-      update.m_records.push_back(record);
+  aUpdate.m_isSnapshot = true;
+  aUpdate.m_after = aAfter;
+  std::size_t bytes = 0;
+  for (auto next = m_newestByKey.upper_bound(aAfter); next != m_newestByKey.end(); ++next) {
+    const Record& record = next->second;
+    if (record.m_removed) {
+      continue;
     }
+    bytes += RecordTail::SizeOf(record);
+    if (bytes > m_tail.MaxRelayBytes() && !aUpdate.m_records.empty()) {
+      aUpdate.m_hasMore = true;
+      return;
+    }
+    aUpdate.m_records.push_back(record);
   }
-  const auto isOlder = [](const Record& aLeft, const Record& aRight) {
-    return aLeft.m_offset < aRight.m_offset;
-  };
-  std::sort(update.m_records.begin(), update.m_records.end(), isOlder);
-  return update;
 }
 
 std::optional<TopicUpdate> TopicFollower::UpdateSince(const TopicCursor& aFrom,
-                                                      base::TimePoint aNow,
-                                                      RelayLimit aLimit)
+                                                      base::TimePoint aNow)
 {
   m_lastServedAt = aNow;
   if (!m_loaded || !m_lastContactAt) {
     return std::nullopt;
   }
-  std::optional<std::vector<Record>> records = m_tail.Since(aFrom.m_next, aLimit);
-  TopicUpdate update = aFrom.m_unread && !m_unreachable ? FullUpdate() : TopicUpdate{};
+  TopicUpdate update;
   update.m_topic = m_options.m_topic;
   update.m_from = aFrom.m_next;
   update.m_end = m_tail.End();
   update.m_age = aNow - *m_lastContactAt;
   update.m_outages = m_outages;
-  update.m_unavailable = m_unreachable || (!update.m_isSnapshot && !records);
-  if (!update.m_isSnapshot && !update.m_unavailable) {
-    update.m_records = std::move(*records);
+  update.m_unavailable = m_unreachable;
+  std::optional<RecordTail::Piece> records = m_tail.Since(aFrom.m_next);
+  if (!m_unreachable && (aFrom.m_unread || !records)) {
+    FillSnapshotPiece(update, aFrom.m_unread ? aFrom.m_after : std::string());
+  } else if (records) {
+    update.m_records = std::move(records->m_records);
+    update.m_end = records->m_end;
+    update.m_hasMore = records->m_hasMore;
   }
   return update;
 }
@@ -257,20 +274,62 @@
     OnRelayEnded();
     return;
   }
+  const bool complete = aUpdate.m_isSnapshot ? AddSnapshotPiece(aUpdate) : !aUpdate.m_hasMore;
+  if (!complete && aUpdate.m_isSnapshot && m_loaded) {
+    return; // what this host knows is as old as before, and so is the time to read the log
+  }
   // Drops any read in progress; the reads of the other host replace it.
   ++m_readNumber;
   m_reading = false;
   m_relayed = true;
+  m_wasRelayed = true;
+  if (!complete && aUpdate.m_isSnapshot) {
+    Schedule(m_options.m_progressTime, &TopicFollower::OnRelayEnded);
+    return;
+  }
   const bool recovered = m_relayOutages && *m_relayOutages != aUpdate.m_outages;
   m_relayOutages = aUpdate.m_outages;
-  OnContact(contact, std::exchange(m_unreachable, false) || recovered);
-  if (aUpdate.m_isSnapshot && !m_loaded) {
-    DeliverSnapshot(aUpdate.m_records, aUpdate.m_end);
-  }
-  if (!aUpdate.m_isSnapshot) {
+  OnContact(complete ? contact : m_lastContactAt.value_or(contact),
+            std::exchange(m_unreachable, false) || recovered);
+  if (aUpdate.m_isSnapshot) {
+    const PartialSnapshot snapshot = std::move(*m_partial);
+    m_partial.reset();
+    DeliverSnapshot(snapshot.m_records, snapshot.m_end);
+  } else {
+    m_partial.reset();
     ApplyUpdate(aUpdate.m_records, aUpdate.m_end);
   }
-  Schedule(m_options.m_maxUpdateAge - (now - contact), &TopicFollower::OnRelayEnded);
+  const base::Duration remaining = m_options.m_maxUpdateAge - (now - *m_lastContactAt);
+  Schedule(complete ? remaining : std::max(remaining, m_options.m_progressTime),
+           &TopicFollower::OnRelayEnded);
+}
+
+bool TopicFollower::AddSnapshotPiece(const TopicUpdate& aUpdate)
+{
+  if (!m_partial || aUpdate.m_after.empty()) {
+    m_partial = PartialSnapshot{ {}, {}, aUpdate.m_end };
+  }
+  if (aUpdate.m_after != m_partial->m_after) {
+    return false; // a reply to an earlier request
+  }
+  m_partial->m_end = std::min(m_partial->m_end, aUpdate.m_end);
+  for (const Record& record : aUpdate.m_records) {
+    if (record.m_key <= m_partial->m_after) {
+      m_partial.reset(); // the keys of a snapshot ascend
+      return false;
+    }
+    m_partial->m_after = record.m_key;
+    m_partial->m_records.push_back(record);
+  }
+  if (aUpdate.m_hasMore && !aUpdate.m_records.empty()) {
+    return false;
+  }
+  std::sort(m_partial->m_records.begin(),
+            m_partial->m_records.end(),
+            [](const Record& aLeft, const Record& aRight) {
+              return aLeft.m_offset < aRight.m_offset;
+            });
+  return true;
 }
 
 void TopicFollower::ApplyUpdate(std::span<const Record> aRecords, Offset aEnd)
@@ -292,18 +351,43 @@
     // The cause of the other host's outage may have broken this host's idle connection to the log,
     // too.
     m_shortWaitUntil = base::MonotonicNow() + m_options.m_shortWaitPeriod;
+    if (m_loaded) {
+      m_partial.reset();
+    }
+    if (m_options.m_maxTakeoverDelay > base::Duration::zero()) {
+      Schedule(RandomDelay(m_options.m_maxTakeoverDelay), &TopicFollower::TakeOver);
+    } else {
+      TakeOver();
+    }
+  }
+}
+
+void TopicFollower::TakeOver()
+{
+  if (!m_takeoverAllowed) {
+    Schedule(m_options.m_takeoverCheckInterval, &TopicFollower::TakeOver);
+  } else if (m_loaded) {
     // Waiting for updates has used up most of the bound on the delay.
     ReadImmediately();
+  } else {
+    LoadSnapshot();
   }
 }
 
+base::Duration TopicFollower::RandomDelay(base::Duration aMax)
+{
+  return base::Duration(std::uniform_int_distribution<base::Duration::rep>(0, aMax.count())(m_random));
+}
+
 void TopicFollower::OnUnreachable(const base::Failure& aFailure)
 {
   if (!std::exchange(m_unreachable, true) && m_events.m_onUnreachable) {
     m_events.m_onUnreachable(aFailure);
   }
-  Schedule(m_retryDelay, m_loaded ? &TopicFollower::ReadImmediately : &TopicFollower::LoadSnapshot);
-  m_retryDelay = std::min(m_retryDelay * 2, m_options.m_retryMax);
+  const base::Duration delay = m_wasRelayed ? RandomDelay(2 * m_retryDelay) : m_retryDelay;
+  Schedule(delay, &TopicFollower::TakeOver);
+  m_retryDelay = std::min(m_retryDelay * 2,
+                          m_wasRelayed ? m_options.m_relayedRetryMax : m_options.m_retryMax);
 }
 
 void TopicFollower::Schedule(base::Duration aDelay, void (TopicFollower::*aStep)())
