--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -247,13 +247,13 @@
   std::function<void(IncarnationKey)> m_onReplaced;
   std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
   std::function<EndpointLoads()> m_ownLoads;
-  std::string m_source;                  ///< name of the reader that is followed
-  std::uint64_t m_sourceIncarnation = 0; ///< to which the cursors belong
+  std::string m_source;                          ///< name of the reader that is followed
+  std::uint64_t m_sourceIncarnation = 0;         ///< to which the cursors belong
   std::optional<base::TimePoint> m_lastPolledAt; ///< by a host that follows this one
   std::optional<base::TimePoint> m_lastSourceReplyAt;
-  base::TimePoint m_sourceChangeAt{};    ///< earliest time of the next change
+  base::TimePoint m_sourceChangeAt{}; ///< earliest time of the next change
   base::TimePoint m_nextPollAt{};
-  std::uint64_t m_sourcesDigest = 0;     ///< of the sources that the polled host sent last
+  std::uint64_t m_sourcesDigest = 0;              ///< of the sources that the polled host sent last
   std::optional<base::TimePoint> m_lastContactAt; ///< last reply or request of another host
   ExchangeCounters m_counters;
   FallbackReader m_fallback;
@@ -265,7 +265,7 @@
   bool m_stopped = false;
   /// Polling can begin: the hosts are known, and this host is registered unless the log failed.
   bool m_hostsKnown = false;
-  base::TimePoint m_startTopicsAt{}; ///< earliest time to read unrelayed topics from the log
+  base::TimePoint m_startTopicsAt{};     ///< earliest time to read unrelayed topics from the log
   base::TimePoint m_startTopicsLatest{}; ///< bound of m_startTopicsAt
   net::TimerHandle m_nextPiece;          ///< polls again after an incomplete update
   net::TimerHandle m_tick;
--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -46,9 +46,9 @@
   base::Duration m_quarantineIsolatedInterval = std::chrono::milliseconds(1500);
   /// Time allowed for an answer after the quarantine long-poll time.
   base::Duration m_quarantineGrace = std::chrono::milliseconds(600);
-  /// Maximum age of quarantine records received from another host, measured from the log's last
-  /// answer to that host.
-  base::Duration m_quarantinePeerMaxAge = std::chrono::seconds(12);
+  /// Maximum age of quarantine records received from another host, measured from when that host
+  /// began its last answered read: two long-poll times and what relaying takes.
+  base::Duration m_quarantinePeerMaxAge = std::chrono::seconds(23);
   /// The same as m_operatorTakeoverDelay for the quarantine topic.
   base::Duration m_quarantineTakeoverDelay{};
 };
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <cstdint>       // for uint64_t
-#include <functional>    // for function
-#include <map>           // for map
-#include <memory>        // for shared_ptr
-#include <optional>      // for optional
-#include <random>        // for minstd_rand, random_device
-#include <set>           // for set
-#include <span>          // for span
-#include <string>        // for string
-#include <vector>        // for vector
+#include <cstdint>    // for uint64_t
+#include <functional> // for function
+#include <map>        // for map
+#include <memory>     // for shared_ptr
+#include <optional>   // for optional
+#include <random>     // for minstd_rand, random_device
+#include <set>        // for set
+#include <span>       // for span
+#include <string>     // for string
+#include <vector>     // for vector
 
 #include "ferrytray/base/time.hpp"          // for Duration
 #include "ferrytray/net/loop.hpp"           // for Loop
@@ -130,6 +130,7 @@
   struct PartialSnapshot
   {
     std::vector<Record> m_records;
+    std::size_t m_bytes = 0;
     std::string m_after; ///< key of the last record received
     Offset m_end = 0;    ///< lowest end of the pieces; records from there on may be missing
   };
@@ -180,7 +181,7 @@
   std::optional<base::TimePoint> m_shortWaitUntil;
   base::Duration m_retryDelay{};
   RecordTail m_tail;
-  bool m_relayed = false; ///< another host relays the topic; this one does not read it
+  bool m_relayed = false;        ///< another host relays the topic; this one does not read it
   bool m_wasRelayed = false;     ///< this host has not read the log since it was relayed
   bool m_takeoverAllowed = true; ///< @see AllowTakeover
   std::minstd_rand m_random{ std::random_device{}() };
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -43,7 +43,8 @@
                           {}, {}, 0 };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
-  reply.m_topics.push_back({ "t", 8, 9, { { 8, "key", "value", false } }, true, false, 3ms, 2, "j", true });
+  reply.m_topics.push_back(
+    { "t", 8, 9, { { 8, "key", "value", false } }, true, false, 3ms, 2, "j", true });
   reply.m_sources.push_back({ "h", "z", "10.0.0.1:7", 3 });
   const auto readReply = peers::DecodeSyncReply(peers::Encode(reply));
   CHECK(readReply.has_value());
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -148,8 +148,8 @@
   }
   const std::string name =
     m_self.m_peer.m_name + (m_sourceChoice == 0 ? "" : "#" + std::to_string(m_sourceChoice));
-  const auto best = std::min_element(
-    sources.begin(), sources.end(), [&](const Entry* aLeft, const Entry* aRight) {
+  const auto best =
+    std::min_element(sources.begin(), sources.end(), [&](const Entry* aLeft, const Entry* aRight) {
       return WeightedScore(aLeft->m_peer, name) < WeightedScore(aRight->m_peer, name);
     });
   return (*best)->m_peer;
@@ -158,9 +158,8 @@
 Peer Roster::HighestRanked(const std::string& aZone, base::TimePoint aNow) const
 {
   Entries hosts = Reachable(aNow);
-  std::erase_if(hosts, [&](const Entry* aEntry) {
-    return !aZone.empty() && aEntry->m_peer.m_zone != aZone;
-  });
+  std::erase_if(
+    hosts, [&](const Entry* aEntry) { return !aZone.empty() && aEntry->m_peer.m_zone != aZone; });
   const auto highest = std::min_element(hosts.begin(), hosts.end(), &Roster::Outranks);
   return highest == hosts.end() ? m_self.m_peer : (*highest)->m_peer;
 }
--- a/src/ferrytray/peers/roster_test.cpp
+++ b/src/ferrytray/peers/roster_test.cpp
@@ -116,6 +116,21 @@
   CHECK_FALSE(host.HighestRanked("", kNow) == host.Self());
 }
 
+TEST(Roster, ChangesASourceThatLacksRecords)
+{
+  Roster host(MakePeer(90, 3));
+  host.SetRegistered(false);
+  for (int other = 0; other < 90; ++other) {
+    host.AddOrUpdate(MakePeer(other, 3));
+  }
+  std::set<std::string> sources;
+  for (int i = 0; i < 10; ++i) {
+    sources.insert(host.Source(kNow)->m_name);
+    host.ChangeSource();
+  }
+  CHECK(sources.size() > 3);
+}
+
 TEST(Roster, OnlyHostsThatWouldReadOrRelayRegister)
 {
   Roster roster({ "weak", "zone-0", "weak:1", 1 });
--- a/src/ferrytray/relay/feed_options_test.cpp
+++ b/src/ferrytray/relay/feed_options_test.cpp
@@ -106,6 +106,6 @@
     CHECK(options.m_quarantineIsolatedInterval + options.m_quarantineGrace < bound);
     // A reading host gets one answer from the log per wait time.
     CHECK(options.m_quarantinePeerMaxAge >
-          options.m_quarantineWait + options.m_quarantineGrace + m_pollInterval);
+          2 * options.m_quarantineWait + options.m_quarantineGrace + 2 * m_pollInterval);
   }
 }
--- a/tests/integration/once_test.cpp
+++ b/tests/integration/once_test.cpp
@@ -186,11 +186,10 @@
     m_deployment.RestartGate(Host("h1"));
     CHECK(WaitFor([&] { return Get(Host("h1").GateUrl() + "/readyz").m_status == 200; }));
     const std::string request = "r" + std::to_string(restart);
-    const Response response =
-      Send(MakeServiceCall(Host("h2"),
-                           "order",
-                           { { "Ferrytray-Ticket", RequestTicket(Host("h1")) },
-                             { "X-Request-Id", request } }));
+    const Response response = Send(MakeServiceCall(
+      Host("h2"),
+      "order",
+      { { "Ferrytray-Ticket", RequestTicket(Host("h1")) }, { "X-Request-Id", request } }));
     LONGS_EQUAL(200, response.m_status);
     LONGS_EQUAL(1, m_deployment.Executions(request));
   }
