Fleet, peers: two findings of the linter

An avoidable copy in Directory::MarkGone and a parameter by value in Roster's constructor. No change in behaviour; fleet_test and peers_test pass.

--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -48,7 +48,7 @@
 class Roster
 {
 public:
-  explicit Roster(Peer aSelf, RosterOptions aOptions = {});
+  explicit Roster(const Peer& aSelf, RosterOptions aOptions = {});
 
   void AddOrUpdate(const Peer& aPeer);
   /// @brief Sets whether this host is registered, so that others know it. An unregistered host
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -115,10 +115,8 @@
 
 void Directory::MarkGone(const std::string& aIncarnation)
 {
-  // A copy, since the caller's name may be a part of the entry.
-  const std::string incarnation = aIncarnation;
-  Erase(incarnation);
-  m_gone.insert(incarnation);
+  m_gone.insert(aIncarnation);
+  Erase(aIncarnation); // last, since the name may be a part of the entry
 }
 
 void Directory::NoteProvenWeights(const std::string& aIncarnation,
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-Roster::Roster(Peer aSelf, RosterOptions aOptions)
+Roster::Roster(const Peer& aSelf, RosterOptions aOptions)
   : m_self{ aSelf, base::Hash64(kRankSeed, aSelf.m_name), 0, {} }
   , m_options(aOptions)
 {
