--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -57,10 +57,10 @@
   /// For the reply to a placement request. It usually takes a millisecond. A good placement saves a
   /// prompt some hundred milliseconds at a busy engine; a long wait would cost as much.
   base::Duration m_placementTimeout = std::chrono::milliseconds(40);
-  /// How long the polled host may take to reply once the hosts are known, three sync requests, and
-  /// to relay the complete topics while it replies. Without this wait every host would read them,
-  /// all at once when all of them start.
+  /// Once the hosts are known, how long the polled host may take to reply (three sync requests).
+  /// Without this wait every host would read the topics, all at once when all of them start.
   base::Duration m_topicRelayTimeout = std::chrono::milliseconds(1000);
+  /// How long the polled host may take to relay the complete topics while it replies.
   base::Duration m_maxTopicRelayTimeout = std::chrono::milliseconds(6000);
   /// After the last reply of the polled host, until this host may read the log if it is neither a
   /// reader nor a relay: two requests that were not answered.
@@ -181,7 +181,7 @@
   void OnHostsUnavailable();
   void Register();
   void ScheduleReadHosts(base::Duration aDelay);
-  /// Decides whether topics without updates are read from the log or through another source.
+  /// Allows or denies takeovers, and changes a source that relays no updates.
   void UpdateTakeover(base::TimePoint aNow);
   /// Whether this host polls more often because others poll it.
   [[nodiscard]] bool IsRelaying(base::TimePoint aNow) const;
--- a/include/ferrytray/peers/start_delay.hpp
+++ b/include/ferrytray/peers/start_delay.hpp
@@ -7,8 +7,8 @@
 
 namespace ferrytray::peers {
 
-/// @brief Returns how long a host waits before it reads the topic of hosts when the whole deployment
-/// starts for the first time.
+/// @brief Returns how long a host waits before it reads the topic of hosts when the whole
+/// deployment starts for the first time.
 ///
 /// The delay falls with the capacity, so that the hosts which will be readers and relays register
 /// first. The others find them in the topic and need not register. A hash of the name spreads the
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -45,7 +45,8 @@
   base::Duration m_maxReplyTimeout = std::chrono::milliseconds(2400);
   base::Duration m_retryMin = std::chrono::milliseconds(100);
   base::Duration m_retryMax = std::chrono::milliseconds(500);
-  /// While other hosts relay the topic to this one, it is one of many that lose the log together.
+  /// Maximum retry delay of a host to which others relayed the topic: all hosts that follow the
+  /// same reader lose the log together.
   base::Duration m_relayedRetryMax = std::chrono::seconds(8);
   /// When relayed updates end, this host reads the log after a random time up to this, since all
   /// hosts that follow the same reader lose it together.
@@ -112,9 +113,9 @@
   /// the log.
   /// @param aAskedAt when that host was sent the request
   void OnUpdate(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
-  /// @brief Sets whether this host may read the log when relayed updates have ended. If not, it
-  /// waits for further updates. A host that many others resemble must not read the log while a host
-  /// that relays the topic can be reached.
+  /// @brief Sets whether this host may read the log when relayed updates have ended; otherwise it
+  /// waits for further updates. The log cannot serve all hosts of a large deployment, so most of
+  /// them may read it only while no host that relays the topic can be reached.
   void AllowTakeover(bool aAllowed) { m_takeoverAllowed = aAllowed; }
   /// @brief Whether the relayed updates have ended or become too old, and this host has not read
   /// the log since.
