Relay: limits that endpoints name are read and logged

Cause: the hosts' logs of the incident could not show whether a host had been told of a limit, when, or until when: the header went to the caller unread. Change: the wire format reads it (the lowest of several; what is no finite number of at least 0 is counted and logged with code 8006), and a host logs when an endpoint begins to name a limit, names another value or stops (event=endpoint_limit). No decision uses it yet.

--- a/include/ferrytray/base/error.hpp
+++ b/include/ferrytray/base/error.hpp
@@ -68,6 +68,7 @@
   SettingInvalid = 8003,
   ListenFailed = 8004,
   PeerMalformed = 8005,
+  EndpointMalformed = 8006,
 };
 
 /// @brief Whether a request has run, as far as the system can know.
--- a/include/ferrytray/relay/endpoint_call.hpp
+++ b/include/ferrytray/relay/endpoint_call.hpp
@@ -43,7 +43,10 @@
   std::string m_endpointId;   ///< id of the endpoint that replied, if reported
   std::optional<fleet::WeightVersion> m_weights;
   std::optional<base::Duration> m_idleTimeout; ///< after which the endpoint closes idle connections
-  net::Headers m_forwardedHeaders;             ///< end-to-end headers
+  /// Requests per second that the endpoint accepts from all hosts together; empty: no limit named.
+  std::optional<double> m_requestLimit;
+  bool m_invalidRequestLimit = false; ///< a limit was named that is no valid number
+  net::Headers m_forwardedHeaders;    ///< end-to-end headers
 
   [[nodiscard]] bool Succeeds() const { return m_status >= 200 && m_status < 300; }
   /// @brief Whether the status would tell a caller that the request was not executed. Only the host
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -15,6 +15,7 @@
 #include "ferrytray/fleet/directory.hpp"           // for Directory
 #include "ferrytray/fleet/named_weights.hpp"       // for NamedWeightsHistory
 #include "ferrytray/limits/admission_limit.hpp"    // for AdmissionLimit
+#include "ferrytray/limits/endpoint_limits.hpp"    // for EndpointLimits
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
@@ -113,6 +114,7 @@
   peers::LoadTable m_peerLoads; ///< load of the other hosts
   peers::ReloadTable m_reloads; ///< engines that are loading weights
   limits::RetryWindow m_retryWindow;
+  limits::EndpointLimits m_endpointLimits; ///< by peers::KeyOf() the incarnation
   std::map<std::string, limits::AdmissionLimit> m_admissionLimits; ///< by service
   PromptPlacement m_promptPlacement;
   PromptDispatcher* m_dispatcher = nullptr; ///< null: this host chooses engines itself
@@ -127,8 +129,9 @@
   /// All operator records written before this time are known: the last completed read of the topic
   /// began then, at this host or at the host that forwards the records.
   std::optional<base::TimePoint> m_operatorsReadAt;
-  std::size_t m_openExchanges = 0;   ///< exchanges that have not finished
-  bool m_stopping = false;           ///< a planned shutdown has begun
+  std::size_t m_openExchanges = 0;          ///< exchanges that have not finished
+  base::TimePoint m_nextInvalidLimitLine{}; ///< earliest time of the next log line on such a limit
+  bool m_stopping = false;                  ///< a planned shutdown has begun
   bool m_refusesNewRequests = false; ///< late phase of the shutdown: new requests are refused
 
   /// @brief Maximum age of the operators' records known here (ms); -1: none have been read yet.
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -6,6 +6,7 @@
 
 #include "ferrytray/peers/replacement_table.hpp" // for KeyOf
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
+#include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
@@ -48,6 +49,8 @@
                         aHead.m_endpointId != m_attempt->m_endpointId;
   if (!replaced) {
     m_core.m_crashes.OnEndpointReply(peers::KeyOf(m_attempt->m_incarnation), m_attempt->m_sentAt);
+    RecordRequestLimit(
+      m_core, m_attempt->m_incarnation, aHead, m_attempt->m_sentAt, base::MonotonicNow());
   }
   if (replaced) {
     telemetry::LogLine("endpoint_gone")
--- /dev/null
+++ b/src/ferrytray/relay/request_limits.cpp
@@ -0,0 +1,66 @@
+#include "ferrytray/relay/request_limits.hpp"
+
+#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
+
+namespace ferrytray::relay {
+
+namespace {
+
+constexpr base::Duration kInvalidLimitLogInterval = std::chrono::seconds(10);
+
+const char* ToString(limits::LimitChange aChange)
+{
+  switch (aChange) {
+    case limits::LimitChange::None:
+      break;
+    case limits::LimitChange::Named:
+      return "named";
+    case limits::LimitChange::Changed:
+      return "changed";
+    case limits::LimitChange::Lifted:
+      return "lifted";
+  }
+  return "none";
+}
+
+void NoteInvalidLimit(RelayCore& aCore, const std::string& aIncarnation, base::TimePoint aNow)
+{
+  aCore.m_metrics.Count("endpoint_limits_invalid_total");
+  if (aNow < aCore.m_nextInvalidLimitLine) {
+    return;
+  }
+  aCore.m_nextInvalidLimitLine = aNow + kInvalidLimitLogInterval;
+  telemetry::LogLine("endpoint_limit")
+    .Add("endpoint", aIncarnation)
+    .Add("outcome", "invalid")
+    .Add("code", static_cast<int>(base::ErrorCode::EndpointMalformed))
+    .Add("why", "the limit is not a finite number of at least 0");
+}
+
+} // namespace
+
+void RecordRequestLimit(RelayCore& aCore,
+                        const std::string& aIncarnation,
+                        const ReplyHead& aHead,
+                        base::TimePoint aSentAt,
+                        base::TimePoint aNow)
+{
+  if (aHead.m_invalidRequestLimit) {
+    NoteInvalidLimit(aCore, aIncarnation, aNow);
+    if (!aHead.m_requestLimit) {
+      return; // says neither that there is a limit nor that there is none
+    }
+  }
+  aCore.m_endpointLimits.Expire(aNow);
+  const limits::LimitChange change = aCore.m_endpointLimits.OnAnswer(
+    peers::KeyOf(aIncarnation), aHead.m_requestLimit, aSentAt, aNow);
+  if (change != limits::LimitChange::None) {
+    telemetry::LogLine("endpoint_limit")
+      .Add("endpoint", aIncarnation)
+      .Add("outcome", ToString(change))
+      .Add("per_second", aHead.m_requestLimit.value_or(0));
+  }
+}
+
+} // namespace ferrytray::relay
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -69,6 +69,9 @@
       head.m_misdirected = head.m_misdirected || name == "misdirected";
       head.m_requestId = name == "id" ? value : head.m_requestId;
       head.m_endpointId = name == "incarnation" ? value : head.m_endpointId;
+      if (name == "limit") {
+        head.m_requestLimit = std::stod(value);
+      }
     }
     return head;
   }
