Relay: requests to limited endpoints need permits

Symptom: endpoints that named a limit of some requests a second went on getting their usual share, 45 requests in 4 s where 23 were allowed. Cause: no host read the limit; and no host could have kept it alone, since it holds for all hosts together. Change: a reader of the endpoint's availability zone, chosen by a hash that all hosts compute alike, issues permits; a request that is to go to a limited endpoint takes one first, goes elsewhere if it is denied, and is refused at once (3008, with the time until the next permit) if no endpoint is left. Retries, probes and prompts assigned by the dispatcher take the same path. Limits travel between hosts with their age. While the issuer does not answer, the next host in the order grants 0.4 of the limit, which together stays below the bound; a host that reaches no other one grants itself its equal share. Why it holds: what is granted is counted in one place, so neither the number of hosts nor the path of a request matters.

--- a/include/ferrytray/base/error.hpp
+++ b/include/ferrytray/base/error.hpp
@@ -32,6 +32,7 @@
   TableFull = 3005,
   EnginesFull = 3006,
   RequestQuarantined = 3007,
+  EndpointsLimited = 3008,
 
   NoEndpoint = 4001,
   EndpointUnreachable = 4002,
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -15,6 +15,7 @@
 #include "ferrytray/peers/exchange_counters.hpp"  // for ExchangeCounters
 #include "ferrytray/peers/fallback_reader.hpp"    // for FallbackReader
 #include "ferrytray/peers/messages.hpp"           // for SyncReply, SyncRequest
+#include "ferrytray/peers/permit_messages.hpp"    // for PermitReply, PermitRequest
 #include "ferrytray/peers/placement_messages.hpp" // for PlacementReply, PlacementRequest
 #include "ferrytray/peers/reload_table.hpp"       // for ReloadTable
 #include "ferrytray/peers/replacement_table.hpp"  // for ReplacementTable
@@ -57,6 +58,8 @@
   /// For the reply to a placement request. It usually takes a millisecond. A good placement saves a
   /// prompt some hundred milliseconds at a busy engine; a long wait would cost as much.
   base::Duration m_placementTimeout = std::chrono::milliseconds(40);
+  /// For the reply to a request for permits. The caller's request waits for it.
+  base::Duration m_permitTimeout = std::chrono::milliseconds(60);
   /// Once the hosts are known, how long the polled host may take to reply (three sync requests).
   /// Without this wait every host would read the topics, all at once when all of them start.
   base::Duration m_topicRelayTimeout = std::chrono::milliseconds(1000);
@@ -69,6 +72,16 @@
   base::Duration m_sourceChangeInterval = std::chrono::seconds(1);
 };
 
+/// @brief State that hosts exchange; it is read and written by their other parts, too.
+struct SharedState
+{
+  cache::Stores& m_stores;
+  LoadTable& m_loads;
+  ReloadTable& m_reloads;
+  quarantine::CrashTracker& m_crashes;
+  limits::EndpointLimits& m_limits;
+};
+
 /// @brief Exchanges state between hosts: new records of the log and the contents of KV stores, so
 /// that only a few hosts have to read them at the source, and the work that each host has open at
 /// endpoints.
@@ -76,14 +89,12 @@
 {
 public:
   static constexpr std::string_view kPlacementPath = "/placement";
+  static constexpr std::string_view kPermitPath = "/permits";
 
   PeerExchange(net::Loop& aLoop,
                net::HttpClient& aClient,
                store::RecordLog& aLog,
-               cache::Stores& aStores,
-               LoadTable& aLoads,
-               ReloadTable& aReloads,
-               quarantine::CrashTracker& aCrashes,
+               const SharedState& aState,
                PeerExchangeOptions aOptions);
   /// @brief Starts to listen, reads the topic of hosts, registers this host unless it is listed,
   /// and starts to poll.
@@ -152,6 +163,38 @@
   void RequestPlacement(const Peer& aPeer,
                         const PlacementRequest& aRequest,
                         std::function<void(std::optional<PlacementReply>)> aDone);
+  /// @brief Sets the function that answers requests for permits of other hosts.
+  void OnPermitRequest(std::function<PermitReply(const PermitRequest&)> aCall)
+  {
+    m_onPermitRequest = std::move(aCall);
+  }
+  /// @brief Returns the host that issues the permits for an endpoint; none while the hosts are
+  /// unknown or if none of them is reachable.
+  /// @param aZone availability zone of the endpoint
+  /// @param aExcluded names of hosts that must not be selected
+  [[nodiscard]] std::optional<Peer> PermitIssuer(limits::EndpointKey aEndpoint,
+                                                 const std::string& aZone,
+                                                 const std::set<std::string>& aExcluded,
+                                                 base::TimePoint aNow) const;
+  /// @brief Whether this host issues the permits for an endpoint if all hosts are reachable.
+  [[nodiscard]] bool IsFirstPermitIssuer(limits::EndpointKey aEndpoint,
+                                         const std::string& aZone) const;
+  /// @brief Requests permits from a host.
+  /// @param aDone called once; empty if there was no answer in time
+  void RequestPermits(const Peer& aPeer,
+                      const PermitRequest& aRequest,
+                      std::function<void(std::optional<PermitReply>)> aDone);
+  /// @brief Whether any other host is reachable.
+  /// @param aExcluded names of hosts that do not count
+  [[nodiscard]] bool AnyHostReachable(const std::set<std::string>& aExcluded,
+                                      base::TimePoint aNow) const
+  {
+    return m_roster && m_roster->AnyReachable(aExcluded, aNow);
+  }
+  /// @brief Whether the topic of hosts has been read.
+  [[nodiscard]] bool HostsKnown() const { return m_hostsKnown; }
+  /// @brief Returns the number of known hosts, this one included.
+  [[nodiscard]] std::size_t HostCount() const { return m_roster ? m_roster->HostCount() : 1; }
   /// @brief Sets the function that returns the work that this host has open at endpoints.
   void SetOwnLoadsProvider(std::function<EndpointLoads()> aCall) { m_ownLoads = std::move(aCall); }
 
@@ -192,6 +235,15 @@
   void PollSource(const Peer& aSource, base::TimePoint aNow);
   void HandlePlacementRequest(const net::HttpRequest& aRequest,
                               const std::shared_ptr<net::HttpReply>& aReply) const;
+  void HandlePermitRequest(const net::HttpRequest& aRequest,
+                           const std::shared_ptr<net::HttpReply>& aReply);
+  /// Sends a request to another host.
+  /// @param aDone called once, with the body of the reply or EndpointUnreachable
+  void SendCall(const Peer& aPeer,
+                std::string_view aPath,
+                std::string aBody,
+                base::Duration aTimeout,
+                std::function<void(const base::Result<std::string>&)> aDone);
   /// Exchanges loads with another reader.
   void PollReader(const Peer& aReader, base::TimePoint aNow);
   /// Requests only the records of the log, while this host cannot reach the log.
@@ -210,6 +262,7 @@
   void SetReader(bool aIsReader, const char* aWhy);
   void ApplyReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
   void ApplyReplacements(const ReplacementNotices& aNotices, base::TimePoint aNow);
+  void ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow);
   /// Adds the crash notices that aPeer has not received yet.
   void AddCrashNotices(const Peer& aPeer, SyncRequest& aSyncRequest);
   void ApplyCrashes(const quarantine::CrashNotices& aNotices, base::TimePoint aNow);
@@ -235,6 +288,7 @@
   LoadTable& m_loads;
   ReloadTable& m_reloads;
   quarantine::CrashTracker& m_crashes;
+  limits::EndpointLimits& m_limits;
   store::UnreadableRecords m_unreadable;
   PeerExchangeOptions m_options;
   std::uint64_t m_incarnation;
@@ -246,6 +300,7 @@
   std::function<void()> m_onCrashes;
   std::function<void(IncarnationKey)> m_onReplaced;
   std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
+  std::function<PermitReply(const PermitRequest&)> m_onPermitRequest;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                          ///< name of the reader that is followed
   std::uint64_t m_sourceIncarnation = 0;         ///< to which the cursors belong
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -35,6 +35,8 @@
   /// Backoff after the first failed request to a peer; doubles with each further one.
   base::Duration m_backoffMin = std::chrono::milliseconds(1000);
   base::Duration m_backoffMax = std::chrono::milliseconds(16000);
+  /// After this many consecutive failed requests, half a minute, a host counts as removed.
+  std::uint32_t m_removedAfterFailures = 5;
 };
 
 /// @brief The registered hosts, and the tree in which they poll each other. Does no I/O.
@@ -75,6 +77,19 @@
   /// @brief Whether this host is among the first aCount of all registered hosts in the hash order
   /// for a name. Unreachable hosts count too, so that all hosts agree.
   [[nodiscard]] bool IsAmongFirst(std::string_view aName, std::size_t aCount) const;
+  /// @brief Returns the host that issues the permits for an endpoint of a zone: the first reachable
+  /// one in the order of issuers. Empty if none is reachable.
+  /// @param aExcluded names of hosts that must not be selected
+  [[nodiscard]] std::optional<Peer> Issuer(std::string_view aEndpoint,
+                                           const std::string& aZone,
+                                           const std::set<std::string>& aExcluded,
+                                           base::TimePoint aNow) const;
+  /// @brief Whether this host is the first in the order of issuers. Hosts that are unreachable for
+  /// the moment count too, so that not more than one host is the first.
+  [[nodiscard]] bool IsFirstIssuer(std::string_view aEndpoint, const std::string& aZone) const;
+  /// @brief Whether any other host that is not in aExcluded is reachable.
+  [[nodiscard]] bool AnyReachable(const std::set<std::string>& aExcluded,
+                                  base::TimePoint aNow) const;
   [[nodiscard]] const Peer& Self() const { return m_self.m_peer; }
   [[nodiscard]] std::size_t HostCount() const { return m_peers.size() + 1; }
 
@@ -99,6 +114,15 @@
   [[nodiscard]] Entries Reachable(base::TimePoint aNow) const;
   /// Returns the reachable hosts that may read or relay for a zone, by descending rank.
   [[nodiscard]] Entries Ranked(const std::string& aZone, base::TimePoint aNow) const;
+  /// Returns the hosts that may issue permits for an endpoint, in order: the readers of its zone in
+  /// the hash order of the endpoint, then the other hosts there by rank. If none are known there,
+  /// those of all zones.
+  [[nodiscard]] Entries Issuers(std::string_view aEndpoint, const std::string& aZone) const;
+  /// Whether requests to the host fail at the moment.
+  [[nodiscard]] static bool IsBackingOff(const Entry& aEntry, base::TimePoint aNow)
+  {
+    return aEntry.m_backoffUntil && aNow < *aEntry.m_backoffUntil;
+  }
   /// Returns the readers for the hosts of a zone, by descending rank unless all hosts are readers.
   [[nodiscard]] Entries Readers(const std::string& aZone, base::TimePoint aNow) const;
 
--- a/include/ferrytray/relay/call_planner.hpp
+++ b/include/ferrytray/relay/call_planner.hpp
@@ -23,6 +23,8 @@
                                 ///< prompt, or empty
   routing::Work m_openWork = 0; ///< last known open work of the endpoint when it was selected
   bool m_memoryFull = false;    ///< a prompt would wait for memory at all its home endpoints
+  /// Without an endpoint: when a permit for a limited one may be requested, if any is limited.
+  std::optional<base::TimePoint> m_nextPermitAt{};
 };
 
 /// @brief Selects the endpoint for each send of a request and builds the call to it.
--- a/include/ferrytray/relay/candidates.hpp
+++ b/include/ferrytray/relay/candidates.hpp
@@ -24,6 +24,9 @@
 {
   std::vector<const fleet::Endpoint*> m_endpoints;
   std::vector<routing::PlacementCandidate> m_placements;
+  /// When a permit for one of the endpoints that were left out may be requested; empty: none was
+  /// left out for its request limit.
+  std::optional<base::TimePoint> m_nextPermitAt;
 };
 
 /// @brief Key of the group of endpoints that a prompt considers, so that prompts with the same
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -53,7 +53,18 @@
   };
 
   void OnAssigned(Assignment aAssigned);
+  /// Picks an endpoint and sends, after obtaining a permit if the endpoint is limited.
   void Send();
+  void SendTo(const Target& aTarget);
+  /// Takes a permit that this host holds or requests one, then sends or picks another endpoint.
+  void SendToLimited(const Target& aTarget);
+  void OnPermitDenied(const std::string& aIncarnation);
+  /// The endpoint that the permit is for may have become unusable meanwhile.
+  [[nodiscard]] bool IsStillUsable(const fleet::Endpoint* aEndpoint) const;
+  /// Excludes all limited endpoints, since asking for further permits would delay the request.
+  void ExcludeLimitedEndpoints();
+  /// Called if no endpoint is left.
+  void FailWithoutEndpoint(std::optional<base::TimePoint> aNextPermitAt);
   void OnHead(int aStatus, const net::Headers& aHeaders);
   void OnData(std::string_view aPiece);
   void OnEnd(const net::ClientOutcome& aOutcome);
@@ -111,6 +122,9 @@
   routing::Work m_work;                           ///< per send
   Assignment m_assigned;                          ///< for a long prompt
   std::set<std::string> m_triedEndpoints;
+  std::uint32_t m_permitsDenied = 0;
+  /// Earliest time at which a permit that was denied may be requested again.
+  std::optional<base::TimePoint> m_nextPermitAt;
   std::uint32_t m_sends = 0;
   std::uint32_t m_endpointsUsed = 0;
   bool m_mayHaveRun = false;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -16,6 +16,7 @@
 #include "ferrytray/fleet/named_weights.hpp"       // for NamedWeightsHistory
 #include "ferrytray/limits/admission_limit.hpp"    // for AdmissionLimit
 #include "ferrytray/limits/endpoint_limits.hpp"    // for EndpointLimits
+#include "ferrytray/limits/permit_table.hpp"       // for PermitTable
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
@@ -32,6 +33,7 @@
 
 namespace ferrytray::relay {
 
+class PermitClient;
 class PromptDispatcher;
 
 struct RelayOptions
@@ -115,6 +117,8 @@
   peers::ReloadTable m_reloads; ///< engines that are loading weights
   limits::RetryWindow m_retryWindow;
   limits::EndpointLimits m_endpointLimits; ///< by peers::KeyOf() the incarnation
+  limits::PermitTable m_permits;           ///< for limited endpoints, by the same key
+  PermitClient* m_permitClient = nullptr;  ///< null: limits are not enforced
   std::map<std::string, limits::AdmissionLimit> m_admissionLimits; ///< by service
   PromptPlacement m_promptPlacement;
   PromptDispatcher* m_dispatcher = nullptr; ///< null: this host chooses engines itself
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -6,6 +6,7 @@
 #include "ferrytray/base/error.hpp"              // for Result
 #include "ferrytray/net/http_server.hpp"         // for HttpServer
 #include "ferrytray/peers/peer_exchange.hpp"     // for PeerExchange
+#include "ferrytray/relay/permit_client.hpp"     // for PermitClient
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
 #include "ferrytray/relay/quarantine_feed.hpp"   // for QuarantineFeed
 #include "ferrytray/relay/relay_core.hpp"        // for RelayCore
@@ -92,6 +93,7 @@
   StoreWatch m_stores;
   peers::PeerExchange m_peerExchange;
   PromptDispatcher m_dispatcher;
+  PermitClient m_permitClient;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
@@ -102,6 +104,7 @@
   net::TimerHandle m_crashNoticeTimer;
   net::TimerHandle m_isolationTimer;
   net::TimerHandle m_trafficTimer;
+  net::TimerHandle m_permitExpiryTimer;
   net::TimerHandle m_quarantineLoadTimer;
   base::TimePoint m_stoppingSince{};
   std::function<void()> m_onStopped;
--- a/include/ferrytray/relay/request_limits.hpp
+++ b/include/ferrytray/relay/request_limits.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <string> // for string
+#include <optional> // for optional
+#include <string>   // for string
 
 #include "ferrytray/relay/relay_core.hpp" // for RelayCore, ReplyHead
 
@@ -15,4 +16,13 @@
                         base::TimePoint aSentAt,
                         base::TimePoint aNow);
 
+/// @brief Whether requests to the endpoint need permits.
+[[nodiscard]] bool NeedsPermit(const RelayCore& aCore, const std::string& aIncarnation);
+
+/// @brief Returns until when this host gets no permit for the endpoint; empty if it may send or ask
+/// for one.
+[[nodiscard]] std::optional<base::TimePoint> PermitDeniedUntil(const RelayCore& aCore,
+                                                               const std::string& aIncarnation,
+                                                               base::TimePoint aNow);
+
 } // namespace ferrytray::relay
--- /dev/null
+++ b/src/ferrytray/peers/limit_archive.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "ferrytray/limits/endpoint_limits.hpp" // for LimitReport
+
+namespace ferrytray::limits {
+
+template<typename Archive>
+void serialize(Archive& aArchive, LimitReport& aReport)
+{
+  aArchive(aReport.m_endpoint, aReport.m_limit, aReport.m_namedAgeMillis, aReport.m_lifted);
+}
+
+} // namespace ferrytray::limits
--- a/src/ferrytray/peers/news_notices_test.cpp
+++ b/src/ferrytray/peers/news_notices_test.cpp
@@ -30,6 +30,25 @@
   CHECK(RunUntil([&] { return received == peers::KeyOf("e/1"); }));
 }
 
+TEST(PeerNotices, RequestLimitsReachBothHosts)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_reader->m_limits.OnAnswer(10, 2.5, now, now);
+  m_follower->m_limits.OnAnswer(20, 1.7, now, now);
+  CHECK(RunUntil(
+    [&] { return m_reader->m_limits.IsLimited(20) && m_follower->m_limits.IsLimited(10); }));
+  DOUBLES_EQUAL(2.5, m_follower->m_limits.Limit(10).value_or(0), 0);
+}
+
+// Hosts that know a limit only from each other must not keep it alive.
+TEST(PeerNotices, ReportedLimitsKeepTheirAge)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_reader->m_limits.OnReport({ 10, 2.5, 2'950, false }, now);
+  CHECK(RunUntil([&] { return m_reader->m_limits.Reports(base::MonotonicNow()).empty(); }));
+  CHECK(m_follower->m_limits.Reports(base::MonotonicNow()).empty());
+}
+
 TEST(PeerNotices, CrashedEndpointsAreCountedAcrossHosts)
 {
   const base::TimePoint now = base::MonotonicNow();
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -32,18 +32,16 @@
 PeerExchange::PeerExchange(net::Loop& aLoop,
                            net::HttpClient& aClient,
                            store::RecordLog& aLog,
-                           cache::Stores& aStores,
-                           LoadTable& aLoads,
-                           ReloadTable& aReloads,
-                           quarantine::CrashTracker& aCrashes,
+                           const SharedState& aState,
                            PeerExchangeOptions aOptions)
   : m_loop(aLoop)
   , m_client(aClient)
   , m_log(aLog)
-  , m_stores(aStores)
-  , m_loads(aLoads)
-  , m_reloads(aReloads)
-  , m_crashes(aCrashes)
+  , m_stores(aState.m_stores)
+  , m_loads(aState.m_loads)
+  , m_reloads(aState.m_reloads)
+  , m_crashes(aState.m_crashes)
+  , m_limits(aState.m_limits)
   , m_options(std::move(aOptions))
   , m_incarnation(RandomNumber())
 {
@@ -126,6 +124,7 @@
   m_loads.Expire(now);
   m_reloads.Expire(now);
   m_replaced.Expire(now);
+  m_limits.Expire(now);
   if (!m_hostsKnown) {
     return; // no other host is known yet
   }
@@ -186,6 +185,7 @@
   syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
   syncRequest.m_sourcesDigest = m_sourcesDigest;
   syncRequest.m_replaced = m_replaced.Notices(aNow);
+  syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aSource, syncRequest, aNow);
 }
 
@@ -196,6 +196,7 @@
   syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
   syncRequest.m_reloads = m_reloads.Notices(aNow);
   syncRequest.m_replaced = m_replaced.Notices(aNow);
+  syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aReader, syncRequest, aNow);
 }
 
@@ -255,6 +256,7 @@
   m_lastContactAt = now;
   ApplyReloads(reply->m_reloads, now);
   ApplyReplacements(reply->m_replaced, now);
+  ApplyLimits(reply->m_limits, now);
   OnCrashNoticesAcknowledged(aSource, *reply, aPending.m_crashesSentUpTo);
   ApplyCrashes(reply->m_crashes, now);
   for (const Peer& source : reply->m_sources) {
@@ -318,6 +320,10 @@
     HandlePlacementRequest(aRequest, aReply);
     return;
   }
+  if (aRequest.m_path == kPermitPath) {
+    HandlePermitRequest(aRequest, aReply);
+    return;
+  }
   base::Result<SyncRequest> syncRequest = DecodeSyncRequest(aRequest.m_body);
   if (!syncRequest) {
     aReply->Send(kBadRequest, {}, syncRequest.error().m_message);
@@ -335,12 +341,14 @@
   m_lastContactAt = now;
   ApplyReloads(syncRequest->m_reloads, now);
   ApplyReplacements(syncRequest->m_replaced, now);
+  ApplyLimits(syncRequest->m_limits, now);
   ApplyCrashes(syncRequest->m_crashes, now);
   m_loads.OnReport(syncRequest->m_sender.m_name, syncRequest->m_scope, syncRequest->m_loads, now);
   SyncReply reply;
   reply.m_incarnation = m_incarnation;
   reply.m_reloads = m_reloads.Notices(now);
   reply.m_replaced = m_replaced.Notices(now);
+  reply.m_limits = m_limits.Reports(now);
   reply.m_topics = CollectTopicUpdates(syncRequest->m_topics, now);
   reply.m_loads = m_ownLoads();
   if (syncRequest->m_scope == LoadScope::Own) {
--- a/src/ferrytray/peers/peer_exchange_test.cpp
+++ b/src/ferrytray/peers/peer_exchange_test.cpp
@@ -60,14 +60,7 @@
   m_reader.reset();
   peers::PeerExchangeOptions options = PeerHost::OptionsOf("reader", 9, "z", 1);
   options.m_listen = net::ParseAddress(address).value();
-  peers::PeerExchange restarted(m_loop,
-                                *m_client,
-                                again.m_log,
-                                again.m_stores,
-                                again.m_peerLoads,
-                                again.m_reloads,
-                                again.m_crashes,
-                                options);
+  peers::PeerExchange restarted(m_loop, *m_client, again.m_log, again.State(), options);
   restarted.SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
   CHECK(restarted.Start().has_value());
   CHECK(RunUntil([&] { return again.m_log.m_reads > 0; }));
@@ -94,14 +87,8 @@
     options.m_firstHostsReadDelay = 300ms;
     options.m_topicRelayTimeout = 60s;
     PeerHost& host = *hosts.back();
-    exchanges.push_back(std::make_unique<peers::PeerExchange>(m_loop,
-                                                              *m_client,
-                                                              log,
-                                                              host.m_stores,
-                                                              host.m_peerLoads,
-                                                              host.m_reloads,
-                                                              host.m_crashes,
-                                                              options));
+    exchanges.push_back(
+      std::make_unique<peers::PeerExchange>(m_loop, *m_client, log, host.State(), options));
     exchanges.back()->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
     topics.push_back(AddFollowerTo(*exchanges.back(), log, keys[i]));
   }
--- a/src/ferrytray/peers/peer_notices.cpp
+++ b/src/ferrytray/peers/peer_notices.cpp
@@ -1,5 +1,5 @@
-// Exchange of notices on single endpoints: reloads of weights, replaced incarnations, and requests
-// that crashed endpoints.
+// Exchange of notices on single endpoints: reloads of weights, replaced incarnations, request
+// limits, and requests that crashed endpoints.
 #include "ferrytray/peers/peer_exchange.hpp"
 
 namespace ferrytray::peers {
@@ -40,6 +40,13 @@
   }
 }
 
+void PeerExchange::ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow)
+{
+  for (const limits::LimitReport& report : aReports) {
+    m_limits.OnReport(report, aNow);
+  }
+}
+
 void PeerExchange::PushCrashes()
 {
   const base::TimePoint now = base::MonotonicNow();
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/peers/roster.hpp"
 
-#include <algorithm> // for count_if, find, min, min_element, sort
+#include <algorithm> // for all_of, any_of, count_if, find, min, min_element, sort
 #include <cmath>     // for log
 #include <string>    // for to_string
 #include <utility>   // for move
@@ -70,7 +70,7 @@
     reachable.push_back(&m_self);
   }
   for (const auto& [name, entry] : m_peers) {
-    if (!entry.m_backoffUntil || *entry.m_backoffUntil <= aNow) {
+    if (!IsBackingOff(entry, aNow)) {
       reachable.push_back(&entry);
     }
   }
@@ -177,6 +177,57 @@
   return before < aCount;
 }
 
+Roster::Entries Roster::Issuers(std::string_view aEndpoint, const std::string& aZone) const
+{
+  Entries hosts;
+  if (m_registered) {
+    hosts.push_back(&m_self);
+  }
+  for (const auto& [name, entry] : m_peers) {
+    if (entry.m_failures < m_options.m_removedAfterFailures) {
+      hosts.push_back(&entry);
+    }
+  }
+  const auto isElsewhere = [&](const Entry* aEntry) { return aEntry->m_peer.m_zone != aZone; };
+  if (!std::all_of(hosts.begin(), hosts.end(), isElsewhere)) {
+    std::erase_if(hosts, isElsewhere);
+  }
+  std::sort(hosts.begin(), hosts.end(), &Roster::Outranks);
+  const auto readersEnd =
+    hosts.begin() + static_cast<std::ptrdiff_t>(std::min(hosts.size(), ReaderCount()));
+  std::sort(hosts.begin(), readersEnd, [&](const Entry* aLeft, const Entry* aRight) {
+    return base::Hash64(aEndpoint, aLeft->m_peer.m_name) <
+           base::Hash64(aEndpoint, aRight->m_peer.m_name);
+  });
+  return hosts;
+}
+
+std::optional<Peer> Roster::Issuer(std::string_view aEndpoint,
+                                   const std::string& aZone,
+                                   const std::set<std::string>& aExcluded,
+                                   base::TimePoint aNow) const
+{
+  for (const Entry* host : Issuers(aEndpoint, aZone)) {
+    if (!IsBackingOff(*host, aNow) && !aExcluded.contains(host->m_peer.m_name)) {
+      return host->m_peer;
+    }
+  }
+  return std::nullopt;
+}
+
+bool Roster::IsFirstIssuer(std::string_view aEndpoint, const std::string& aZone) const
+{
+  const Entries hosts = Issuers(aEndpoint, aZone);
+  return !hosts.empty() && hosts.front() == &m_self;
+}
+
+bool Roster::AnyReachable(const std::set<std::string>& aExcluded, base::TimePoint aNow) const
+{
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aPair) {
+    return !IsBackingOff(aPair.second, aNow) && !aExcluded.contains(aPair.first);
+  });
+}
+
 std::vector<Peer> Roster::SourcesOf(const std::string& aZone, base::TimePoint aNow) const
 {
   Entries sources = Ranked(aZone, aNow);
--- a/src/ferrytray/peers/roster_test.cpp
+++ b/src/ferrytray/peers/roster_test.cpp
@@ -210,3 +210,65 @@
   const std::vector<Roster> rosters = MakeRosters(3, 1);
   CHECK(rosters[1].HighestRanked("elsewhere", kNow) == rosters[1].Self());
 }
+
+TEST(Roster, AllHostsAgreeOnTheIssuerOfAnEndpoint)
+{
+  for (const int hosts : { 8, 90, 600 }) {
+    const std::vector<Roster> rosters = MakeRosters(hosts, 4);
+    std::set<std::string> issuers;
+    for (int endpoint = 0; endpoint < 40; ++endpoint) {
+      const std::string name = std::to_string(endpoint);
+      const std::string zone = "zone-" + std::to_string(endpoint % 4);
+      const std::string issuer = rosters.front().Issuer(name, zone, {}, kNow)->m_name;
+      issuers.insert(issuer);
+      int first = 0;
+      for (const Roster& roster : rosters) {
+        STRCMP_EQUAL(issuer.c_str(), roster.Issuer(name, zone, {}, kNow)->m_name.c_str());
+        STRCMP_EQUAL(zone.c_str(), roster.Issuer(name, zone, {}, kNow)->m_zone.c_str());
+        first += roster.IsFirstIssuer(name, zone) ? 1 : 0;
+      }
+      LONGS_EQUAL(1, first);
+    }
+    LONGS_EQUAL(8, issuers.size()); // the readers
+  }
+}
+
+TEST(Roster, NextHostIssuesWhileTheFirstIssuerIsUnreachable)
+{
+  std::vector<Roster> rosters = MakeRosters(8, 1);
+  const std::string first = rosters.front().Issuer("e", "zone-0", {}, kNow)->m_name;
+  for (Roster& roster : rosters) {
+    if (roster.Self().m_name == first) {
+      continue;
+    }
+    const std::string second = roster.Issuer("e", "zone-0", { first }, kNow)->m_name;
+    roster.OnRequestFailed(first, kNow);
+    STRCMP_EQUAL(second.c_str(), roster.Issuer("e", "zone-0", {}, kNow)->m_name.c_str());
+    CHECK_FALSE(roster.IsFirstIssuer("e", "zone-0"));
+    STRCMP_EQUAL(first.c_str(), roster.Issuer("e", "zone-0", {}, kNow + 1s)->m_name.c_str());
+  }
+}
+
+TEST(Roster, RemovedIssuerIsReplacedByTheNextHost)
+{
+  std::vector<Roster> rosters = MakeRosters(8, 1);
+  const std::string first = rosters.front().Issuer("e", "zone-0", {}, kNow)->m_name;
+  const std::string second = rosters.front().Issuer("e", "zone-0", { first }, kNow)->m_name;
+  for (Roster& roster : rosters) {
+    for (int i = 0; i < 5; ++i) {
+      roster.OnRequestFailed(first, kNow);
+    }
+    if (roster.Self().m_name == second) {
+      CHECK(roster.IsFirstIssuer("e", "zone-0"));
+    }
+  }
+}
+
+TEST(Roster, EndpointOfAZoneWithoutHostsHasAnIssuer)
+{
+  const std::vector<Roster> rosters = MakeRosters(8, 2);
+  const std::string issuer = rosters.front().Issuer("e", "elsewhere", {}, kNow)->m_name;
+  for (const Roster& roster : rosters) {
+    STRCMP_EQUAL(issuer.c_str(), roster.Issuer("e", "elsewhere", {}, kNow)->m_name.c_str());
+  }
+}
--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -1,10 +1,11 @@
 #include "ferrytray/relay/candidates.hpp"
 
-#include <algorithm> // for any_of, find, max
+#include <algorithm> // for any_of, find, max, min
 
 #include "ferrytray/base/digest.hpp"             // for Hash64
 #include "ferrytray/peers/replacement_table.hpp" // for KeyOf
 #include "ferrytray/relay/cold_engines.hpp"      // for MaySendToCold
+#include "ferrytray/relay/request_limits.hpp"    // for PermitDeniedUntil
 #include "ferrytray/routing/engine_memory.hpp"   // for HasRoom, ClassifyPrompt
 
 namespace ferrytray::relay {
@@ -83,6 +84,11 @@
       !MaySendToCold(aCore, aEndpoint, aQuery.m_coldSource, aQuery.m_now)) {
     return;
   }
+  if (const auto deniedUntil = PermitDeniedUntil(aCore, incarnation, aQuery.m_now)) {
+    aCandidates.m_nextPermitAt =
+      std::min(aCandidates.m_nextPermitAt.value_or(*deniedUntil), *deniedUntil);
+    return;
+  }
   const peers::EndpointTag tag = peers::TagOf(incarnation);
   const routing::Work work =
     aCore.m_endpointTracker.WorkOfOpenRequests(incarnation) + aCore.m_peerLoads.RemoteLoad(tag);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "ferrytray/relay/cold_engines.hpp"      // for RecordColdSend, SuspectColdStart
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
+#include "ferrytray/relay/request_limits.hpp"    // for NeedsPermit
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
@@ -115,22 +116,21 @@
     return;
   }
   const Target target = m_planner.PickTarget(m_service, m_triedEndpoints, m_assigned);
-  const fleet::Endpoint* endpoint = target.m_endpoint;
-  if (endpoint == nullptr) {
-    if (m_replyStarted) {
-      AbortReply("no other endpoint is usable");
-    } else if (m_mayHaveRun) {
-      FailUnknown(base::ErrorCode::EndpointBroke, "no other endpoint of the service is usable");
-    } else {
-      Refuse(base::ErrorCode::NoEndpoint, "no endpoint of the service is usable");
-    }
-    return;
-  }
-  if (target.m_memoryFull && !m_replyStarted) {
+  if (target.m_endpoint == nullptr) {
+    FailWithoutEndpoint(target.m_nextPermitAt);
+  } else if (target.m_memoryFull && !m_replyStarted) {
     RefuseMemoryFull(target.m_openWork);
-    return;
+  } else if (NeedsPermit(m_core, target.m_endpoint->m_incarnation)) {
+    SendToLimited(target);
+  } else {
+    SendTo(target);
   }
-  const EndpointCall call = m_planner.BuildCall(target, Remaining(), m_lastEventId);
+}
+
+void Exchange::SendTo(const Target& aTarget)
+{
+  const fleet::Endpoint* endpoint = aTarget.m_endpoint;
+  const EndpointCall call = m_planner.BuildCall(aTarget, Remaining(), m_lastEventId);
   net::ClientRequest request = m_core.m_format.WriteCall(m_request, call);
   request.m_connectTimeout = m_core.m_options.m_connectTimeout;
   request.m_peerTimeout = m_core.m_options.m_peerTimeout;
@@ -146,8 +146,8 @@
   m_attempt->m_eventSplitter = EventSplitter(m_lastEventId);
   m_triedEndpoints.insert(endpoint->m_incarnation);
   m_lastEndpoint = endpoint->m_incarnation;
-  m_lastOpenWork = target.m_openWork;
-  m_lastAtHome = target.m_partSource.empty();
+  m_lastOpenWork = aTarget.m_openWork;
+  m_lastAtHome = aTarget.m_partSource.empty();
   m_lastTokensByOutcome = call.m_tokensByOutcome;
   ++m_sends;
   m_core.m_endpointTracker.OnSent(endpoint->m_incarnation, m_work);
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -10,6 +10,7 @@
 #include "ferrytray/base/digest.hpp"           // for HashWithSeed
 #include "ferrytray/relay/candidates.hpp"      // for FindCandidates
 #include "ferrytray/relay/cold_engines.hpp"    // for RecordColdSend
+#include "ferrytray/relay/request_limits.hpp"  // for NeedsPermit
 #include "ferrytray/routing/engine_memory.hpp" // for HasRoom, ClassifyPrompt
 #include "ferrytray/routing/rendezvous.hpp"    // for RendezvousHomes
 
@@ -104,6 +105,7 @@
                                                now);
   const routing::PromptSize size = routing::ClassifyPrompt(aRequest.m_tokens, memory);
   bool anyFull = false;
+  bool anyLimited = false;
   std::vector<routing::PrefillEngine> engines;
   for (std::size_t i = 0; i < candidates.m_placements.size(); ++i) {
     const routing::PlacementCandidate& place = candidates.m_placements[i];
@@ -114,7 +116,10 @@
     const std::uint64_t assignedTokens = m_queues.UnreportedTokens(place.m_name, now);
     const routing::Work work =
       place.m_work + routing::WorkOf(static_cast<std::uint32_t>(assignedTokens));
-    const bool usable = inZone && reachable && !place.m_avoided;
+    // A limited engine may still get the prompts of its own home hosts, with their permits.
+    const bool limited = NeedsPermit(m_core, place.m_name);
+    anyLimited = anyLimited || limited;
+    const bool usable = inZone && reachable && !place.m_avoided && !limited;
     const bool full = usable && memory > 0 && !routing::HasRoom(size, work, memory);
     anyFull = anyFull || full;
     if (usable && !full) {
@@ -129,7 +134,7 @@
   };
   const auto choice = m_queues.Assign(job, engines, now);
   if (!choice) {
-    return { "", "", false, anyFull && aRequest.m_zone.empty() };
+    return { "", "", false, anyFull && !anyLimited && aRequest.m_zone.empty() };
   }
   const std::string& chosen = engines[choice->m_engine].m_name;
   RecordColdSend(
--- a/src/ferrytray/relay/prompt_dispatcher_test.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -42,10 +42,11 @@
     m_peerExchange.emplace(m_loop,
                            m_client,
                            m_log,
-                           m_core.m_stores,
-                           m_core.m_peerLoads,
-                           m_core.m_reloads,
-                           m_core.m_crashes,
+                           peers::SharedState{ m_core.m_stores,
+                                               m_core.m_peerLoads,
+                                               m_core.m_reloads,
+                                               m_core.m_crashes,
+                                               m_core.m_endpointLimits },
                            options);
     m_peerExchange->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
     m_dispatcher.emplace(m_core, *m_peerExchange);
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -36,6 +36,8 @@
 
 constexpr base::Duration kTrafficLogInterval = std::chrono::seconds(10);
 
+constexpr base::Duration kPermitExpiryInterval = std::chrono::seconds(1);
+
 } // namespace
 
 RelayHost::RelayHost(net::Loop& aLoop, const HostPorts& aPorts, HostOptions aOptions)
@@ -50,12 +52,14 @@
   , m_peerExchange(aLoop,
                    aPorts.m_client,
                    m_log,
-                   m_core.m_stores,
-                   m_core.m_peerLoads,
-                   m_core.m_reloads,
-                   m_core.m_crashes,
+                   { m_core.m_stores,
+                     m_core.m_peerLoads,
+                     m_core.m_reloads,
+                     m_core.m_crashes,
+                     m_core.m_endpointLimits },
                    WithTopic(m_options.m_peers, aPorts.m_records))
   , m_dispatcher(m_core, m_peerExchange)
+  , m_permitClient(m_core, m_peerExchange)
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               m_log,
@@ -81,6 +85,7 @@
   }
   m_peerExchange.AddTopic(m_quarantine.Topic());
   m_core.m_dispatcher = &m_dispatcher;
+  m_core.m_permitClient = &m_permitClient;
   m_core.m_onEndpointReplaced = [this](const std::string& aIncarnation) {
     m_peerExchange.ReportReplaced(aIncarnation);
   };
@@ -106,6 +111,8 @@
   m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReloadPlanned(aReload); });
   m_rollout.Start();
   m_trafficTimer = m_loop.Every(kTrafficLogInterval, [this] { LogTraffic(); });
+  m_permitExpiryTimer =
+    m_loop.Every(kPermitExpiryInterval, [this] { m_permitClient.Expire(base::MonotonicNow()); });
   telemetry::LogLine("start")
     .Add("callers", net::ToString(CallerAddress()))
     .Add("readiness", net::ToString(ReadinessAddress()))
@@ -198,6 +205,8 @@
     metrics,
     [this](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
       m_core.m_metrics.Set("open_requests", static_cast<double>(m_core.m_openExchanges));
+      m_core.m_metrics.Set("limited_endpoints",
+                           static_cast<double>(m_core.m_endpointLimits.Count()));
       UpdateEvacuationGauges();
       aReply->Send(
         kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_core.m_metrics.Render());
@@ -325,6 +334,7 @@
   m_quarantine.Stop();
   m_isolationTimer.reset();
   m_trafficTimer.reset();
+  m_permitExpiryTimer.reset();
   m_peerExchange.Stop();
   m_stores.Stop();
   m_shutdownTimer->Cancel();
--- a/src/ferrytray/relay/request_limits.cpp
+++ b/src/ferrytray/relay/request_limits.cpp
@@ -52,7 +52,6 @@
       return; // says neither that there is a limit nor that there is none
     }
   }
-  aCore.m_endpointLimits.Expire(aNow);
   const limits::LimitChange change = aCore.m_endpointLimits.OnAnswer(
     peers::KeyOf(aIncarnation), aHead.m_requestLimit, aSentAt, aNow);
   if (change != limits::LimitChange::None) {
@@ -63,4 +62,20 @@
   }
 }
 
+bool NeedsPermit(const RelayCore& aCore, const std::string& aIncarnation)
+{
+  return aCore.m_permitClient != nullptr && aCore.m_endpointLimits.Count() > 0 &&
+         aCore.m_endpointLimits.IsLimited(peers::KeyOf(aIncarnation));
+}
+
+std::optional<base::TimePoint> PermitDeniedUntil(const RelayCore& aCore,
+                                                 const std::string& aIncarnation,
+                                                 base::TimePoint aNow)
+{
+  if (aCore.m_permits.Empty() || !NeedsPermit(aCore, aIncarnation)) {
+    return std::nullopt;
+  }
+  return aCore.m_permits.DeniedUntil(peers::KeyOf(aIncarnation), aNow);
+}
+
 } // namespace ferrytray::relay
--- a/tests/support/news_fixture.hpp
+++ b/tests/support/news_fixture.hpp
@@ -28,14 +28,7 @@
            std::uint32_t aCapacity,
            const std::string& aZone = "z",
            std::size_t aReaders = 1)
-    : m_exchange(aLoop,
-                 aClient,
-                 m_log,
-                 m_stores,
-                 m_peerLoads,
-                 m_reloads,
-                 m_crashes,
-                 OptionsOf(aName, aCapacity, aZone, aReaders))
+    : m_exchange(aLoop, aClient, m_log, State(), OptionsOf(aName, aCapacity, aZone, aReaders))
   {
     m_stores.try_emplace(kStore, cache::StoreTraits{ 10'000 });
     m_exchange.OnReaderChange([this](bool aDirect) { m_isReader = aDirect; });
@@ -62,6 +55,7 @@
     return options;
   }
 
+  peers::SharedState State() { return { m_stores, m_peerLoads, m_reloads, m_crashes, m_limits }; }
   bool MayFetch() { return m_stores.at(kStore).MayFetch(kPart, base::MonotonicNow()); }
 
   support::MemoryRecordLog m_log;
@@ -69,6 +63,7 @@
   peers::LoadTable m_peerLoads;
   peers::ReloadTable m_reloads;
   quarantine::CrashTracker m_crashes;
+  limits::EndpointLimits m_limits;
   peers::EndpointLoads m_localLoads;
   bool m_isReader = false;
   peers::PeerExchange m_exchange;
