--- a/include/ferrytray/limits/permit_issuer.hpp
+++ b/include/ferrytray/limits/permit_issuer.hpp
@@ -22,11 +22,12 @@
   /// One grant has the permits of this time, at least one, so that messages don't grow with the
   /// limit.
   base::Duration m_batchTime = std::chrono::milliseconds(50);
-  /// The rate grows only if no answer has named the limit for this long.
-  base::Duration m_holdTime = std::chrono::seconds(1);
-  /// A limit that no answer has named for this long counts as lifted. Answers of a saturated
-  /// endpoint take some seconds.
-  base::Duration m_silentTime = std::chrono::seconds(5);
+  /// The rate grows only if no answer has named the limit for this long: the time over which the
+  /// operators count requests, which may have begun just before the limit was lifted.
+  base::Duration m_holdTime = std::chrono::seconds(4);
+  /// A limit that no answer has named for this long counts as lifted, although no answer showed it.
+  /// Answers of a saturated endpoint take some seconds.
+  base::Duration m_silentTime = std::chrono::seconds(10);
   double m_growthPerSecond = 1.5; ///< factor of the rate once the limit is lifted
   /// The endpoint is unlimited this long after its rate began to grow, or if no request was denied
   /// for m_idleTime.
@@ -36,7 +37,7 @@
   /// has a request to send, often later than it may.
   double m_retriesPerPermit = 4;
   base::Duration m_maxRetryDelay = std::chrono::seconds(5);
-  base::Duration m_retention = std::chrono::seconds(20); ///< after the last request
+  base::Duration m_retention = std::chrono::seconds(30); ///< after the last request
   /// Endpoints kept at a time; permits for further ones are denied to bound memory.
   std::size_t m_maxEntries = 16384;
 };
