Net: aborting a reply closes only its own connection

Cause: a server finds the socket to shut down by the peer's address alone, in a registry that all servers of a process share. Change: sockets are registered under the peer's address and the server's port. Measured: AbortClosesOnlyItsOwnConnection, a client with one port at two servers, failed before and passes now.

--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -67,11 +67,20 @@
   {
     for (const auto& [id, connection] : m_connections) {
       if (connection.m_pendingRequests == 0) {
-        TrackedSocket::Shutdown(connection.m_peer);
+        Shutdown(connection.m_peer);
       }
     }
   }
 
+  /// @param aPort that the server listens on
+  void SetLocalPort(std::uint16_t aPort) { m_localPort = aPort; }
+
+  /// Closes the connection of a peer to this server.
+  void Shutdown(const asio::ip::tcp::endpoint& aPeer) const
+  {
+    TrackedSocket::Shutdown({ aPeer, m_localPort });
+  }
+
   void SetOnClosed(std::uint64_t aConnection, std::function<void()> aCall)
   {
     const auto found = m_connections.find(aConnection);
@@ -108,6 +117,7 @@
     }
   }
 
+  std::uint16_t m_localPort = 0;
   HttpServerCounters m_counters;
   std::unordered_map<std::uint64_t, Connection> m_connections;
 };
@@ -198,7 +208,7 @@
       return;
     }
     MarkDone();
-    TrackedSocket::Shutdown(m_request->remote_endpoint());
+    m_tracker->Shutdown(m_request->remote_endpoint());
     m_chunkedResponse.reset();
     m_request.reset();
   }
@@ -316,6 +326,7 @@
         [](auto& aAcceptor) { aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         m_address.m_port = aAcceptor.local_endpoint().port();
+        m_tracker->SetLocalPort(m_address.m_port);
       })
       .request_handler(
         [this](restinio::request_handle_t aRequest) { return HandleRequest(std::move(aRequest)); });
--- a/src/ferrytray/net/http_server_test.cpp
+++ b/src/ferrytray/net/http_server_test.cpp
@@ -1,7 +1,12 @@
 #include "ferrytray/net/http_server.hpp"
 
+#include <array>    // for array
 #include <optional> // for optional
 
+#include <netinet/in.h> // for sockaddr_in
+#include <sys/socket.h> // for connect, recv, send
+#include <unistd.h>     // for close
+
 #include "ferrytray/net/http_client.hpp" // for HttpClient
 
 #include <CppUTest/TestHarness.h> // for TEST
@@ -9,6 +14,62 @@
 using namespace ferrytray;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A connection of a client from a chosen local port.
+class RawClient
+{
+public:
+  /// @param aLocalPort zero: any free port
+  RawClient(std::uint16_t aLocalPort, const net::Address& aServer)
+    : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const int reuse = 1;
+    ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    const sockaddr_in local = Loopback(aLocalPort);
+    CHECK(::bind(m_socket, reinterpret_cast<const sockaddr*>(&local), sizeof(local)) == 0);
+    const sockaddr_in server = Loopback(aServer.m_port);
+    CHECK(::connect(m_socket, reinterpret_cast<const sockaddr*>(&server), sizeof(server)) == 0);
+  }
+  ~RawClient() { ::close(m_socket); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  [[nodiscard]] std::uint16_t LocalPort() const
+  {
+    sockaddr_in local{};
+    socklen_t size = sizeof(local);
+    ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&local), &size);
+    return ntohs(local.sin_port);
+  }
+  void SendRequest() const
+  {
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+  }
+  /// Returns what has arrived.
+  [[nodiscard]] std::string Receive() const
+  {
+    std::array<char, 4096> bytes{};
+    const ssize_t count = ::recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    return count > 0 ? std::string(bytes.data(), static_cast<std::size_t>(count)) : "";
+  }
+
+private:
+  static sockaddr_in Loopback(std::uint16_t aPort)
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+  }
+
+  int m_socket;
+};
+
+} // namespace
+
 TEST_GROUP(HttpServer)
 {
   net::Loop m_loop;
@@ -60,6 +121,35 @@
   LONGS_EQUAL(0, m_server->PendingRequests());
 }
 
+// A client may use one local port for connections to two servers of a process. Aborting a reply of
+// one server closed the connection to the other one.
+TEST(HttpServer, AbortClosesOnlyItsOwnConnection)
+{
+  std::shared_ptr<net::HttpReply> aborted;
+  std::shared_ptr<net::HttpReply> kept;
+  StartServer([&](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
+    aborted = aReply;
+  });
+  const auto other = std::move(*net::HttpServer::Create(
+    m_loop, {}, [&](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
+      kept = aReply;
+    }));
+  RawClient first(0, m_server->ListenAddress());
+  RawClient second(first.LocalPort(), other->ListenAddress());
+  first.SendRequest();
+  second.SendRequest();
+  for (int i = 0; i < 4000 && !(aborted && kept); ++i) {
+    m_loop.RunFor(5ms);
+  }
+  CHECK(aborted && kept);
+  aborted->Abort();
+  m_loop.RunFor(20ms);
+  kept->Send(200, {}, "answer");
+  m_loop.RunFor(20ms);
+  CHECK(first.Receive().empty());
+  CHECK(second.Receive().ends_with("answer"));
+}
+
 TEST(HttpServer, AbortedStreamIsReportedAsIncomplete)
 {
   StartServer([](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
--- a/src/ferrytray/net/tracked_socket.hpp
+++ b/src/ferrytray/net/tracked_socket.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint> // for uint16_t
 #include <map>     // for map
+#include <tuple>   // for tie
 #include <utility> // for forward, move
 
 #include <asio/ip/tcp.hpp> // for tcp
@@ -8,7 +10,19 @@
 
 namespace ferrytray::net {
 
-/// An accepted socket that is registered under its peer's address while it is open.
+/// Identifies an accepted connection. The peer's address alone does not: a peer may use one port
+/// for connections to several servers of the process.
+struct ConnectionAddress
+{
+  asio::ip::tcp::endpoint m_peer;
+  std::uint16_t m_localPort = 0; ///< of the server
+  bool operator<(const ConnectionAddress& aOther) const
+  {
+    return std::tie(m_peer, m_localPort) < std::tie(aOther.m_peer, aOther.m_localPort);
+  }
+};
+
+/// An accepted socket that is registered under its address while it is open.
 ///
 /// RESTinio cannot abort a reply that has started. Shutting the socket down does it: RESTinio then
 /// closes the connection as if the caller had disconnected.
@@ -47,18 +61,18 @@
     Base::close();
   }
 
-  /// Shuts down the peer's connection in both directions. @return false if there is none
-  static bool Shutdown(const asio::ip::tcp::endpoint& aPeer)
+  /// Shuts down a connection in both directions. @return false if there is none
+  static bool Shutdown(const ConnectionAddress& aConnection)
   {
-    const auto found = OpenSockets().find(aPeer);
+    const auto found = OpenSockets().find(aConnection);
     return found != OpenSockets().end() && ::shutdown(found->second, SHUT_RDWR) == 0;
   }
 
 private:
   // Needs no lock: all servers of a thread share its event loop.
-  static std::map<asio::ip::tcp::endpoint, int>& OpenSockets()
+  static std::map<ConnectionAddress, int>& OpenSockets()
   {
-    static thread_local std::map<asio::ip::tcp::endpoint, int> openSockets;
+    static thread_local std::map<ConnectionAddress, int> openSockets;
     return openSockets;
   }
 
@@ -68,9 +82,11 @@
       return;
     }
     asio::error_code error;
-    m_peer = remote_endpoint(error);
+    const Base::endpoint_type peer = remote_endpoint(error);
+    const Base::endpoint_type local = error ? Base::endpoint_type() : local_endpoint(error);
     if (!error) {
-      OpenSockets()[m_peer] = native_handle();
+      m_address = { peer, local.port() };
+      OpenSockets()[m_address] = native_handle();
       m_registered = true;
     }
   }
@@ -78,13 +94,13 @@
   void Unregister()
   {
     if (m_registered) {
-      OpenSockets().erase(m_peer);
+      OpenSockets().erase(m_address);
       m_registered = false;
     }
   }
 
   bool m_registered = false;
-  asio::ip::tcp::endpoint m_peer;
+  ConnectionAddress m_address;
 };
 
 } // namespace ferrytray::net
