--- a/include/ferrytray/limits/permit_issuer.hpp
+++ b/include/ferrytray/limits/permit_issuer.hpp
@@ -33,8 +33,8 @@
   /// for m_idleTime.
   base::Duration m_growthTime = std::chrono::seconds(8);
   base::Duration m_idleTime = std::chrono::seconds(2);
-  /// Hosts that are told to ask again per permit that will be available. A host asks only when it
-  /// has a request to send, often later than it may.
+  /// Denied hosts that may ask again for each permit that becomes available. More than one, since a
+  /// host asks only when it has a request to send, often later than it may.
   double m_retriesPerPermit = 4;
   base::Duration m_maxRetryDelay = std::chrono::seconds(5);
   base::Duration m_retention = std::chrono::seconds(30); ///< after the last request
@@ -81,7 +81,7 @@
   {
     TokenBucket m_bucket;
     base::TimePoint m_requestedAt;
-    base::TimePoint m_nextRetry;                 ///< earliest time for the next host that is denied
+    base::TimePoint m_nextRetry;                 ///< for the next host that is denied
     base::TimePoint m_deniedAt;                  ///< last denial
     std::optional<base::TimePoint> m_growsSince; ///< the limit is lifted
     bool m_unlimited = false;
