Tests: one fixture for hosts that know other hosts

The dispatcher's and the limits' tests started such a host with the same lines. relay_test passes (109 tests).

--- a/src/ferrytray/relay/exchange_limit_test.cpp
+++ b/src/ferrytray/relay/exchange_limit_test.cpp
@@ -4,8 +4,7 @@
 #include "ferrytray/peers/replacement_table.hpp" // for KeyOf
 #include "ferrytray/relay/permit_client.hpp"     // for PermitClient
 #include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
-#include "tests/support/exchange_fixture.hpp"    // for ExchangeFixture
-#include "tests/support/memory_record_log.hpp"   // for MemoryRecordLog
+#include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -14,49 +13,18 @@
 using net::WireEnd;
 
 /// A host that issues permits itself, or asks another one whose replies the test provides.
-TEST_GROUP_BASE(ExchangeLimit, support::ExchangeFixture)
+TEST_GROUP_BASE(ExchangeLimit, support::PeerHostFixture)
 {
-  support::MemoryRecordLog m_log;
-  std::optional<peers::PeerExchange> m_peerExchange;
   std::optional<relay::PermitClient> m_permitClient;
 
-  void teardown() override
-  {
-    m_peerExchange->Stop();
-  }
-
   void StartHost(bool aOtherIssues = false)
   {
-    peers::PeerExchangeOptions options;
-    options.m_listen = { "127.0.0.1", 0 };
-    options.m_name = "self";
-    options.m_zone = "z";
-    options.m_topic = "hosts";
-    options.m_firstHostsReadDelay = 1ms;
-    options.m_pollInterval = 1h; // only requests for permits are sent
-    options.m_roster.m_readers = 1;
     if (aOtherIssues) {
-      m_log.AppendKeyed("hosts",
-                        "strong",
-                        peers::Encode(peers::Peer{ "strong", "z", "10.0.0.1:7", 5 }),
-                        [](const auto&) {});
+      AddStrongHost();
     }
-    m_peerExchange.emplace(m_loop,
-                           m_client,
-                           m_log,
-                           peers::SharedState{ m_core.m_stores,
-                                               m_core.m_peerLoads,
-                                               m_core.m_reloads,
-                                               m_core.m_crashes,
-                                               m_core.m_endpointLimits },
-                           options);
-    m_peerExchange->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
+    StartPeerExchange(0, 1);
     m_permitClient.emplace(m_core, *m_peerExchange);
-    CHECK(m_peerExchange->Start().has_value());
-    for (int i = 0; i < 1000 && !m_peerExchange->HostsKnown(); ++i) {
-      m_loop.RunFor(1ms);
-    }
-    m_client.m_calls.clear();
+    AwaitHosts();
     m_core.m_permitClient = &*m_permitClient;
   }
 
--- a/src/ferrytray/relay/prompt_dispatcher_test.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -4,8 +4,7 @@
 
 #include "ferrytray/peers/replacement_table.hpp" // for KeyOf
 #include "ferrytray/relay/permit_client.hpp"     // for PermitClient
-#include "tests/support/exchange_fixture.hpp"    // for ExchangeFixture
-#include "tests/support/memory_record_log.hpp"   // for MemoryRecordLog
+#include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -16,47 +15,16 @@
 
 /// A host that assigns prompts itself, or asks a host of higher capacity whose replies the test
 /// provides.
-TEST_GROUP_BASE(PromptDispatcher, support::ExchangeFixture)
+TEST_GROUP_BASE(PromptDispatcher, support::PeerHostFixture)
 {
-  support::MemoryRecordLog m_log;
-  std::optional<peers::PeerExchange> m_peerExchange;
   std::optional<relay::PromptDispatcher> m_dispatcher;
 
-  void teardown() override
-  {
-    m_peerExchange->Stop();
-  }
-
   void StartDispatcher(std::uint32_t aCapacity)
   {
-    peers::PeerExchangeOptions options;
-    options.m_listen = { "127.0.0.1", 0 };
-    options.m_name = "self";
-    options.m_zone = "z";
-    options.m_capacity = aCapacity;
-    options.m_topic = "hosts";
-    options.m_firstHostsReadDelay = 1ms;
-    options.m_pollInterval = 1h; // only placement requests are sent
-    m_log.AppendKeyed("hosts",
-                      "strong",
-                      peers::Encode(peers::Peer{ "strong", "z", "10.0.0.1:7", 5 }),
-                      [](const auto&) {});
-    m_peerExchange.emplace(m_loop,
-                           m_client,
-                           m_log,
-                           peers::SharedState{ m_core.m_stores,
-                                               m_core.m_peerLoads,
-                                               m_core.m_reloads,
-                                               m_core.m_crashes,
-                                               m_core.m_endpointLimits },
-                           options);
-    m_peerExchange->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
+    AddStrongHost();
+    StartPeerExchange(aCapacity);
     m_dispatcher.emplace(m_core, *m_peerExchange);
-    CHECK(m_peerExchange->Start().has_value());
-    for (int i = 0; i < 1000 && !m_peerExchange->PlacementHost("", base::MonotonicNow()); ++i) {
-      m_loop.RunFor(1ms);
-    }
-    m_client.m_calls.clear();
+    AwaitHosts();
     m_core.m_dispatcher = &*m_dispatcher;
   }
 
