Peers: hosts agree on an issuer in another zone if a whole zone fails

Symptom (by reading, and in a test): with all hosts of an endpoint's zone gone and the endpoint still reachable, each other host granted itself 0.4 of the limit, so six hosts together 2.4 times the limit until the dead ones counted as removed. Cause: the order of issuers ended with the hosts of the zone. Change: it goes on with the hosts of the other zones, by rank, as every host computes alike.

--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -115,8 +115,8 @@
   /// Returns the reachable hosts that may read or relay for a zone, by descending rank.
   [[nodiscard]] Entries Ranked(const std::string& aZone, base::TimePoint aNow) const;
   /// Returns the hosts that may issue permits for an endpoint, in order: the readers of its zone in
-  /// the hash order of the endpoint, then the other hosts there by rank. If none are known there,
-  /// those of all zones.
+  /// the hash order of the endpoint, then the other hosts there by rank, then those of other zones.
+  /// If all hosts of the zone fail, the others must agree on one issuer, too.
   [[nodiscard]] Entries Issuers(std::string_view aEndpoint, const std::string& aZone) const;
   /// Whether requests to the host fail at the moment.
   [[nodiscard]] static bool IsBackingOff(const Entry& aEntry, base::TimePoint aNow)
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/peers/roster.hpp"
 
-#include <algorithm> // for all_of, any_of, count_if, find, min, min_element, sort
+#include <algorithm> // for any_of, count_if, find, min, min_element, sort, stable_partition
 #include <cmath>     // for log
 #include <string>    // for to_string
 #include <utility>   // for move
@@ -188,17 +188,18 @@
       hosts.push_back(&entry);
     }
   }
-  const auto isElsewhere = [&](const Entry* aEntry) { return aEntry->m_peer.m_zone != aZone; };
-  if (!std::all_of(hosts.begin(), hosts.end(), isElsewhere)) {
-    std::erase_if(hosts, isElsewhere);
-  }
   std::sort(hosts.begin(), hosts.end(), &Roster::Outranks);
-  const auto readersEnd =
-    hosts.begin() + static_cast<std::ptrdiff_t>(std::min(hosts.size(), ReaderCount()));
-  std::sort(hosts.begin(), readersEnd, [&](const Entry* aLeft, const Entry* aRight) {
-    return base::Hash64(aEndpoint, aLeft->m_peer.m_name) <
-           base::Hash64(aEndpoint, aRight->m_peer.m_name);
+  const auto zoneEnd = std::stable_partition(hosts.begin(), hosts.end(), [&](const Entry* aEntry) {
+    return aEntry->m_peer.m_zone == aZone;
   });
+  const auto zoneHosts = static_cast<std::size_t>(zoneEnd - hosts.begin());
+  const std::size_t readers = std::min(zoneHosts == 0 ? hosts.size() : zoneHosts, ReaderCount());
+  std::sort(hosts.begin(),
+            hosts.begin() + static_cast<std::ptrdiff_t>(readers),
+            [&](const Entry* aLeft, const Entry* aRight) {
+              return base::Hash64(aEndpoint, aLeft->m_peer.m_name) <
+                     base::Hash64(aEndpoint, aRight->m_peer.m_name);
+            });
   return hosts;
 }
 
--- a/src/ferrytray/peers/roster_test.cpp
+++ b/src/ferrytray/peers/roster_test.cpp
@@ -264,6 +264,26 @@
   }
 }
 
+// If each host issued permits itself then, all of them together would exceed the limit.
+TEST(Roster, HostsAgreeOnAnIssuerElsewhereIfAllHostsOfTheZoneFail)
+{
+  std::vector<Roster> rosters = MakeRosters(8, 4);
+  const std::set<std::string> zoneHosts{ "host-0", "host-4" };
+  std::set<std::string> issuers;
+  for (Roster& roster : rosters) {
+    if (zoneHosts.contains(roster.Self().m_name)) {
+      continue;
+    }
+    for (const std::string& host : zoneHosts) {
+      roster.OnRequestFailed(host, kNow);
+    }
+    issuers.insert(roster.Issuer("e", "zone-0", {}, kNow)->m_name);
+    CHECK_FALSE(roster.IsFirstIssuer("e", "zone-0"));
+  }
+  LONGS_EQUAL(1, issuers.size());
+  CHECK_FALSE(zoneHosts.contains(*issuers.begin()));
+}
+
 TEST(Roster, EndpointOfAZoneWithoutHostsHasAnIssuer)
 {
   const std::vector<Roster> rosters = MakeRosters(8, 2);
