Peers: the table of replaced incarnations serves other final facts, too

Cause: hosts are to forward more than one final fact about an incarnation, and the table knew only how long to forward one. Change: ReplacementTable becomes IncarnationTable, which keeps what it no longer forwards for a time of its own. No behaviour changes: both times are 5 s. Measured: peers_test passes (72 tests), with a case for the two times.

--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -9,9 +9,9 @@
 #include "ferrytray/base/error.hpp"              // for Result
 #include "ferrytray/cache/contents_delta.hpp"    // for ContentsCursor, ContentsDelta
 #include "ferrytray/limits/endpoint_limits.hpp"  // for LimitReports
+#include "ferrytray/peers/incarnation_table.hpp" // for IncarnationNotices
 #include "ferrytray/peers/load_table.hpp"        // for EndpointLoads, LoadScope
 #include "ferrytray/peers/reload_table.hpp"      // for ReloadNotices
-#include "ferrytray/peers/replacement_table.hpp" // for ReplacementNotices
 #include "ferrytray/peers/roster.hpp"            // for Peer
 #include "ferrytray/quarantine/crash_board.hpp"  // for CrashNotices, Suspicion
 #include "ferrytray/quarantine/notice_log.hpp"   // for NoticeOffset
@@ -30,7 +30,7 @@
   LoadScope m_scope = LoadScope::Own;
   EndpointLoads m_loads;   ///< with the scope above
   ReloadNotices m_reloads; ///< that the sender knows of, if it is a reader
-  ReplacementNotices m_replaced;
+  IncarnationNotices m_replaced;
   limits::LimitReports m_limits;      ///< of endpoints, known to the sender
   quarantine::CrashNotices m_crashes; ///< that the sender has not sent to the receiver yet
   /// The first of the receiver's crash notices that the sender lacks; used with scope Own.
@@ -50,7 +50,7 @@
   /// host and of the hosts that report to it.
   EndpointLoads m_loads;
   ReloadNotices m_reloads; ///< known to the replying host
-  ReplacementNotices m_replaced;
+  IncarnationNotices m_replaced;
   limits::LimitReports m_limits; ///< of endpoints, known to the replying host
   /// Readers and relays for the zone of the requesting host; empty if their digest is unchanged.
   std::vector<Peer> m_sources;
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -14,11 +14,11 @@
 #include "ferrytray/net/loop.hpp"                 // for Loop
 #include "ferrytray/peers/exchange_counters.hpp"  // for ExchangeCounters
 #include "ferrytray/peers/fallback_reader.hpp"    // for FallbackReader
+#include "ferrytray/peers/incarnation_table.hpp"  // for IncarnationTable
 #include "ferrytray/peers/messages.hpp"           // for SyncReply, SyncRequest
 #include "ferrytray/peers/permit_messages.hpp"    // for PermitReply, PermitRequest
 #include "ferrytray/peers/placement_messages.hpp" // for PlacementReply, PlacementRequest
 #include "ferrytray/peers/reload_table.hpp"       // for ReloadTable
-#include "ferrytray/peers/replacement_table.hpp"  // for ReplacementTable
 #include "ferrytray/peers/roster.hpp"             // for Roster
 #include "ferrytray/quarantine/crash_board.hpp"   // for CrashTracker
 #include "ferrytray/store/record_log.hpp"         // for RecordLog
@@ -261,7 +261,7 @@
                      const std::shared_ptr<net::HttpReply>& aReply);
   void SetReader(bool aIsReader, const char* aWhy);
   void ApplyReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
-  void ApplyReplacements(const ReplacementNotices& aNotices, base::TimePoint aNow);
+  void ApplyReplacements(const IncarnationNotices& aNotices, base::TimePoint aNow);
   void ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow);
   /// Adds the crash notices that aPeer has not received yet.
   void AddCrashNotices(const Peer& aPeer, SyncRequest& aSyncRequest);
@@ -312,7 +312,7 @@
   std::optional<base::TimePoint> m_lastContactAt; ///< last reply or request of another host
   ExchangeCounters m_counters;
   FallbackReader m_fallback;
-  ReplacementTable m_replaced;
+  IncarnationTable m_replaced;
   std::map<std::string, CrashSyncState> m_crashSync; ///< by host
   std::set<std::string> m_pendingHosts;              ///< names of hosts whose reply is outstanding
   bool m_isReader = false;
--- a/src/ferrytray/peers/replacement_table.cpp
+++ b/src/ferrytray/peers/incarnation_table.cpp
@@ -1,4 +1,4 @@
-#include "ferrytray/peers/replacement_table.hpp"
+#include "ferrytray/peers/incarnation_table.hpp"
 
 #include <chrono> // for milliseconds
 
@@ -11,28 +11,30 @@
   return base::Hash64("incarnation", aIncarnation);
 }
 
-bool ReplacementTable::OnNotice(const ReplacementNotice& aNotice, base::TimePoint aNow)
+bool IncarnationTable::OnNotice(const IncarnationNotice& aNotice, base::TimePoint aNow)
 {
   const std::chrono::milliseconds age(aNotice.m_ageMillis);
-  const bool plausible = age >= base::Duration::zero() && age < m_options.m_retention;
+  const bool plausible = age >= base::Duration::zero() && age < m_options.m_forwardTime;
   if (!plausible || m_foundAt.size() >= m_options.m_maxEntries) {
     return false;
   }
   return m_foundAt.try_emplace(aNotice.m_incarnation, aNow - age).second;
 }
 
-ReplacementNotices ReplacementTable::Notices(base::TimePoint aNow) const
+IncarnationNotices IncarnationTable::Notices(base::TimePoint aNow) const
 {
-  ReplacementNotices notices;
-  notices.reserve(m_foundAt.size());
+  IncarnationNotices notices;
   for (const auto& [incarnation, foundAt] : m_foundAt) {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - foundAt).count();
-    notices.push_back({ incarnation, static_cast<std::int32_t>(age) });
+    const base::Duration age = aNow - foundAt;
+    if (age < m_options.m_forwardTime) {
+      const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+      notices.push_back({ incarnation, static_cast<std::int32_t>(millis) });
+    }
   }
   return notices;
 }
 
-void ReplacementTable::Expire(base::TimePoint aNow)
+void IncarnationTable::Expire(base::TimePoint aNow)
 {
   std::erase_if(m_foundAt,
                 [&](const auto& aPair) { return aPair.second + m_options.m_retention <= aNow; });
--- a/src/ferrytray/peers/replacement_table_test.cpp
+++ b/src/ferrytray/peers/incarnation_table_test.cpp
@@ -1,4 +1,4 @@
-#include "ferrytray/peers/replacement_table.hpp"
+#include "ferrytray/peers/incarnation_table.hpp"
 
 #include <vector> // for vector
 
@@ -6,7 +6,7 @@
 
 using namespace ferrytray;
 using namespace std::chrono_literals;
-using peers::ReplacementTable;
+using peers::IncarnationTable;
 
 namespace {
 
@@ -14,28 +14,28 @@
 
 } // namespace
 
-TEST_GROUP(ReplacementTable)
+TEST_GROUP(IncarnationTable)
 {
-  ReplacementTable m_table;
+  IncarnationTable m_table;
 };
 
-TEST(ReplacementTable, EachReplacementIsAcceptedOnce)
+TEST(IncarnationTable, EachNoticeIsAcceptedOnce)
 {
   CHECK(m_table.OnNotice({ 7, 0 }, kNow));
   CHECK_FALSE(m_table.OnNotice({ 7, 300 }, kNow + 1s));
   LONGS_EQUAL(1000, m_table.Notices(kNow + 1s).at(0).m_ageMillis);
 }
 
-TEST(ReplacementTable, ExpiredAndFutureNoticesAreRejected)
+TEST(IncarnationTable, ExpiredAndFutureNoticesAreRejected)
 {
   CHECK_FALSE(m_table.OnNotice({ 7, 5000 }, kNow));
   CHECK_FALSE(m_table.OnNotice({ 7, -1 }, kNow));
   CHECK(m_table.Notices(kNow).empty());
 }
 
-TEST(ReplacementTable, ForwardedNoticesExpireOnAllHosts)
+TEST(IncarnationTable, ForwardedNoticesExpireOnAllHosts)
 {
-  std::vector<ReplacementTable> hosts(5);
+  std::vector<IncarnationTable> hosts(5);
   hosts[0].OnNotice({ 7, 0 }, kNow);
   for (auto at = kNow; at < kNow + 6s; at += 300ms) {
     for (std::size_t from = 0; from < hosts.size(); ++from) {
@@ -45,13 +45,25 @@
       }
     }
   }
-  for (ReplacementTable& host : hosts) {
+  for (IncarnationTable& host : hosts) {
     host.Expire(kNow + 6s);
     CHECK(host.Notices(kNow + 6s).empty());
   }
 }
 
-TEST(ReplacementTable, SizeIsBounded)
+TEST(IncarnationTable, KeptIncarnationsAreNotForwardedForever)
+{
+  IncarnationTable table({ 5s, 60s });
+  table.OnNotice({ 7, 0 }, kNow);
+  LONGS_EQUAL(1, table.Notices(kNow + 4999ms).size());
+  CHECK(table.Notices(kNow + 5s).empty());
+  table.Expire(kNow + 59s);
+  CHECK(table.Contains(7));
+  table.Expire(kNow + 60s);
+  CHECK_FALSE(table.Contains(7));
+}
+
+TEST(IncarnationTable, SizeIsBounded)
 {
   for (std::uint64_t key = 0; key < 10'000; ++key) {
     m_table.OnNotice({ key, 0 }, kNow);
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -102,7 +102,7 @@
 }
 
 template<typename Archive>
-void serialize(Archive& aArchive, ReplacementNotice& aNotice)
+void serialize(Archive& aArchive, IncarnationNotice& aNotice)
 {
   aArchive(aNotice.m_incarnation, aNotice.m_ageMillis);
 }
--- a/src/ferrytray/peers/peer_notices.cpp
+++ b/src/ferrytray/peers/peer_notices.cpp
@@ -31,9 +31,9 @@
   m_replaced.OnNotice({ KeyOf(aIncarnation), 0 }, base::MonotonicNow());
 }
 
-void PeerExchange::ApplyReplacements(const ReplacementNotices& aNotices, base::TimePoint aNow)
+void PeerExchange::ApplyReplacements(const IncarnationNotices& aNotices, base::TimePoint aNow)
 {
-  for (const ReplacementNotice& notice : aNotices) {
+  for (const IncarnationNotice& notice : aNotices) {
     if (m_replaced.OnNotice(notice, aNow) && m_onReplaced) {
       m_onReplaced(notice.m_incarnation);
     }
--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // for any_of, find, max, min
 
 #include "ferrytray/base/digest.hpp"             // for Hash64
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/relay/cold_engines.hpp"      // for MaySendToCold
 #include "ferrytray/relay/request_limits.hpp"    // for PermitDeniedUntil
 #include "ferrytray/routing/engine_memory.hpp"   // for HasRoom, ClassifyPrompt
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -4,7 +4,7 @@
 
 #include <utility> // for move
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
--- a/src/ferrytray/relay/exchange_limit_test.cpp
+++ b/src/ferrytray/relay/exchange_limit_test.cpp
@@ -1,7 +1,7 @@
 // Requests to endpoints that name a limit on the requests of all hosts.
 #include <algorithm> // for count_if
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/relay/permit_client.hpp"     // for PermitClient
 #include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
 #include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
--- a/src/ferrytray/relay/exchange_permit.cpp
+++ b/src/ferrytray/relay/exchange_permit.cpp
@@ -4,7 +4,7 @@
 #include <algorithm> // for find, max, min
 #include <utility>   // for move
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/relay/permit_client.hpp"     // for PermitClient
 #include "ferrytray/relay/request_limits.hpp"    // for NeedsPermit
 
--- a/src/ferrytray/relay/exchange_quarantine_test.cpp
+++ b/src/ferrytray/relay/exchange_quarantine_test.cpp
@@ -1,5 +1,5 @@
 // How an exchange treats requests that crash endpoints.
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "tests/support/exchange_fixture.hpp"    // for ExchangeFixture
 
 #include <CppUTest/TestHarness.h> // for TEST
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -4,7 +4,7 @@
 
 #include <utility> // for move
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
 #include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
--- a/src/ferrytray/relay/permit_client.cpp
+++ b/src/ferrytray/relay/permit_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // for clamp, max
 #include <utility>   // for move
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
--- a/src/ferrytray/relay/permit_client_test.cpp
+++ b/src/ferrytray/relay/permit_client_test.cpp
@@ -4,7 +4,7 @@
 #include <memory>    // for unique_ptr
 #include <vector>    // for vector
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "tests/support/exchange_fixture.hpp"    // for FakeFormat, MakeEndpoint
 #include "tests/support/memory_record_log.hpp"   // for MemoryRecordLog
 
--- a/src/ferrytray/relay/prompt_dispatcher_test.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -2,7 +2,7 @@
 
 #include <vector> // for vector
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/relay/permit_client.hpp"     // for PermitClient
 #include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
 
--- a/src/ferrytray/relay/request_limits.cpp
+++ b/src/ferrytray/relay/request_limits.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/relay/request_limits.hpp"
 
-#include "ferrytray/peers/replacement_table.hpp" // for KeyOf
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
