--- a/include/ferrytray/relay/endpoint_call.hpp
+++ b/include/ferrytray/relay/endpoint_call.hpp
@@ -46,7 +46,12 @@
   /// Requests per second that the endpoint accepts from all hosts together; empty: no limit named.
   std::optional<double> m_requestLimit;
   bool m_invalidRequestLimit = false; ///< a limit was named that is no valid number
-  net::Headers m_forwardedHeaders;    ///< end-to-end headers
+  bool m_leaving = false;             ///< the endpoint announces that it shuts down
+  bool m_invalidLeaving = false;      ///< the announcement has an unknown value
+  /// With a refusal: how long the endpoint wants no request of this host; empty: not requested.
+  std::optional<base::Duration> m_retryAfter;
+  bool m_invalidRetryAfter = false; ///< a delay was named that is no valid number
+  net::Headers m_forwardedHeaders;  ///< end-to-end headers
 
   [[nodiscard]] bool Succeeds() const { return m_status >= 200 && m_status < 300; }
   /// @brief Whether the status would tell a caller that the request was not executed. Only the host
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -15,11 +15,13 @@
 #include "ferrytray/fleet/directory.hpp"           // for Directory
 #include "ferrytray/fleet/named_weights.hpp"       // for NamedWeightsHistory
 #include "ferrytray/limits/admission_limit.hpp"    // for AdmissionLimit
+#include "ferrytray/limits/endpoint_backoffs.hpp"  // for EndpointBackoffs
 #include "ferrytray/limits/endpoint_limits.hpp"    // for EndpointLimits
 #include "ferrytray/limits/permit_table.hpp"       // for PermitTable
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
+#include "ferrytray/peers/incarnation_table.hpp"   // for IncarnationTable
 #include "ferrytray/peers/load_table.hpp"          // for LoadTable
 #include "ferrytray/peers/reload_table.hpp"        // for ReloadTable
 #include "ferrytray/quarantine/crash_board.hpp"    // for CrashTracker
@@ -74,6 +76,11 @@
   std::size_t m_maxReplyBytes = 16U << 20U;
 };
 
+/// An endpoint may serve for minutes after the announcement. Directories list it again after an
+/// outage of the record log, which takes longer than it takes a notice to reach all hosts.
+inline constexpr peers::IncarnationTableOptions kLeavingNotices{ std::chrono::seconds(5),
+                                                                 std::chrono::minutes(30) };
+
 /// @brief State shared by all exchanges of a host.
 struct RelayCore
 {
@@ -116,9 +123,12 @@
   peers::LoadTable m_peerLoads; ///< load of the other hosts
   peers::ReloadTable m_reloads; ///< engines that are loading weights
   limits::RetryWindow m_retryWindow;
-  limits::EndpointLimits m_endpointLimits; ///< by peers::KeyOf() the incarnation
-  limits::PermitTable m_permits;           ///< for limited endpoints, by the same key
-  PermitClient* m_permitClient = nullptr;  ///< null: limits are not enforced
+  /// Endpoints that have announced their shutdown in an answer, to this host or another one.
+  peers::IncarnationTable m_announcedLeaving{ kLeavingNotices };
+  limits::EndpointLimits m_endpointLimits;     ///< by peers::KeyOf() the incarnation
+  limits::EndpointBackoffs m_endpointBackoffs; ///< by the same key
+  limits::PermitTable m_permits;               ///< for limited endpoints, by the same key
+  PermitClient* m_permitClient = nullptr;      ///< null: limits are not enforced
   std::map<std::string, limits::AdmissionLimit> m_admissionLimits; ///< by service
   PromptPlacement m_promptPlacement;
   PromptDispatcher* m_dispatcher = nullptr; ///< null: this host chooses engines itself
@@ -133,9 +143,9 @@
   /// All operator records written before this time are known: the last completed read of the topic
   /// began then, at this host or at the host that forwards the records.
   std::optional<base::TimePoint> m_operatorsReadAt;
-  std::size_t m_openExchanges = 0;          ///< exchanges that have not finished
-  base::TimePoint m_nextInvalidLimitLine{}; ///< earliest time of the next log line on such a limit
-  bool m_stopping = false;                  ///< a planned shutdown has begun
+  std::size_t m_openExchanges = 0;           ///< exchanges that have not finished
+  base::TimePoint m_nextInvalidHeaderLine{}; ///< earliest time of the next log line on one
+  bool m_stopping = false;                   ///< a planned shutdown has begun
   bool m_refusesNewRequests = false; ///< late phase of the shutdown: new requests are refused
 
   /// @brief Maximum age of the operators' records known here (ms); -1: none have been read yet.
--- /dev/null
+++ b/src/ferrytray/limits/endpoint_backoffs_test.cpp
@@ -0,0 +1,131 @@
+#include "ferrytray/limits/endpoint_backoffs.hpp"
+
+#include <CppUTest/TestHarness.h> // for TEST
+
+using namespace ferrytray;
+using namespace std::chrono_literals;
+using limits::BackoffChange;
+
+namespace {
+
+constexpr limits::EndpointKey kEndpoint = 7;
+const base::TimePoint kStart = base::TimePoint() + 100s;
+
+} // namespace
+
+TEST_GROUP(EndpointBackoffs)
+{
+  limits::EndpointBackoffs m_backoffs;
+
+  BackoffChange Refuse(base::Duration aDelay, base::Duration aAt)
+  {
+    return m_backoffs.OnRefused(kEndpoint, aDelay, kStart + aAt);
+  }
+  bool MaySend(std::uint32_t aOpenRequests, base::Duration aAt)
+  {
+    return m_backoffs.MaySend(kEndpoint, aOpenRequests, kStart + aAt);
+  }
+};
+
+TEST(EndpointBackoffs, EndpointGetsNothingUntilItsBackoffEnds)
+{
+  CHECK(MaySend(0, 0s));
+  CHECK(Refuse(3s, 0s) == BackoffChange::Begun);
+  CHECK_FALSE(MaySend(0, 1ms));
+  CHECK_FALSE(MaySend(0, 2999ms));
+  CHECK(MaySend(0, 3s));
+  CHECK(m_backoffs.EndsAt(kEndpoint, kStart) == kStart + 3s);
+  CHECK_FALSE(m_backoffs.EndsAt(kEndpoint, kStart + 3s).has_value());
+}
+
+TEST(EndpointBackoffs, LatestEndApplies)
+{
+  Refuse(3s, 0s);
+  CHECK(Refuse(1s, 500ms) == BackoffChange::None);
+  CHECK_FALSE(MaySend(0, 2s));
+  CHECK(Refuse(3s, 1s) == BackoffChange::Extended);
+  CHECK_FALSE(MaySend(0, 3500ms));
+  CHECK(MaySend(0, 4s));
+  CHECK(Refuse(3s, 5s) == BackoffChange::Begun);
+}
+
+TEST(EndpointBackoffs, ZeroDelayIsNoBackoff)
+{
+  CHECK(Refuse(0s, 0s) == BackoffChange::None);
+  CHECK(MaySend(100, 0s));
+  CHECK(m_backoffs.Empty());
+}
+
+TEST(EndpointBackoffs, LongDelaysAreShortened)
+{
+  Refuse(24h, 0s);
+  CHECK(m_backoffs.EndsAt(kEndpoint, kStart) == kStart + 1h);
+  Refuse(base::Duration::max(), 1s);
+  CHECK(m_backoffs.EndsAt(kEndpoint, kStart + 1s) == kStart + 1h + 1s);
+}
+
+TEST(EndpointBackoffs, OpenRequestsGrowWithAnswers)
+{
+  Refuse(1s, 0s);
+  CHECK(MaySend(1, 1s));
+  CHECK_FALSE(MaySend(2, 1s));
+  m_backoffs.OnAnswered(kEndpoint, kStart + 1s);
+  CHECK(MaySend(2, 1100ms));
+  CHECK_FALSE(MaySend(3, 1100ms));
+  for (int answers = 0; answers < 13; ++answers) {
+    m_backoffs.OnAnswered(kEndpoint, kStart + 1s);
+  }
+  CHECK(MaySend(1000, 1200ms));
+  CHECK(m_backoffs.Empty());
+}
+
+// Answers overtake each other on different connections.
+TEST(EndpointBackoffs, AnswerToEarlierRequestDoesNotEndTheBackoff)
+{
+  Refuse(1s, 0s);
+  for (int answers = 0; answers < 100; ++answers) {
+    m_backoffs.OnAnswered(kEndpoint, kStart + 999ms);
+  }
+  CHECK_FALSE(MaySend(0, 999ms));
+  CHECK_FALSE(MaySend(2, 1s));
+}
+
+TEST(EndpointBackoffs, NewBackoffRestartsTheSlowStart)
+{
+  Refuse(1s, 0s);
+  m_backoffs.OnAnswered(kEndpoint, kStart + 1s);
+  CHECK(MaySend(2, 1100ms));
+  Refuse(1s, 2s);
+  CHECK_FALSE(MaySend(2, 3s));
+}
+
+TEST(EndpointBackoffs, SlowStartEndsAfterSomeTime)
+{
+  Refuse(1s, 0s);
+  CHECK_FALSE(MaySend(2, 5999ms));
+  CHECK(MaySend(1000, 6s));
+  m_backoffs.Expire(kStart + 5999ms);
+  CHECK_FALSE(m_backoffs.Empty());
+  m_backoffs.Expire(kStart + 6s);
+  CHECK(m_backoffs.Empty());
+}
+
+TEST(EndpointBackoffs, CountsEndpointsInBackoff)
+{
+  m_backoffs.OnRefused(1, 1s, kStart);
+  m_backoffs.OnRefused(2, 2s, kStart);
+  LONGS_EQUAL(2, m_backoffs.Count(kStart));
+  LONGS_EQUAL(1, m_backoffs.Count(kStart + 1s));
+}
+
+TEST(EndpointBackoffs, BoundsTheNumberOfEntries)
+{
+  limits::EndpointBackoffOptions options;
+  options.m_maxEntries = 100;
+  m_backoffs = limits::EndpointBackoffs(options);
+  for (limits::EndpointKey key = 0; key < 1000; ++key) {
+    m_backoffs.OnRefused(key, 1s, kStart);
+  }
+  LONGS_EQUAL(100, m_backoffs.Count(kStart));
+  CHECK(m_backoffs.OnRefused(0, 2s, kStart) == BackoffChange::Extended);
+}
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -5,6 +5,7 @@
 #include <utility> // for move
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/endpoint_signals.hpp"  // for RecordBackoff, RecordLeaving
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
 #include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
@@ -49,8 +50,10 @@
                         aHead.m_endpointId != m_attempt->m_endpointId;
   if (!replaced) {
     m_core.m_crashes.OnEndpointReply(peers::KeyOf(m_attempt->m_incarnation), m_attempt->m_sentAt);
-    RecordRequestLimit(
-      m_core, m_attempt->m_incarnation, aHead, m_attempt->m_sentAt, base::MonotonicNow());
+    const base::TimePoint now = base::MonotonicNow();
+    RecordRequestLimit(m_core, m_attempt->m_incarnation, aHead, m_attempt->m_sentAt, now);
+    RecordLeaving(m_core, m_attempt->m_incarnation, aHead, now);
+    RecordBackoff(m_core, m_attempt->m_incarnation, aHead, m_attempt->m_sentAt, now);
   }
   if (replaced) {
     telemetry::LogLine("endpoint_gone")
--- a/src/ferrytray/relay/request_limits.cpp
+++ b/src/ferrytray/relay/request_limits.cpp
@@ -1,14 +1,13 @@
 #include "ferrytray/relay/request_limits.hpp"
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/endpoint_signals.hpp"  // for LogInvalidHeader
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
 
 namespace {
 
-constexpr base::Duration kInvalidLimitLogInterval = std::chrono::seconds(10);
-
 const char* ToString(limits::LimitChange aChange)
 {
   switch (aChange) {
@@ -24,20 +23,6 @@
   return "none";
 }
 
-void NoteInvalidLimit(RelayCore& aCore, const std::string& aIncarnation, base::TimePoint aNow)
-{
-  aCore.m_metrics.Count("endpoint_limits_invalid_total");
-  if (aNow < aCore.m_nextInvalidLimitLine) {
-    return;
-  }
-  aCore.m_nextInvalidLimitLine = aNow + kInvalidLimitLogInterval;
-  telemetry::LogLine("endpoint_limit")
-    .Add("endpoint", aIncarnation)
-    .Add("outcome", "invalid")
-    .Add("code", static_cast<int>(base::ErrorCode::EndpointMalformed))
-    .Add("why", "the limit is not a finite number of at least 0");
-}
-
 } // namespace
 
 void RecordRequestLimit(RelayCore& aCore,
@@ -47,7 +32,12 @@
                         base::TimePoint aNow)
 {
   if (aHead.m_invalidRequestLimit) {
-    NoteInvalidLimit(aCore, aIncarnation, aNow);
+    aCore.m_metrics.Count("endpoint_limits_invalid_total");
+    LogInvalidHeader(aCore,
+                     "endpoint_limit",
+                     aIncarnation,
+                     "the limit is not a finite number of at least 0",
+                     aNow);
     if (!aHead.m_requestLimit) {
       return; // says neither that there is a limit nor that there is none
     }
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -72,6 +72,10 @@
       if (name == "limit") {
         head.m_requestLimit = std::stod(value);
       }
+      head.m_leaving = head.m_leaving || name == "leaving";
+      if (name == "retry-after") {
+        head.m_retryAfter = base::FromSeconds(std::stod(value));
+      }
     }
     return head;
   }
