Relay: an endpoint that announces its shutdown gets no new requests

What callers saw: requests at an endpoint that had announced its shutdown seconds before; those still open when it ended would have failed. Cause: the state in the record log was the only source of what leaves. During an outage of the log the announcement in each answer was forwarded and not used. Change: the announcement marks the incarnation as leaving in the directory, which every path asks before it sends: own choice, retry, resumed stream, assigned prompt, request that waited for a permit. It is final: entries that are read later, an outage or a reload do not revert it, and one that was announced before its entry was read is leaving from the start. A new incarnation starts clean.

--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -77,6 +77,10 @@
   void RemoveUnlisted(const std::set<std::string>& aListed, base::TimePoint aNow);
   /// @brief The source answers again after an outage.
   void OnSourceRecovered(base::TimePoint aNow) { m_sourceRecoveredAt = aNow; }
+  /// @brief Marks an incarnation as leaving, since it has announced its shutdown itself. One that
+  /// is not listed is ignored when it is listed later.
+  /// @return whether a listed endpoint became leaving
+  bool MarkLeaving(const std::string& aIncarnation);
   /// @brief Drops an incarnation for good, since its id or address now belongs to another one.
   void MarkGone(const std::string& aIncarnation);
   /// @brief Records weights that a reply has proven.
@@ -115,6 +119,11 @@
   [[nodiscard]] const UsableEndpoints& UsableOf(const std::string& aService) const;
   /// @brief Returns all endpoints, including leaving ones.
   [[nodiscard]] std::vector<const Endpoint*> All() const;
+  /// @brief Whether a listed endpoint may get new requests.
+  [[nodiscard]] bool MayGetRequests(const Endpoint& aEndpoint) const
+  {
+    return !aEndpoint.m_leaving && !m_evacuated.contains(aEndpoint.m_zone);
+  }
   [[nodiscard]] const Endpoint* Find(const std::string& aIncarnation) const;
   /// @brief Returns the current incarnation of an id; null if none.
   [[nodiscard]] const Endpoint* FindById(const std::string& aId) const;
--- a/include/ferrytray/relay/endpoint_signals.hpp
+++ b/include/ferrytray/relay/endpoint_signals.hpp
@@ -7,8 +7,8 @@
 
 namespace ferrytray::relay {
 
-/// @brief Records that an endpoint announces its shutdown in an answer, and logs the first
-/// announcement. An unknown value is logged and otherwise ignored.
+/// @brief Records that an endpoint announces its shutdown in an answer: it gets no new requests.
+/// The first announcement is logged. An unknown value is logged and otherwise ignored.
 void RecordLeaving(RelayCore& aCore,
                    const std::string& aIncarnation,
                    const ReplyHead& aHead,
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -1,7 +1,7 @@
 #include "ferrytray/fleet/directory.hpp"
 
 #include <algorithm> // for max
-#include <utility>   // for move
+#include <utility>   // for exchange, move
 
 namespace ferrytray::fleet {
 
@@ -113,6 +113,20 @@
   }
 }
 
+bool Directory::MarkLeaving(const std::string& aIncarnation)
+{
+  const auto found = m_entries.find(aIncarnation);
+  if (found == m_entries.end()) {
+    m_gone.insert(aIncarnation);
+    return false;
+  }
+  if (std::exchange(found->second.m_endpoint.m_leaving, true)) {
+    return false;
+  }
+  m_usable.clear();
+  return true;
+}
+
 void Directory::MarkGone(const std::string& aIncarnation)
 {
   m_gone.insert(aIncarnation);
@@ -197,7 +211,11 @@
     }
   }
   for (const std::string& incarnation : expired) {
-    Erase(incarnation);
+    if (m_entries.at(incarnation).m_endpoint.m_leaving) {
+      MarkGone(incarnation);
+    } else {
+      Erase(incarnation);
+    }
   }
 }
 
@@ -210,8 +228,7 @@
   std::vector<const Endpoint*> usable;
   for (const auto& [incarnation, entry] : m_entries) {
     const Endpoint& endpoint = entry.m_endpoint;
-    const bool mayGetRequests = !endpoint.m_leaving && !m_evacuated.contains(endpoint.m_zone);
-    if (endpoint.m_service == aService && mayGetRequests) {
+    if (endpoint.m_service == aService && MayGetRequests(endpoint)) {
       usable.push_back(&endpoint);
     }
   }
--- a/src/ferrytray/fleet/directory_test.cpp
+++ b/src/ferrytray/fleet/directory_test.cpp
@@ -262,3 +262,35 @@
   m_directory.Upsert(other, kStart + 2s);
   LONGS_EQUAL(1, m_directory.Usable("engines").size());
 }
+
+TEST(Directory, AnnouncedShutdownIsFinalForTheIncarnation)
+{
+  m_directory.Upsert(MakeEngineStartedAt("a", 10, 1), kStart);
+  CHECK(m_directory.MarkLeaving(fleet::IncarnationOf("a", 10)));
+  CHECK_FALSE(m_directory.MarkLeaving(fleet::IncarnationOf("a", 10)));
+  CHECK(m_directory.Usable("engines").empty());
+  m_directory.Upsert(MakeEngineStartedAt("a", 10, 1), kStart + 1s); // an entry that is read late
+  CHECK(m_directory.Usable("engines").empty());
+  m_directory.Upsert(MakeEngineStartedAt("a", 11, 1), kStart + 2s);
+  LONGS_EQUAL(1, m_directory.Usable("engines").size());
+}
+
+// Entries that expired during an outage return when the source answers again.
+TEST(Directory, AnnouncedShutdownOutlastsAnOutageOfTheSource)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart);
+  m_directory.OnSourceRecovered(kStart);
+  m_directory.Remove("a", kStart + 100ms); // may return for 2 s
+  CHECK(m_directory.MarkLeaving("a"));
+  m_directory.Expire(kStart + 3s);
+  m_directory.Upsert(MakeEngine("a"), kStart + 4s);
+  CHECK(m_directory.Usable("engines").empty());
+  LONGS_EQUAL(0, m_directory.All().size());
+}
+
+TEST(Directory, AnnouncedShutdownOfAnUnlistedEndpointIsKept)
+{
+  CHECK_FALSE(m_directory.MarkLeaving("a"));
+  m_directory.Upsert(MakeEngine("a"), kStart);
+  CHECK(m_directory.Usable("engines").empty());
+}
--- a/src/ferrytray/relay/endpoint_signals.cpp
+++ b/src/ferrytray/relay/endpoint_signals.cpp
@@ -25,12 +25,11 @@
       !aCore.m_announcedLeaving.OnNotice({ peers::KeyOf(aIncarnation), 0 }, aNow)) {
     return;
   }
-  const fleet::Endpoint* endpoint = aCore.m_directory.Find(aIncarnation);
-  const bool listed = endpoint != nullptr && !endpoint->m_leaving;
+  const bool wasListed = aCore.m_directory.MarkLeaving(aIncarnation);
   telemetry::LogLine("endpoint_leaving")
     .Add("endpoint", aIncarnation)
     .Add("source", "answer")
-    .Add("listed", listed ? "usable" : "leaving");
+    .Add("listed", wasListed ? "usable" : "leaving");
 }
 
 void RecordBackoff(RelayCore& aCore,
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -3,8 +3,9 @@
 #include <algorithm> // for max
 #include <utility>   // for move
 
-#include "ferrytray/relay/cold_engines.hpp" // for SuspectColdStart
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/cold_engines.hpp"      // for SuspectColdStart
+#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
 
@@ -280,7 +281,9 @@
   }
   const bool changed = UpdateLastRecord(aRecord.m_key, *read);
   const fleet::Endpoint* known = m_core.m_directory.Find(read->m_incarnation);
-  if ((known == nullptr || known->m_leaving != read->m_leaving) && AdmitEndpointLine(now)) {
+  const bool isNew = known == nullptr;
+  const bool startsLeaving = known != nullptr && read->m_leaving && !known->m_leaving;
+  if ((isNew || startsLeaving) && AdmitEndpointLine(now)) {
     telemetry::LogLine("endpoint")
       .Add("endpoint", read->m_incarnation)
       .Add("service", read->m_service)
@@ -294,7 +297,11 @@
       read->m_incarnation, read->m_coldDuration, previous == nullptr, now);
   }
   const std::string previousIncarnation = previous == nullptr ? "" : previous->m_incarnation;
+  const std::string incarnation = read->m_incarnation;
   m_core.m_directory.Upsert(std::move(*read), now);
+  if (isNew && m_core.m_announcedLeaving.Contains(peers::KeyOf(incarnation))) {
+    m_core.m_directory.MarkLeaving(incarnation); // announced before its entry was read
+  }
   if (!previousIncarnation.empty() && m_core.m_directory.Find(previousIncarnation) == nullptr) {
     ForgetEndpoint(previousIncarnation);
   }
--- a/src/ferrytray/relay/state_feeds_test.cpp
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -1,8 +1,9 @@
 #include "ferrytray/relay/state_feeds.hpp"
 
-#include "ferrytray/store/record_log.hpp"      // for Record
-#include "tests/support/exchange_fixture.hpp"  // for ExchangeFixture
-#include "tests/support/memory_record_log.hpp" // for MemoryRecordLog
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/store/record_log.hpp"        // for Record
+#include "tests/support/exchange_fixture.hpp"    // for ExchangeFixture
+#include "tests/support/memory_record_log.hpp"   // for MemoryRecordLog
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -160,6 +161,19 @@
   CHECK_FALSE(m_core.m_directory.FindById("e")->m_leaving);
 }
 
+// An endpoint announces its shutdown in an answer before this host has read its entry.
+TEST(StateFeeds, EntryOfALeavingEndpointIsNotUsable)
+{
+  const std::string incarnation = fleet::IncarnationOf("e", 1);
+  m_core.m_announcedLeaving.OnNotice({ peers::KeyOf(incarnation), 0 }, base::MonotonicNow());
+  Append("operators", "configuration", "x");
+  Append("endpoints", "e", "1 z1");
+  StartFeeds();
+  CHECK(m_core.m_directory.FindById("e")->m_leaving);
+  DeliverFromPeer("endpoints", { { 1, "e", "2 z1", false } });
+  CHECK_FALSE(m_core.m_directory.FindById("e")->m_leaving);
+}
+
 TEST(StateFeeds, UnchangedHeartbeatsAreNotForwarded)
 {
   Append("operators", "configuration", "x");
