Relay: load returns to an endpoint gradually after its backoff

Cause: all hosts that an endpoint refused at the same time return at the same time, each with its usual share. Change: after a backoff other endpoints are preferred while this host has two requests open there; each answer adds one, up to 16 or for 5 s. It is a preference only: nothing is refused for it.

--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -68,6 +68,14 @@
   base::TimePoint m_now;
 };
 
+/// Whether the endpoint's backoff has ended recently and it has as many open requests as it may.
+bool IsWindowFull(const RelayCore& aCore, const std::string& aIncarnation, base::TimePoint aNow)
+{
+  return !aCore.m_endpointBackoffs.Empty() &&
+         aCore.m_endpointBackoffs.IsWindowFull(
+           peers::KeyOf(aIncarnation), aCore.m_endpointTracker.OpenRequests(aIncarnation), aNow);
+}
+
 void SetEarliest(std::optional<base::TimePoint>& aTime, base::TimePoint aOther)
 {
   aTime = std::min(aTime.value_or(aOther), aOther);
@@ -103,7 +111,8 @@
     aCore.m_endpointTracker.WorkOfOpenRequests(incarnation) + aCore.m_peerLoads.RemoteLoad(tag);
   const bool reloading = isPrompt && aCore.m_reloads.IsReloading(tag, aQuery.m_now);
   const bool avoided = reloading || aCore.m_endpointTracker.IsAvoided(incarnation, aQuery.m_now) ||
-                       HasCrashed(aCore, incarnation, aQuery.m_now);
+                       HasCrashed(aCore, incarnation, aQuery.m_now) ||
+                       IsWindowFull(aCore, incarnation, aQuery.m_now);
   aCandidates.m_endpoints.push_back(&aEndpoint);
   aCandidates.m_placements.push_back(
     { incarnation,
--- a/src/ferrytray/relay/exchange_backoff_test.cpp
+++ b/src/ferrytray/relay/exchange_backoff_test.cpp
@@ -148,6 +148,28 @@
   LONGS_EQUAL(1, SentTo("a"));
 }
 
+// All hosts that an endpoint refused at the same time return at the same time.
+TEST(ExchangeBackoff, LoadReturnsGradually)
+{
+  BackOff("a", 50ms);
+  m_loop.RunFor(60ms);
+  for (int i = 0; i < 20; ++i) {
+    SendRequest("/once/x");
+  }
+  LONGS_EQUAL(2, SentTo("a"));
+  LONGS_EQUAL(18, SentTo("b"));
+}
+
+TEST(ExchangeBackoff, SlowStartRefusesNothing)
+{
+  BackOff("a", 50ms);
+  BackOff("b", 50ms);
+  m_loop.RunFor(60ms);
+  for (int i = 0; i < 20; ++i) {
+    CHECK_FALSE(SendRequest("/once/x")->m_finished);
+  }
+}
+
 TEST(ExchangeBackoff, EngineInBackoffIsNotAssigned)
 {
   m_dispatcher.emplace(m_core, *m_peerExchange);
