Peers: hosts report announced shutdowns to each other

Cause: each host learnt of a shutdown by a request of its own, so at least one request of every host reached a leaving endpoint while the log was away. With hundreds of hosts these last requests are many, and some are still open when the endpoint ends. Change: messages between hosts carry the incarnations whose shutdown was announced in the last 5 s, as those that were replaced; hosts keep them for 30 minutes, so that an entry that is read later is leaving. Notices reach all of 10, 100 and 1,000 hosts within three polls, one notice a message (incarnation_table_test).

--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -31,8 +31,9 @@
   EndpointLoads m_loads;   ///< with the scope above
   ReloadNotices m_reloads; ///< that the sender knows of, if it is a reader
   IncarnationNotices m_replaced;
-  limits::LimitReports m_limits;      ///< of endpoints, known to the sender
-  quarantine::CrashNotices m_crashes; ///< that the sender has not sent to the receiver yet
+  IncarnationNotices m_announcedLeaving; ///< endpoints that have announced their shutdown
+  limits::LimitReports m_limits;         ///< of endpoints, known to the sender
+  quarantine::CrashNotices m_crashes;    ///< that the sender has not sent to the receiver yet
   /// The first of the receiver's crash notices that the sender lacks; used with scope Own.
   quarantine::NoticeOffset m_crashesFrom = 0;
   bool m_isRegistered = false; ///< the sender is in the topic of hosts
@@ -51,6 +52,7 @@
   EndpointLoads m_loads;
   ReloadNotices m_reloads; ///< known to the replying host
   IncarnationNotices m_replaced;
+  IncarnationNotices m_announcedLeaving;
   limits::LimitReports m_limits; ///< of endpoints, known to the replying host
   /// Readers and relays for the zone of the requesting host; empty if their digest is unchanged.
   std::vector<Peer> m_sources;
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -80,6 +80,7 @@
   ReloadTable& m_reloads;
   quarantine::CrashTracker& m_crashes;
   limits::EndpointLimits& m_limits;
+  IncarnationTable& m_announcedLeaving; ///< endpoints that have announced their shutdown
 };
 
 /// @brief Exchanges state between hosts: new records of the log and the contents of KV stores, so
@@ -116,6 +117,8 @@
   /// @brief Sets the function that is called for each incarnation that another host found to be
   /// replaced.
   void OnReplaced(std::function<void(IncarnationKey)> aCall) { m_onReplaced = std::move(aCall); }
+  /// @brief Sets the callback for an endpoint that has announced its shutdown to another host.
+  void OnLeaving(std::function<void(IncarnationKey)> aCall) { m_onLeaving = std::move(aCall); }
   /// @brief Sets the function that is called when this host starts or stops to read from the stores
   /// itself.
   void OnReaderChange(std::function<void(bool aIsReader)> aCall)
@@ -262,6 +265,7 @@
   void SetReader(bool aIsReader, const char* aWhy);
   void ApplyReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
   void ApplyReplacements(const IncarnationNotices& aNotices, base::TimePoint aNow);
+  void ApplyLeaving(const IncarnationNotices& aNotices, base::TimePoint aNow);
   void ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow);
   /// Adds the crash notices that aPeer has not received yet.
   void AddCrashNotices(const Peer& aPeer, SyncRequest& aSyncRequest);
@@ -289,6 +293,7 @@
   ReloadTable& m_reloads;
   quarantine::CrashTracker& m_crashes;
   limits::EndpointLimits& m_limits;
+  IncarnationTable& m_announcedLeaving;
   store::UnreadableRecords m_unreadable;
   PeerExchangeOptions m_options;
   std::uint64_t m_incarnation;
@@ -299,6 +304,7 @@
   std::function<void()> m_onReloads;
   std::function<void()> m_onCrashes;
   std::function<void(IncarnationKey)> m_onReplaced;
+  std::function<void(IncarnationKey)> m_onLeaving;
   std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
   std::function<PermitReply(const PermitRequest&)> m_onPermitRequest;
   std::function<EndpointLoads()> m_ownLoads;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -67,7 +67,10 @@
 
 private:
   base::Result<void> Listen();
+  /// Returns the incarnation with a key; empty if the directory does not list it.
+  [[nodiscard]] std::string FindListed(peers::IncarnationKey aKey) const;
   void OnEndpointReplaced(peers::IncarnationKey aKey);
+  void OnEndpointLeaving(peers::IncarnationKey aKey);
   /// Sets the gauges of open requests in zones that are being evacuated.
   void UpdateEvacuationGauges();
   /// Logs what this host has sent, received and computed since its start.
--- a/src/ferrytray/peers/exchange_counters.cpp
+++ b/src/ferrytray/peers/exchange_counters.cpp
@@ -7,7 +7,8 @@
 template<typename Message>
 std::uint64_t NoticesIn(const Message& aMessage)
 {
-  return aMessage.m_reloads.size() + aMessage.m_replaced.size() + aMessage.m_crashes.size();
+  return aMessage.m_reloads.size() + aMessage.m_replaced.size() +
+         aMessage.m_announcedLeaving.size() + aMessage.m_crashes.size();
 }
 
 } // namespace
--- a/src/ferrytray/peers/incarnation_table_test.cpp
+++ b/src/ferrytray/peers/incarnation_table_test.cpp
@@ -1,6 +1,8 @@
 #include "ferrytray/peers/incarnation_table.hpp"
 
-#include <vector> // for vector
+#include <algorithm> // for max
+#include <utility>   // for pair
+#include <vector>    // for vector
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -70,3 +72,42 @@
   }
   LONGS_EQUAL(4096, m_table.Notices(kNow).size());
 }
+
+// Each host follows one of the readers, and the readers poll each other.
+TEST(IncarnationTable, NoticesReachAllHostsWithinThreePolls)
+{
+  constexpr auto kPollInterval = 300ms;
+  for (const std::size_t count : { 10, 100, 1000 }) {
+    const std::size_t readers = std::max<std::size_t>(2, count / 100);
+    std::vector<IncarnationTable> hosts(count);
+    hosts.back().OnNotice({ 7, 0 }, kNow);
+    std::size_t notices = 0;
+    std::size_t messages = 0;
+    const auto exchange = [&](std::size_t aFrom, std::size_t aTo, base::TimePoint aAt) {
+      for (const auto& [sender, receiver] : { std::pair(aFrom, aTo), std::pair(aTo, aFrom) }) {
+        ++messages;
+        for (const auto& notice : hosts[sender].Notices(aAt)) {
+          hosts[receiver].OnNotice(notice, aAt);
+          ++notices;
+        }
+      }
+    };
+    for (int poll = 0; poll < 3; ++poll) {
+      for (std::size_t host = 0; host < count; ++host) {
+        const base::TimePoint at = kNow + kPollInterval * poll + kPollInterval * host / count;
+        for (std::size_t reader = 0; host < readers && reader < readers; ++reader) {
+          if (reader != host) {
+            exchange(host, reader, at);
+          }
+        }
+        if (host >= readers) {
+          exchange(host, host % readers, at);
+        }
+      }
+    }
+    for (const IncarnationTable& host : hosts) {
+      CHECK(host.Contains(7));
+    }
+    CHECK(notices <= messages); // one notice in each message, at any number of hosts
+  }
+}
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -20,6 +20,7 @@
                               { { 5, 6 } },
                               { { 4, "m", 3, -200, 17 } },
                               { { 1ULL << 60, 1200 } },
+                              { { 1ULL << 61, 1300 } },
                               { { 3, 2.5, 400, true } },
                               {},
                               0,
@@ -39,14 +40,23 @@
   LONGS_EQUAL(-200, readRequest->m_reloads.at(0).m_endsInMillis);
   CHECK(readRequest->m_replaced.at(0).m_incarnation == 1ULL << 60);
   LONGS_EQUAL(1200, readRequest->m_replaced.at(0).m_ageMillis);
+  CHECK(readRequest->m_announcedLeaving.at(0).m_incarnation == 1ULL << 61);
+  LONGS_EQUAL(1300, readRequest->m_announcedLeaving.at(0).m_ageMillis);
   DOUBLES_EQUAL(2.5, readRequest->m_limits.at(0).m_limit, 0);
   LONGS_EQUAL(400, readRequest->m_limits.at(0).m_namedAgeMillis);
   CHECK(readRequest->m_limits.at(0).m_lifted);
 
-  peers::SyncReply reply{
-    11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, { { 5, 6 } }, { { 9, 1.7, 20, false } },
-    {}, {}, 0
-  };
+  peers::SyncReply reply{ 11,
+                          {},
+                          {},
+                          { { 7, 8 } },
+                          { { 4, "m", 3, 900, 17 } },
+                          { { 5, 6 } },
+                          { { 15, 16 } },
+                          { { 9, 1.7, 20, false } },
+                          {},
+                          {},
+                          0 };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
   reply.m_topics.push_back(
@@ -61,6 +71,7 @@
   CHECK_FALSE(readReply->m_stores.at(1).m_clockMillis.has_value());
   LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
   LONGS_EQUAL(6, readReply->m_replaced.at(0).m_ageMillis);
+  LONGS_EQUAL(16, readReply->m_announcedLeaving.at(0).m_ageMillis);
   LONGS_EQUAL(9, readReply->m_limits.at(0).m_endpoint);
   const peers::ReloadNotice& notice = readReply->m_reloads.at(0);
   CHECK(notice.m_endpoint == 4 && notice.m_version == 3 && notice.m_endsInMillis == 900);
@@ -101,7 +112,8 @@
 
 TEST(PeerMessages, TruncatedRepliesAreRejectedAndDamagedOnesDoNotCrash)
 {
-  peers::SyncReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {}, {}, {}, {}, 0 };
+  peers::SyncReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {}, {}, {},
+                          {}, {}, 0 };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
   for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/src/ferrytray/peers/news_notices_test.cpp
+++ b/src/ferrytray/peers/news_notices_test.cpp
@@ -30,6 +30,17 @@
   CHECK(RunUntil([&] { return received == peers::KeyOf("e/1"); }));
 }
 
+TEST(PeerNotices, AnnouncedShutdownsReachBothHosts)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  peers::IncarnationKey received = 0;
+  m_follower->m_exchange.OnLeaving([&](peers::IncarnationKey aKey) { received = aKey; });
+  m_reader->m_announcedLeaving.OnNotice({ 10, 0 }, now);
+  m_follower->m_announcedLeaving.OnNotice({ 20, 0 }, now);
+  CHECK(RunUntil([&] { return m_reader->m_announcedLeaving.Contains(20) && received == 10; }));
+  CHECK(m_follower->m_announcedLeaving.Contains(10));
+}
+
 TEST(PeerNotices, RequestLimitsReachBothHosts)
 {
   const base::TimePoint now = base::MonotonicNow();
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -42,6 +42,7 @@
   , m_reloads(aState.m_reloads)
   , m_crashes(aState.m_crashes)
   , m_limits(aState.m_limits)
+  , m_announcedLeaving(aState.m_announcedLeaving)
   , m_options(std::move(aOptions))
   , m_incarnation(RandomNumber())
 {
@@ -125,6 +126,7 @@
   m_reloads.Expire(now);
   m_replaced.Expire(now);
   m_limits.Expire(now);
+  m_announcedLeaving.Expire(now);
   if (!m_hostsKnown) {
     return; // no other host is known yet
   }
@@ -185,6 +187,7 @@
   syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
   syncRequest.m_sourcesDigest = m_sourcesDigest;
   syncRequest.m_replaced = m_replaced.Notices(aNow);
+  syncRequest.m_announcedLeaving = m_announcedLeaving.Notices(aNow);
   syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aSource, syncRequest, aNow);
 }
@@ -196,6 +199,7 @@
   syncRequest.m_loads = Sum(m_loads.OwnScopeTotals(), m_ownLoads());
   syncRequest.m_reloads = m_reloads.Notices(aNow);
   syncRequest.m_replaced = m_replaced.Notices(aNow);
+  syncRequest.m_announcedLeaving = m_announcedLeaving.Notices(aNow);
   syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aReader, syncRequest, aNow);
 }
@@ -256,6 +260,7 @@
   m_lastContactAt = now;
   ApplyReloads(reply->m_reloads, now);
   ApplyReplacements(reply->m_replaced, now);
+  ApplyLeaving(reply->m_announcedLeaving, now);
   ApplyLimits(reply->m_limits, now);
   OnCrashNoticesAcknowledged(aSource, *reply, aPending.m_crashesSentUpTo);
   ApplyCrashes(reply->m_crashes, now);
@@ -341,6 +346,7 @@
   m_lastContactAt = now;
   ApplyReloads(syncRequest->m_reloads, now);
   ApplyReplacements(syncRequest->m_replaced, now);
+  ApplyLeaving(syncRequest->m_announcedLeaving, now);
   ApplyLimits(syncRequest->m_limits, now);
   ApplyCrashes(syncRequest->m_crashes, now);
   m_loads.OnReport(syncRequest->m_sender.m_name, syncRequest->m_scope, syncRequest->m_loads, now);
@@ -348,6 +354,7 @@
   reply.m_incarnation = m_incarnation;
   reply.m_reloads = m_reloads.Notices(now);
   reply.m_replaced = m_replaced.Notices(now);
+  reply.m_announcedLeaving = m_announcedLeaving.Notices(now);
   reply.m_limits = m_limits.Reports(now);
   reply.m_topics = CollectTopicUpdates(syncRequest->m_topics, now);
   reply.m_loads = m_ownLoads();
--- a/src/ferrytray/peers/peer_notices.cpp
+++ b/src/ferrytray/peers/peer_notices.cpp
@@ -1,5 +1,5 @@
-// Exchange of notices on single endpoints: reloads of weights, replaced incarnations, request
-// limits, and requests that crashed endpoints.
+// Exchange of notices on single endpoints: reloads of weights, replaced incarnations, announced
+// shutdowns, request limits, and requests that crashed endpoints.
 #include "ferrytray/peers/peer_exchange.hpp"
 
 namespace ferrytray::peers {
@@ -40,6 +40,15 @@
   }
 }
 
+void PeerExchange::ApplyLeaving(const IncarnationNotices& aNotices, base::TimePoint aNow)
+{
+  for (const IncarnationNotice& notice : aNotices) {
+    if (m_announcedLeaving.OnNotice(notice, aNow) && m_onLeaving) {
+      m_onLeaving(notice.m_incarnation);
+    }
+  }
+}
+
 void PeerExchange::ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow)
 {
   for (const limits::LimitReport& report : aReports) {
--- a/src/ferrytray/relay/permit_client_test.cpp
+++ b/src/ferrytray/relay/permit_client_test.cpp
@@ -34,7 +34,8 @@
                    m_core.m_peerLoads,
                    m_core.m_reloads,
                    m_core.m_crashes,
-                   m_core.m_endpointLimits },
+                   m_core.m_endpointLimits,
+                   m_core.m_announcedLeaving },
                  OptionsOf(aName, aZone))
     , m_permits(m_core, m_exchange)
   {
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -56,7 +56,8 @@
                      m_core.m_peerLoads,
                      m_core.m_reloads,
                      m_core.m_crashes,
-                     m_core.m_endpointLimits },
+                     m_core.m_endpointLimits,
+                     m_core.m_announcedLeaving },
                    WithTopic(m_options.m_peers, aPorts.m_records))
   , m_dispatcher(m_core, m_peerExchange)
   , m_permitClient(m_core, m_peerExchange)
@@ -90,6 +91,7 @@
     m_peerExchange.ReportReplaced(aIncarnation);
   };
   m_peerExchange.OnReplaced([this](peers::IncarnationKey aKey) { OnEndpointReplaced(aKey); });
+  m_peerExchange.OnLeaving([this](peers::IncarnationKey aKey) { OnEndpointLeaving(aKey); });
   m_core.m_isAmongFirstHosts = [this](const std::string& aName, std::size_t aFirst) {
     return m_peerExchange.IsAmongFirst(aName, aFirst);
   };
@@ -115,7 +117,6 @@
     const base::TimePoint now = base::MonotonicNow();
     m_permitClient.Expire(now);
     m_core.m_endpointBackoffs.Expire(now);
-    m_core.m_announcedLeaving.Expire(now);
   });
   telemetry::LogLine("start")
     .Add("callers", net::ToString(CallerAddress()))
@@ -245,18 +246,35 @@
     .Add("processor_ms", std::clock() * kMillisPerSecond / CLOCKS_PER_SEC);
 }
 
-void RelayHost::OnEndpointReplaced(peers::IncarnationKey aKey)
+std::string RelayHost::FindListed(peers::IncarnationKey aKey) const
 {
   for (const fleet::Endpoint* endpoint : m_core.m_directory.All()) {
     if (peers::KeyOf(endpoint->m_incarnation) == aKey) {
-      const std::string incarnation = endpoint->m_incarnation;
-      telemetry::LogLine("endpoint_gone")
-        .Add("endpoint", incarnation)
-        .Add("told_by", "another host");
-      m_core.m_directory.MarkGone(incarnation);
-      return;
+      return endpoint->m_incarnation;
     }
   }
+  return "";
+}
+
+void RelayHost::OnEndpointReplaced(peers::IncarnationKey aKey)
+{
+  const std::string incarnation = FindListed(aKey);
+  if (!incarnation.empty()) {
+    telemetry::LogLine("endpoint_gone").Add("endpoint", incarnation).Add("told_by", "another host");
+    m_core.m_directory.MarkGone(incarnation);
+  }
+}
+
+void RelayHost::OnEndpointLeaving(peers::IncarnationKey aKey)
+{
+  const std::string incarnation = FindListed(aKey);
+  if (!incarnation.empty()) {
+    const bool wasListed = m_core.m_directory.MarkLeaving(incarnation);
+    telemetry::LogLine("endpoint_leaving")
+      .Add("endpoint", incarnation)
+      .Add("source", "host")
+      .Add("listed", wasListed ? "usable" : "leaving");
+  }
 }
 
 void RelayHost::UpdateEvacuationGauges()
--- a/tests/support/news_fixture.hpp
+++ b/tests/support/news_fixture.hpp
@@ -55,7 +55,10 @@
     return options;
   }
 
-  peers::SharedState State() { return { m_stores, m_peerLoads, m_reloads, m_crashes, m_limits }; }
+  peers::SharedState State()
+  {
+    return { m_stores, m_peerLoads, m_reloads, m_crashes, m_limits, m_announcedLeaving };
+  }
   bool MayFetch() { return m_stores.at(kStore).MayFetch(kPart, base::MonotonicNow()); }
 
   support::MemoryRecordLog m_log;
@@ -64,6 +67,7 @@
   peers::ReloadTable m_reloads;
   quarantine::CrashTracker m_crashes;
   limits::EndpointLimits m_limits;
+  peers::IncarnationTable m_announcedLeaving;
   peers::EndpointLoads m_localLoads;
   bool m_isReader = false;
   peers::PeerExchange m_exchange;
--- a/tests/support/peer_host_fixture.hpp
+++ b/tests/support/peer_host_fixture.hpp
@@ -45,7 +45,8 @@
                                                m_core.m_peerLoads,
                                                m_core.m_reloads,
                                                m_core.m_crashes,
-                                               m_core.m_endpointLimits },
+                                               m_core.m_endpointLimits,
+                                               m_core.m_announcedLeaving },
                            options);
     m_peerExchange->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
   }
