Gate: a refusal with Retry-After is a backoff, not a shutdown

What callers saw: an engine or service that had refused one request because it was busy got no requests again until it was restarted. Cause: the same class as in the relay: Retry-After was not read, and every refusal with status 503 counted as the announcement of a shutdown, which is final for the incarnation. Change: with Retry-After the endpoint is in backoff (limits::EndpointBackoffs, as in the relay), without it it is leaving as before. A worker that was chosen before its context was imported is checked again before the request is sent. If all endpoints are in backoff, callers get 3009 with the earliest end. The check after an import has no test of its own.

--- a/include/ferrytray/gate/engine_attempt.hpp
+++ b/include/ferrytray/gate/engine_attempt.hpp
@@ -2,6 +2,7 @@
 
 #include <functional> // for function
 #include <memory>     // for enable_shared_from_this
+#include <optional>   // for optional
 #include <string>     // for string
 #include <variant>    // for variant
 
@@ -21,6 +22,7 @@
 {
   std::string m_message;
   bool m_leaving = false;
+  std::optional<base::Duration> m_retryAfter; ///< delay that the engine named
 };
 /// @brief The engine ran a different weight version; nothing was delivered.
 struct AttemptVersionMismatch
--- a/include/ferrytray/gate/fleet_view.hpp
+++ b/include/ferrytray/gate/fleet_view.hpp
@@ -8,12 +8,13 @@
 #include <string>   // for string
 #include <vector>   // for vector
 
-#include "ferrytray/base/digest.hpp"         // for Digest128
-#include "ferrytray/config/document.hpp"     // for Fleet
-#include "ferrytray/control/leaving_set.hpp" // for LeavingSet
-#include "ferrytray/routing/cache_hints.hpp" // for CacheHints
-#include "ferrytray/routing/candidate.hpp"   // for WorkerView
-#include "ferrytray/wire/frames.hpp"         // for EndpointStatus
+#include "ferrytray/base/digest.hpp"              // for Digest128
+#include "ferrytray/config/document.hpp"          // for Fleet
+#include "ferrytray/control/leaving_set.hpp"      // for LeavingSet
+#include "ferrytray/limits/endpoint_backoffs.hpp" // for EndpointBackoffs
+#include "ferrytray/routing/cache_hints.hpp"      // for CacheHints
+#include "ferrytray/routing/candidate.hpp"        // for WorkerView
+#include "ferrytray/wire/frames.hpp"              // for EndpointStatus
 
 namespace ferrytray::gate {
 
@@ -30,6 +31,10 @@
   void OnWorkDone(const std::string& aWorker, base::Duration aEngineTime, base::TimePoint aNow);
   /// @brief The endpoint failed a request; excludes it for a short cooldown.
   void OnFailure(const std::string& aEndpoint, base::TimePoint aNow);
+  /// @brief The endpoint refused a request and named a delay, in which it gets no further ones.
+  void OnBackoffRequested(const std::string& aEndpoint,
+                          base::Duration aDelay,
+                          base::TimePoint aNow);
   /// @brief The endpoint reported that it is leaving.
   void MarkLeaving(const std::string& aEndpoint);
 
@@ -52,6 +57,12 @@
   /// @brief The context's home stores in this zone, or in any zone if this one has no store.
   [[nodiscard]] std::vector<const wire::EndpointStatus*> HomeStores(
     const base::Digest128& aContext) const;
+  /// @brief Whether an endpoint that was picked earlier may still get a request.
+  [[nodiscard]] bool IsStillUsable(const std::string& aEndpoint, base::TimePoint aNow) const;
+  /// @brief When the first backoff of an endpoint of a fleet or service ends; empty: none is in
+  /// backoff.
+  [[nodiscard]] std::optional<base::TimePoint> EarliestBackoffEnd(const std::string& aPool,
+                                                                  base::TimePoint aNow) const;
   /// @brief The shortest queue wait among a fleet's usable workers.
   [[nodiscard]] std::optional<base::Duration> ShortestQueueWait(const std::string& aFleet,
                                                                 base::TimePoint aNow) const;
@@ -79,6 +90,7 @@
 
   [[nodiscard]] routing::WorkerView ViewOf(const wire::EndpointStatus& aEndpoint,
                                            base::TimePoint aNow) const;
+  [[nodiscard]] static limits::EndpointKey KeyOf(const wire::EndpointStatus& aEndpoint);
   [[nodiscard]] bool IsUsable(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const;
 
   std::string m_zone;
@@ -90,6 +102,7 @@
   std::map<std::string, int> m_openCalls;
   std::map<std::string, std::string> m_runningVersions;
   control::LeavingSet m_leaving;
+  limits::EndpointBackoffs m_backoffs;
   routing::CacheHints m_hints;
   bool m_ready = false;
 };
--- a/include/ferrytray/gate/service_exchange.hpp
+++ b/include/ferrytray/gate/service_exchange.hpp
@@ -28,6 +28,8 @@
   void Start();
 
 private:
+  static constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
+
   void OnDecision(const OnceDecision& aDecision);
   void Send();
   void OnReply(const std::string& aEndpoint,
@@ -35,7 +37,10 @@
                const std::string& aBody);
   bool RetryIfAllowed(const std::string& aEndpoint, base::RunState aRun);
   void Answer(const net::ClientOutcome& aOutcome, const std::string& aBody);
-  void Fail(base::ErrorCode aCode, const std::string& aMessage, base::RunState aRun);
+  void Fail(base::ErrorCode aCode,
+            const std::string& aMessage,
+            base::RunState aRun,
+            base::Duration aRetryAfter = kRetryAfter);
   void EndWork();
   /// Reports to crash detection how the call ended.
   void RecordCrashOutcome(const net::ClientOutcome& aOutcome);
--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -48,7 +48,8 @@
   int m_status = 0;
   bool m_timedOut = false;
   std::string m_detail;
-  std::string m_etag; ///< of the reply; empty if absent
+  std::string m_etag;       ///< of the reply; empty if absent
+  std::string m_retryAfter; ///< value of the reply's Retry-After header; empty if absent
 };
 
 /// @brief Callbacks of a request. They run on the loop.
--- a/src/ferrytray/gate/engine_attempt.cpp
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <utility> // for move
 
+#include "ferrytray/net/retry_after.hpp"    // for ParseRetryAfter
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::gate {
@@ -98,7 +99,7 @@
   if (aError.m_started) {
     End(AttemptInterrupted{ aError.m_message, false });
   } else {
-    End(AttemptNotStarted{ aError.m_message, false });
+    End(AttemptNotStarted{ aError.m_message, false, {} });
   }
 }
 
@@ -110,7 +111,7 @@
   }
   const bool firstTransfer = m_resumeCount == 0;
   if (firstTransfer && aOutcome.m_end == net::WireEnd::NotSent) {
-    End(AttemptNotStarted{ aOutcome.m_detail, false });
+    End(AttemptNotStarted{ aOutcome.m_detail, false, {} });
     return;
   }
   const bool rejected = aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status != kOk;
@@ -119,7 +120,9 @@
     if (error.m_started) {
       End(AttemptInterrupted{ error.m_message, false });
     } else {
-      End(AttemptNotStarted{ error.m_message, aOutcome.m_status == kUnavailable });
+      const auto retryAfter = net::ParseRetryAfter(aOutcome.m_retryAfter);
+      const bool leaving = aOutcome.m_status == kUnavailable && !retryAfter;
+      End(AttemptNotStarted{ error.m_message, leaving, retryAfter });
     }
     return;
   }
--- a/src/ferrytray/gate/fleet_view.cpp
+++ b/src/ferrytray/gate/fleet_view.cpp
@@ -1,7 +1,8 @@
 #include "ferrytray/gate/fleet_view.hpp"
 
-#include <algorithm> // for min, stable_partition
+#include <algorithm> // for any_of, min, stable_partition
 
+#include "ferrytray/base/digest.hpp"        // for Hash64
 #include "ferrytray/routing/estimate.hpp"   // for QueueWait
 #include "ferrytray/routing/rendezvous.hpp" // for RendezvousHomes
 
@@ -44,6 +45,7 @@
     }
   }
   m_leaving.Prune(currentIncarnations);
+  m_backoffs.Expire(aNow);
   m_endpoints = std::move(aEndpoints);
   m_updatedAt = aNow;
   // Without any load report, routing estimates have no basis.
@@ -91,6 +93,17 @@
   m_cooldownUntil[aEndpoint] = aNow + kFailureCooldown;
 }
 
+void FleetView::OnBackoffRequested(const std::string& aEndpoint,
+                                   base::Duration aDelay,
+                                   base::TimePoint aNow)
+{
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    if (endpoint.m_host.m_name == aEndpoint) {
+      m_backoffs.OnRefused(KeyOf(endpoint), aDelay, aNow);
+    }
+  }
+}
+
 void FleetView::MarkLeaving(const std::string& aEndpoint)
 {
   for (const wire::EndpointStatus& endpoint : m_endpoints) {
@@ -108,11 +121,36 @@
   }
 }
 
+limits::EndpointKey FleetView::KeyOf(const wire::EndpointStatus& aEndpoint)
+{
+  return base::Hash64(aEndpoint.m_host.m_name, aEndpoint.m_host.m_incarnation);
+}
+
+bool FleetView::IsStillUsable(const std::string& aEndpoint, base::TimePoint aNow) const
+{
+  return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aListed) {
+    return aListed.m_host.m_name == aEndpoint && IsUsable(aListed, aNow);
+  });
+}
+
+std::optional<base::TimePoint> FleetView::EarliestBackoffEnd(const std::string& aPool,
+                                                             base::TimePoint aNow) const
+{
+  std::optional<base::TimePoint> earliest;
+  for (const wire::EndpointStatus& endpoint : m_endpoints) {
+    const auto endsAt = m_backoffs.EndsAt(KeyOf(endpoint), aNow);
+    if (endpoint.m_host.m_pool == aPool && endsAt) {
+      earliest = std::min(earliest.value_or(*endsAt), *endsAt);
+    }
+  }
+  return earliest;
+}
+
 bool FleetView::IsUsable(const wire::EndpointStatus& aEndpoint, base::TimePoint aNow) const
 {
   const auto failed = m_cooldownUntil.find(aEndpoint.m_host.m_name);
   const bool inCooldown = failed != m_cooldownUntil.end() && aNow < failed->second;
-  return !inCooldown &&
+  return !inCooldown && !m_backoffs.EndsAt(KeyOf(aEndpoint), aNow) &&
          !m_leaving.Contains(aEndpoint.m_host.m_name, aEndpoint.m_host.m_incarnation);
 }
 
--- a/src/ferrytray/gate/model_exchange.cpp
+++ b/src/ferrytray/gate/model_exchange.cpp
@@ -163,9 +163,10 @@
   const auto choice = routing::ChooseWorker(Shape(), workers, stores, options, random, plans);
   if (!choice) {
     Record(candidates, plans, "");
-    Fail(ErrorCode::NoEndpoint,
+    const auto backoffEnd = m_core.m_view.EarliestBackoffEnd(m_call.m_fleet.m_name, now);
+    Fail(backoffEnd ? ErrorCode::EndpointsInBackoff : ErrorCode::NoEndpoint,
          "fleet '" + m_call.m_fleet.m_name + "' has no usable worker",
-         kRetryAfter);
+         backoffEnd ? *backoffEnd - now : kRetryAfter);
     return;
   }
   if (RejectIfTooLate(choice->m_plan, workers.size()) || QueueIfBusy()) {
@@ -266,6 +267,12 @@
 
 void ModelExchange::StartAttempt(const std::string& aImport)
 {
+  // The worker may have announced its shutdown or asked for a backoff during the import.
+  if (!m_core.m_view.IsStillUsable(m_worker, base::MonotonicNow())) {
+    m_tried.insert(m_worker);
+    Route();
+    return;
+  }
   ++m_attempts;
   m_sentAt = base::MonotonicNow();
   const std::string attempt = m_core.NextAttemptId();
--- a/src/ferrytray/gate/model_exchange_end.cpp
+++ b/src/ferrytray/gate/model_exchange_end.cpp
@@ -62,6 +62,9 @@
     m_core.m_view.MarkLeaving(m_worker);
     m_core.m_keeper->ReportNow();
   }
+  if (aResult.m_retryAfter) {
+    m_core.m_view.OnBackoffRequested(m_worker, *aResult.m_retryAfter, base::MonotonicNow());
+  }
   if (!RetryIfAllowed(RunState::NotRun)) {
     Fail(ErrorCode::EndpointRefused,
          "the worker did not start the request: " + aResult.m_message,
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include "ferrytray/gate/answer_format.hpp"      // for SendError
 #include "ferrytray/gate/request_forwarding.hpp" // for ForwardRequest
+#include "ferrytray/net/retry_after.hpp"         // for ParseRetryAfter
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::gate {
@@ -109,9 +110,11 @@
   const wire::EndpointStatus* endpoint =
     m_core.m_view.PickService(m_call.m_service.m_name, m_tried, now);
   if (endpoint == nullptr) {
-    Fail(ErrorCode::NoEndpoint,
+    const auto backoffEnd = m_core.m_view.EarliestBackoffEnd(m_call.m_service.m_name, now);
+    Fail(backoffEnd ? ErrorCode::EndpointsInBackoff : ErrorCode::NoEndpoint,
          "the service has no usable endpoint",
-         m_mayHaveRun ? RunState::Unknown : RunState::NotRun);
+         m_mayHaveRun ? RunState::Unknown : RunState::NotRun,
+         backoffEnd ? *backoffEnd - now : kRetryAfter);
     return;
   }
   const std::string name = endpoint->m_host.m_name;
@@ -155,7 +158,9 @@
     Answer(aOutcome, aBody);
     return;
   }
-  if (refused) {
+  if (const auto delay = net::ParseRetryAfter(aOutcome.m_retryAfter); refused && delay) {
+    m_core.m_view.OnBackoffRequested(aEndpoint, *delay, base::MonotonicNow());
+  } else if (refused) {
     m_core.m_view.MarkLeaving(aEndpoint);
   }
   const bool notSent = aOutcome.m_end == net::WireEnd::NotSent;
@@ -203,13 +208,15 @@
                 aBody);
 }
 
-void ServiceExchange::Fail(ErrorCode aCode, const std::string& aMessage, RunState aRun)
+void ServiceExchange::Fail(ErrorCode aCode,
+                           const std::string& aMessage,
+                           RunState aRun,
+                           base::Duration aRetryAfter)
 {
-  constexpr base::Duration kRetryAfter = std::chrono::seconds(1);
   m_core.m_metrics.Count("requests_total{kind=\"service\",result=\"error\"}");
   m_guard->Fail(aRun);
   EndWork();
-  SendError(*m_reply, { aCode, aMessage, aRun, kRetryAfter }, m_call.m_request);
+  SendError(*m_reply, { aCode, aMessage, aRun, aRetryAfter }, m_call.m_request);
 }
 
 void ServiceExchange::EndWork()
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -40,6 +40,7 @@
   int m_sends = 0;
   long m_peerTimeoutMillis = 0;
   std::string m_etag;
+  std::string m_retryAfter;
   Headers m_headers;
 };
 
@@ -212,16 +213,18 @@
       std::string_view value = line.substr(colon + 1);
       value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
       call.m_headers.emplace_back(line.substr(0, colon), value);
-      StoreEtag(call);
+      StoreHeader(call);
     }
     return aSize * aCount;
   }
 
-  static void StoreEtag(Call& aCall)
+  static void StoreHeader(Call& aCall)
   {
     const auto& [name, value] = aCall.m_headers.back();
     if (strcasecmp(name.c_str(), "etag") == 0) {
       aCall.m_etag = value;
+    } else if (strcasecmp(name.c_str(), "retry-after") == 0) {
+      aCall.m_retryAfter = value;
     }
   }
 
@@ -347,6 +350,7 @@
     outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
     outcome.m_detail = curl_easy_strerror(aResult);
     outcome.m_etag = aCall.m_etag;
+    outcome.m_retryAfter = aCall.m_retryAfter;
     if (aResult == CURLE_OK) {
       outcome.m_end = WireEnd::Complete;
     } else if (aCall.m_receivedBytes) {
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -58,10 +58,12 @@
   } else if (path == "/orders") {
     OnOrder(ParseBody(aRequest.m_body), aReply);
   } else if (path == "/ledger") {
-    SendJson(
-      aReply,
-      200,
-      { { "executions", m_executions }, { "orders", m_orders }, { "event_polls", m_eventPolls } });
+    SendJson(aReply,
+             200,
+             { { "executions", m_executions },
+               { "refusals", m_refusals },
+               { "orders", m_orders },
+               { "event_polls", m_eventPolls } });
   } else if (path == "/admin/faults") {
     OnFaults(ParseBody(aRequest.m_body), aReply);
   } else {
@@ -255,6 +257,7 @@
 {
   m_slowness = aBody.value("slowness", m_slowness);
   m_leaving = aBody.value("leaving", m_leaving);
+  m_retryAfter = aBody.value("retry_after", m_retryAfter);
   m_eventsToDrop = aBody.value("hide_events", m_eventsToDrop);
   m_answerVersion = aBody.value("answer_version", m_answerVersion);
   if (aBody.value("evict", false)) {
--- a/standins/engine.hpp
+++ b/standins/engine.hpp
@@ -114,6 +114,8 @@
   std::uint64_t m_highestFence = 0;
   std::string m_swapTarget;
   bool m_leaving = false;
+  std::string m_retryAfter; ///< named in refusals; empty: requests are accepted
+  int m_refusals = 0;       ///< with a delay
   double m_slowness = 1;
   int m_eventsToDrop = 0;
   std::string m_answerVersion; ///< injected fault: the version it reports; empty: the real one
--- a/standins/engine_runs.cpp
+++ b/standins/engine_runs.cpp
@@ -41,6 +41,11 @@
     SendError(aReply, 400, "more blocks than the prompt has", false);
     return;
   }
+  if (!m_retryAfter.empty()) {
+    ++m_refusals;
+    SendRefusal(aReply, m_retryAfter);
+    return;
+  }
   const std::string rejection = RejectionReason(body);
   if (!rejection.empty()) {
     SendError(
--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -21,12 +21,13 @@
   void Handle(const net::HttpRequest& aRequest, const ReplyPtr& aReply)
   {
     if (aRequest.m_path == "/ledger") {
-      SendJson(aReply, 200, { { "executions", m_executions } });
+      SendJson(aReply, 200, { { "executions", m_executions }, { "refusals", m_refusals } });
       return;
     }
     if (aRequest.m_path == "/admin/faults") {
       const json faults = ParseBody(aRequest.m_body);
       m_leaving = faults.value("leaving", m_leaving);
+      m_retryAfter = faults.value("retry_after", m_retryAfter);
       SendJson(aReply, 200, json::object());
       return;
     }
@@ -34,6 +35,11 @@
       SendError(aReply, 503, "leaving", false);
       return;
     }
+    if (!m_retryAfter.empty()) {
+      ++m_refusals;
+      SendRefusal(aReply, m_retryAfter);
+      return;
+    }
     if (aRequest.m_body.find("ends its service") != std::string::npos) {
       std::_Exit(1);
     }
@@ -54,6 +60,8 @@
   base::Duration m_workTime;
   std::map<std::string, int> m_executions;
   bool m_leaving = false;
+  std::string m_retryAfter; ///< named in refusals; empty: requests are accepted
+  int m_refusals = 0;       ///< with a delay
 };
 
 } // namespace
--- a/standins/standin.hpp
+++ b/standins/standin.hpp
@@ -33,6 +33,14 @@
     aReply, aStatus, { { "error", { { "message", aMessage } } }, { "x_started", aStarted } });
 }
 
+/// Refuses a request without starting it and names a delay in seconds.
+inline void SendRefusal(const ReplyPtr& aReply, const std::string& aRetryAfter)
+{
+  const json body{ { "error", { { "message", "busy" } } }, { "x_started", false } };
+  aReply->Send(
+    503, { { "Content-Type", "application/json" }, { "Retry-After", aRetryAfter } }, body.dump());
+}
+
 /// Parses a body. @return a discarded JSON value if it is not valid JSON
 inline json ParseBody(const std::string& aBody)
 {
--- a/tests/integration/serving_test.cpp
+++ b/tests/integration/serving_test.cpp
@@ -210,6 +210,49 @@
   }
 }
 
+// A gate took any refusal for a shutdown, so an endpoint that was only busy got no requests again.
+TEST(Serving, EndpointsThatNameADelayGetRequestsAgainAfterIt)
+{
+  m_deployment.AddService("c2");
+  StartDeployment(2);
+  const std::vector<std::string> endpoints{ "w1", "c1" };
+  for (const std::string& name : endpoints) {
+    m_deployment.At(name).SetFaults({ { "retry_after", "1.5" } });
+  }
+  const auto sendBoth = [&](const std::string& aId) {
+    const ferrytray::net::Headers id{ { "X-Request-Id", aId } };
+    LONGS_EQUAL(200, Send(MakeCompletionCall(*m_host, aId, {}, id)).m_status);
+    LONGS_EQUAL(200, Send(MakeServiceCall(*m_host, aId, id)).m_status);
+  };
+  const auto ledgerOf = [&](const std::string& aName) {
+    return Get(m_deployment.At(aName).DirectUrl() + "/ledger").Json();
+  };
+  for (int i = 0; i < 20; ++i) {
+    sendBoth("busy" + std::to_string(i));
+  }
+  for (const std::string& name : endpoints) {
+    LONGS_EQUAL(1, ledgerOf(name)["refusals"].get<int>());
+    m_deployment.At(name).SetFaults({ { "retry_after", "" } });
+  }
+  int sent = 0;
+  CHECK(WaitFor([&] {
+    sendBoth("later" + std::to_string(++sent));
+    return !ledgerOf("w1")["executions"].empty() && !ledgerOf("c1")["executions"].empty();
+  }));
+}
+
+TEST(Serving, RequestsAreRefusedUntilTheDelayOfTheOnlyEndpointEnds)
+{
+  StartDeployment(1);
+  m_deployment.At("w1").SetFaults({ { "retry_after", "30" } });
+  Send(MakeCompletionCall(*m_host, "first"));
+  const Response second = Send(MakeCompletionCall(*m_host, "second"));
+  LONGS_EQUAL(503, second.m_status);
+  LONGS_EQUAL(3009, second.ErrorCode());
+  STRCMP_EQUAL("not_run", second.RunState().c_str());
+  LONGS_EQUAL(1, Get(m_deployment.At("w1").DirectUrl() + "/ledger").Json()["refusals"].get<int>());
+}
+
 TEST(Serving, OperatorAndHostListDrainsStopNewRequests)
 {
   StartDeployment(3);
