Rollout: an order waits for the engine's backoff unless the roll-out is late

Cause: an engine that wants no messages of this host got an order and the question that precedes it, as the requests that the relay sent. Questions on a load under way go on. Measured: rollout_test OrderWaitsForTheBackoffUnlessTheRolloutIsLate; rollout_test (15 tests) and control_test (21) pass.

--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -3,6 +3,7 @@
 #include <functional> // for function
 #include <map>        // for map
 #include <string>     // for string
+#include <utility>    // for move
 #include <vector>     // for vector
 
 #include "ferrytray/base/time.hpp"             // for Duration, TimePoint
@@ -83,6 +84,12 @@
   void AddDuty(LeasedDuty& aDuty) { m_duties.push_back(&aDuty); }
   /// @brief Sets the callback for each planned reload; called again when its expected end changes.
   void OnReload(std::function<void(const PlannedReload&)> aCall) { m_onReload = std::move(aCall); }
+  /// @brief Sets the function that returns whether an incarnation wants no messages of this host
+  /// now. Its order waits meanwhile, unless the roll-out is late. If unset: none does.
+  void SetBackoffFunction(std::function<bool(const std::string& aIncarnation)> aIsInBackoff)
+  {
+    m_isInBackoff = std::move(aIsInBackoff);
+  }
   void Start();
   /// @brief Sets whether this host sends orders only if the other hosts are late. Every read of the
   /// lease is charged, which adds up with many hosts.
@@ -118,6 +125,8 @@
   void ReadLease();
   void AppendLease(base::TimePoint aNow);
   void PlanSwaps(const std::string& aModel, fleet::WeightVersion aVersion, base::TimePoint aNow);
+  /// Whether the roll-out has taken more than RolloutOptions::m_lateFraction of its time.
+  [[nodiscard]] bool IsLate(const std::string& aModel, base::TimePoint aNow);
   [[nodiscard]] std::uint32_t MaxConcurrentSwaps(const std::string& aModel,
                                                  std::size_t aEngines,
                                                  base::TimePoint aNow);
@@ -149,6 +158,7 @@
   std::map<std::string, base::TimePoint> m_outdatedSince;
   std::map<std::string, Engine> m_engines; ///< by incarnation
   std::vector<LeasedDuty*> m_duties;
+  std::function<bool(const std::string& aIncarnation)> m_isInBackoff;
   std::function<void(const PlannedReload&)> m_onReload;
   base::Duration m_expectedLoadTime; ///< moving estimate
   std::uint64_t m_revision = 0;
--- a/src/ferrytray/control/swap_planner.cpp
+++ b/src/ferrytray/control/swap_planner.cpp
@@ -15,7 +15,7 @@
     const bool swapInProgress = worker.m_swapping || m_pendingOrders.contains(worker.m_worker);
     if (swapInProgress) {
       ++swapping;
-    } else if (worker.m_version != aVersion && !worker.m_leaving) {
+    } else if (worker.m_version != aVersion && !worker.m_leaving && !worker.m_inBackoff) {
       waiting.push_back(&worker);
     }
   }
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -4,7 +4,8 @@
 #include <map>     // for map
 #include <utility> // for exchange, move
 
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/relay/endpoint_signals.hpp" // for BackoffEndsAt
+#include "ferrytray/telemetry/log_line.hpp"     // for LogLine
 
 namespace ferrytray::relay {
 
@@ -110,6 +111,9 @@
   }
   m_rollout.SetStandby(true); // until this host is known to be one of the readers
   m_rollout.AddDuty(m_upkeep);
+  m_rollout.SetBackoffFunction([this](const std::string& aIncarnation) {
+    return BackoffEndsAt(m_core, aIncarnation, base::MonotonicNow()).has_value();
+  });
   m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReloadPlanned(aReload); });
   m_rollout.Start();
   m_trafficTimer = m_loop.Every(kTrafficLogInterval, [this] { LogTraffic(); });
--- a/src/ferrytray/rollout/rollout_driver.cpp
+++ b/src/ferrytray/rollout/rollout_driver.cpp
@@ -226,10 +226,12 @@
                               fleet::WeightVersion aVersion,
                               base::TimePoint aNow)
 {
+  const bool late = IsLate(aModel, aNow);
   std::vector<control::WorkerVersion> workers;
   for (const fleet::Endpoint* endpoint : m_directory.All()) {
     if (endpoint->m_provenWeights.contains(aModel)) {
       workers.push_back(WorkerVersionOf(*endpoint, aModel));
+      workers.back().m_inBackoff = !late && m_isInBackoff && m_isInBackoff(endpoint->m_incarnation);
     }
   }
   // Engines with the oldest weights are the first that may no longer start requests.
@@ -252,14 +254,19 @@
   }
 }
 
+bool RolloutDriver::IsLate(const std::string& aModel, base::TimePoint aNow)
+{
+  const base::TimePoint since = m_outdatedSince.try_emplace(aModel, aNow).first->second;
+  return base::Seconds(aNow - since) >
+         m_options.m_lateFraction * base::Seconds(m_options.m_rolloutTimeLimit);
+}
+
 std::uint32_t RolloutDriver::MaxConcurrentSwaps(const std::string& aModel,
                                                 std::size_t aEngines,
                                                 base::TimePoint aNow)
 {
-  const base::TimePoint since = m_outdatedSince.try_emplace(aModel, aNow).first->second;
-  const bool late = base::Seconds(aNow - since) >
-                    m_options.m_lateFraction * base::Seconds(m_options.m_rolloutTimeLimit);
-  const double share = late ? m_options.m_lateMaxSwapShare : m_options.m_maxSwapShare;
+  const double share =
+    IsLate(aModel, aNow) ? m_options.m_lateMaxSwapShare : m_options.m_maxSwapShare;
   return std::max(1U, static_cast<std::uint32_t>(share * static_cast<double>(aEngines)));
 }
 
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -219,6 +219,27 @@
   CHECK(m_engines.m_orders.empty());
 }
 
+TEST(RolloutDriver, OrderWaitsForTheBackoffUnlessTheRolloutIsLate)
+{
+  AddEngine("e1", 1);
+  AddEngine("e2", 1);
+  m_wanted["m"] = 2;
+  m_options.m_rolloutTimeLimit = 400ms;
+  m_options.m_lateFraction = 0.5;
+  rollout::RolloutDriver driver(m_loop, m_log, m_directory, m_engines, m_wanted, m_options);
+  driver.SetBackoffFunction([](const std::string& aIncarnation) { return aIncarnation == "e1"; });
+  const base::TimePoint start = base::MonotonicNow();
+  driver.Start();
+  for (int i = 0; i < 2000 && m_engines.m_orders.size() < 2; ++i) {
+    m_loop.RunFor(1ms);
+  }
+  driver.Stop();
+  LONGS_EQUAL(2, m_engines.m_orders.size());
+  STRCMP_EQUAL("e2", m_engines.m_orders[0].first.c_str());
+  STRCMP_EQUAL("e1", m_engines.m_orders[1].first.c_str());
+  CHECK(base::MonotonicNow() - start >= 200ms);
+}
+
 TEST(RolloutDriver, StandbyHostOrdersOnlyAfterStandbyDelay)
 {
   AddEngine("e1", 1);
