Peers: at most 256 notices on incarnations a message

Cause: a message carried all notices of the last 5 s on replaced incarnations and announced shutdowns, up to 4,096 of 12 bytes each. A thousand endpoints that shut down together would have taken 12 kB in each message, 39 Mbit/s at a reader of 123 hosts on a link of 20 Mbit/s (worked out). Change: the latest 256 are sent, 3 kB. Also tests: refusals at 10, 100 and 1,000 hosts are one per host and delay; the dispatcher is told of the requesting host's backoffs.

--- a/include/ferrytray/peers/incarnation_table.hpp
+++ b/include/ferrytray/peers/incarnation_table.hpp
@@ -31,6 +31,9 @@
   base::Duration m_forwardTime = std::chrono::milliseconds(5000);
   /// How long an incarnation is kept, at least m_forwardTime.
   base::Duration m_retention = std::chrono::milliseconds(5000);
+  /// Notices per message, so that a shutdown of many endpoints leaves the links to other traffic.
+  /// The latest ones are sent.
+  std::size_t m_maxNotices = 256;
   /// Incarnations kept at a time; further ones are dropped to bound memory.
   std::size_t m_maxEntries = 4096;
 };
@@ -54,7 +57,7 @@
     return m_foundAt.contains(aIncarnation);
   }
   [[nodiscard]] bool Empty() const { return m_foundAt.empty(); }
-  /// @brief Returns the notices to forward.
+  /// @brief Returns the notices to forward in one message.
   [[nodiscard]] IncarnationNotices Notices(base::TimePoint aNow) const;
   /// @brief Drops incarnations that are older than the retention.
   void Expire(base::TimePoint aNow);
--- a/src/ferrytray/limits/endpoint_backoffs_test.cpp
+++ b/src/ferrytray/limits/endpoint_backoffs_test.cpp
@@ -132,3 +132,25 @@
   LONGS_EQUAL(100, m_backoffs.Count(kStart));
   CHECK(m_backoffs.OnRefused(0, 2s, kStart) == BackoffChange::Extended);
 }
+
+// Every host learns of the delay by a refusal of its own; the number of refusals must not grow with
+// the requests.
+TEST(EndpointBackoffs, EachHostIsRefusedOncePerDelay)
+{
+  constexpr auto kRunTime = 30s;
+  constexpr auto kDelay = 3s;
+  for (const int hosts : { 10, 100, 1000 }) {
+    int refusals = 0;
+    for (int host = 0; host < hosts; ++host) {
+      limits::EndpointBackoffs backoffs;
+      for (base::Duration at{}; at < kRunTime; at += 10ms) {
+        const base::TimePoint now = kStart + at;
+        if (!backoffs.EndsAt(kEndpoint, now)) {
+          backoffs.OnRefused(kEndpoint, kDelay, now);
+          ++refusals;
+        }
+      }
+    }
+    LONGS_EQUAL(hosts * (kRunTime / kDelay), refusals);
+  }
+}
--- a/src/ferrytray/peers/incarnation_table.cpp
+++ b/src/ferrytray/peers/incarnation_table.cpp
@@ -1,6 +1,8 @@
 #include "ferrytray/peers/incarnation_table.hpp"
 
-#include <chrono> // for milliseconds
+#include <algorithm> // for partial_sort
+#include <chrono>    // for milliseconds
+#include <cstddef>   // for ptrdiff_t
 
 #include "ferrytray/base/digest.hpp" // for Hash64
 
@@ -31,6 +33,14 @@
       notices.push_back({ incarnation, static_cast<std::int32_t>(millis) });
     }
   }
+  if (notices.size() > m_options.m_maxNotices) {
+    const auto end = notices.begin() + static_cast<std::ptrdiff_t>(m_options.m_maxNotices);
+    std::partial_sort(
+      notices.begin(), end, notices.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.m_ageMillis < aRight.m_ageMillis;
+      });
+    notices.erase(end, notices.end());
+  }
   return notices;
 }
 
--- a/src/ferrytray/relay/exchange_backoff_test.cpp
+++ b/src/ferrytray/relay/exchange_backoff_test.cpp
@@ -188,6 +188,21 @@
   CHECK_FALSE(reply.m_memoryFull);
 }
 
+TEST(ExchangeBackoff, DispatcherIsToldOfTheBackoffsOfTheRequestingHost)
+{
+  AddStrongHost();
+  StartPeerExchange(0);
+  m_dispatcher.emplace(m_core, *m_peerExchange);
+  AwaitHosts();
+  m_core.m_dispatcher = &*m_dispatcher;
+  BackOff("a", 3s);
+  SendRequest("/stream/x", "k", "long");
+  const auto request = peers::DecodePlacementRequest(m_client.m_calls.back().m_request.m_body);
+  CHECK(request.has_value());
+  LONGS_EQUAL(1, request->m_unreachable.size());
+  CHECK(request->m_unreachable.at(0) == peers::TagOf("a"));
+}
+
 // Another host chose the engine, and was not asked to back off.
 TEST(ExchangeBackoff, AssignedEngineIsNotUsed)
 {
