Net: a connection that outlives its server is not served

Cause: closing a server closes its listening socket only. Its open connections live on in the loop, and their handler referred to the server. Hosts destroy their servers only at their end, so callers were not affected. Change: the handler holds the server's callback weakly and rejects requests after its end.

--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -279,7 +279,7 @@
   RestinioServer(Loop& aLoop, const HttpServerOptions& aOptions, HttpHandler aHandler)
     : m_address(aOptions.m_listen)
     , m_tracker(std::make_shared<ConnectionTracker>())
-    , m_handler(std::move(aHandler))
+    , m_handler(std::make_shared<HttpHandler>(std::move(aHandler)))
     , m_server(restinio::external_io_context(aLoop.Impl().m_context),
                [&](auto& aSettings) { Configure(aSettings, aOptions); })
   {
@@ -328,22 +328,24 @@
         m_address.m_port = aAcceptor.local_endpoint().port();
         m_tracker->SetLocalPort(m_address.m_port);
       })
-      .request_handler(
-        [this](restinio::request_handle_t aRequest) { return HandleRequest(std::move(aRequest)); });
-  }
-
-  restinio::request_handling_status_t HandleRequest(restinio::request_handle_t aRequest)
-  {
-    m_tracker->OnRequestReceived(aRequest->connection_id());
-    HttpRequest request = ToRequest(*aRequest);
-    auto reply = std::make_shared<RestinioReply>(std::move(aRequest), m_tracker);
-    m_handler(std::move(request), std::move(reply));
-    return restinio::request_accepted();
+      // Open connections outlive the server.
+      .request_handler([tracker = m_tracker, weak = std::weak_ptr<HttpHandler>(m_handler)](
+                         restinio::request_handle_t aRequest) {
+        const std::shared_ptr<HttpHandler> handler = weak.lock();
+        if (!handler) {
+          return restinio::request_rejected();
+        }
+        tracker->OnRequestReceived(aRequest->connection_id());
+        HttpRequest request = ToRequest(*aRequest);
+        (*handler)(std::move(request),
+                   std::make_shared<RestinioReply>(std::move(aRequest), tracker));
+        return restinio::request_accepted();
+      });
   }
 
   Address m_address;
   std::shared_ptr<ConnectionTracker> m_tracker;
-  HttpHandler m_handler;
+  std::shared_ptr<HttpHandler> m_handler;
   Server m_server;
 };
 
--- a/src/ferrytray/net/http_server_test.cpp
+++ b/src/ferrytray/net/http_server_test.cpp
@@ -150,6 +150,25 @@
   CHECK(second.Receive().ends_with("answer"));
 }
 
+// A request on a connection that outlived its server was handled by the freed server.
+TEST(HttpServer, ConnectionThatOutlivesItsServerIsNotServed)
+{
+  int handled = 0;
+  StartServer([&](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
+    ++handled;
+    aReply->Send(200, {}, "");
+  });
+  const RawClient client(0, m_server->ListenAddress());
+  client.SendRequest();
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(1, handled);
+  m_server.reset();
+  CHECK(client.Receive().starts_with("HTTP/1.1 200"));
+  client.SendRequest();
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(1, handled);
+}
+
 TEST(HttpServer, AbortedStreamIsReportedAsIncomplete)
 {
   StartServer([](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
