Peers: hosts report requested backoffs; an endpoint that refused two hosts is used last

What callers saw: with many hosts, refusals while most endpoints had room. Each host learnt of each refusing endpoint by a request of its own, and the retries used up its retry budget, which is small at few requests per host. Change: messages between hosts carry the backoffs that endpoints have requested, two reports per endpoint. An endpoint that two hosts were refused by is avoided by the others until the earlier end: a preference, since the endpoint may have room for them. One report does not count.

--- a/include/ferrytray/peers/exchange_counters.hpp
+++ b/include/ferrytray/peers/exchange_counters.hpp
@@ -17,7 +17,7 @@
   std::uint64_t m_storeDeltas = 0;   ///< received
   std::uint64_t m_storeChanges = 0;  ///< received, in these deltas
   std::uint64_t m_loads = 0;         ///< received
-  std::uint64_t m_notices = 0;       ///< received: reloads, replacements, shutdowns, crashes
+  std::uint64_t m_notices = 0;       ///< received: of all kinds but request limits
 
   /// @param aBytes size of the encoded message
   void OnRequestSent(std::size_t aBytes)
--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -9,6 +9,7 @@
 #include "ferrytray/base/error.hpp"              // for Result
 #include "ferrytray/cache/contents_delta.hpp"    // for ContentsCursor, ContentsDelta
 #include "ferrytray/limits/endpoint_limits.hpp"  // for LimitReports
+#include "ferrytray/peers/backoff_table.hpp"     // for BackoffNotices
 #include "ferrytray/peers/incarnation_table.hpp" // for IncarnationNotices
 #include "ferrytray/peers/load_table.hpp"        // for EndpointLoads, LoadScope
 #include "ferrytray/peers/reload_table.hpp"      // for ReloadNotices
@@ -32,6 +33,7 @@
   ReloadNotices m_reloads; ///< that the sender knows of, if it is a reader
   IncarnationNotices m_replaced;
   IncarnationNotices m_announcedLeaving; ///< endpoints that have announced their shutdown
+  BackoffNotices m_backoffs;             ///< that endpoints have requested from any host
   limits::LimitReports m_limits;         ///< of endpoints, known to the sender
   quarantine::CrashNotices m_crashes;    ///< that the sender has not sent to the receiver yet
   /// The first of the receiver's crash notices that the sender lacks; used with scope Own.
@@ -53,6 +55,7 @@
   ReloadNotices m_reloads; ///< known to the replying host
   IncarnationNotices m_replaced;
   IncarnationNotices m_announcedLeaving;
+  BackoffNotices m_backoffs;
   limits::LimitReports m_limits; ///< of endpoints, known to the replying host
   /// Readers and relays for the zone of the requesting host; empty if their digest is unchanged.
   std::vector<Peer> m_sources;
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -81,6 +81,7 @@
   quarantine::CrashTracker& m_crashes;
   limits::EndpointLimits& m_limits;
   IncarnationTable& m_announcedLeaving; ///< endpoints that have announced their shutdown
+  BackoffTable& m_backoffs;
 };
 
 /// @brief Exchanges state between hosts: new records of the log and the contents of KV stores, so
@@ -266,6 +267,7 @@
   void ApplyReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
   void ApplyReplacements(const IncarnationNotices& aNotices, base::TimePoint aNow);
   void ApplyLeaving(const IncarnationNotices& aNotices, base::TimePoint aNow);
+  void ApplyBackoffs(const BackoffNotices& aNotices, base::TimePoint aNow);
   void ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow);
   /// Adds the crash notices that aPeer has not received yet.
   void AddCrashNotices(const Peer& aPeer, SyncRequest& aSyncRequest);
@@ -294,6 +296,7 @@
   quarantine::CrashTracker& m_crashes;
   limits::EndpointLimits& m_limits;
   IncarnationTable& m_announcedLeaving;
+  BackoffTable& m_backoffs;
   store::UnreadableRecords m_unreadable;
   PeerExchangeOptions m_options;
   std::uint64_t m_incarnation;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -21,6 +21,7 @@
 #include "ferrytray/limits/retry_window.hpp"       // for RetryWindow
 #include "ferrytray/net/http_client.hpp"           // for HttpClient
 #include "ferrytray/net/loop.hpp"                  // for Loop
+#include "ferrytray/peers/backoff_table.hpp"       // for BackoffTable
 #include "ferrytray/peers/incarnation_table.hpp"   // for IncarnationTable
 #include "ferrytray/peers/load_table.hpp"          // for LoadTable
 #include "ferrytray/peers/reload_table.hpp"        // for ReloadTable
@@ -40,7 +41,8 @@
 
 struct RelayOptions
 {
-  std::string m_zone; ///< this host's availability zone
+  std::string m_zone;           ///< this host's availability zone
+  peers::HostKey m_hostKey = 0; ///< of this host, in notices to other hosts
   AttemptLimits m_attempts;
   limits::RetryWindowOptions m_retries;
   /// Maximum age of the operators' records at which this host still answers 401 or 404. Beyond it,
@@ -127,6 +129,7 @@
   peers::IncarnationTable m_announcedLeaving{ kLeavingNotices };
   limits::EndpointLimits m_endpointLimits;     ///< by peers::KeyOf() the incarnation
   limits::EndpointBackoffs m_endpointBackoffs; ///< by the same key
+  peers::BackoffTable m_reportedBackoffs;      ///< requested from any host
   limits::PermitTable m_permits;               ///< for limited endpoints, by the same key
   PermitClient* m_permitClient = nullptr;      ///< null: limits are not enforced
   std::map<std::string, limits::AdmissionLimit> m_admissionLimits; ///< by service
--- a/src/ferrytray/peers/exchange_counters.cpp
+++ b/src/ferrytray/peers/exchange_counters.cpp
@@ -8,7 +8,8 @@
 std::uint64_t NoticesIn(const Message& aMessage)
 {
   return aMessage.m_reloads.size() + aMessage.m_replaced.size() +
-         aMessage.m_announcedLeaving.size() + aMessage.m_crashes.size();
+         aMessage.m_announcedLeaving.size() + aMessage.m_backoffs.size() +
+         aMessage.m_crashes.size();
 }
 
 } // namespace
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -21,6 +21,7 @@
                               { { 4, "m", 3, -200, 17 } },
                               { { 1ULL << 60, 1200 } },
                               { { 1ULL << 61, 1300 } },
+                              { { 1ULL << 62, 17, 1400 } },
                               { { 3, 2.5, 400, true } },
                               {},
                               0,
@@ -42,6 +43,9 @@
   LONGS_EQUAL(1200, readRequest->m_replaced.at(0).m_ageMillis);
   CHECK(readRequest->m_announcedLeaving.at(0).m_incarnation == 1ULL << 61);
   LONGS_EQUAL(1300, readRequest->m_announcedLeaving.at(0).m_ageMillis);
+  CHECK(readRequest->m_backoffs.at(0).m_endpoint == 1ULL << 62);
+  LONGS_EQUAL(17, readRequest->m_backoffs.at(0).m_host);
+  LONGS_EQUAL(1400, readRequest->m_backoffs.at(0).m_endsInMillis);
   DOUBLES_EQUAL(2.5, readRequest->m_limits.at(0).m_limit, 0);
   LONGS_EQUAL(400, readRequest->m_limits.at(0).m_namedAgeMillis);
   CHECK(readRequest->m_limits.at(0).m_lifted);
@@ -53,6 +57,7 @@
                           { { 4, "m", 3, 900, 17 } },
                           { { 5, 6 } },
                           { { 15, 16 } },
+                          { { 18, 19, 20 } },
                           { { 9, 1.7, 20, false } },
                           {},
                           {},
@@ -72,6 +77,7 @@
   LONGS_EQUAL(7, readReply->m_loads.at(0).m_endpoint);
   LONGS_EQUAL(6, readReply->m_replaced.at(0).m_ageMillis);
   LONGS_EQUAL(16, readReply->m_announcedLeaving.at(0).m_ageMillis);
+  LONGS_EQUAL(19, readReply->m_backoffs.at(0).m_host);
   LONGS_EQUAL(9, readReply->m_limits.at(0).m_endpoint);
   const peers::ReloadNotice& notice = readReply->m_reloads.at(0);
   CHECK(notice.m_endpoint == 4 && notice.m_version == 3 && notice.m_endsInMillis == 900);
@@ -112,7 +118,7 @@
 
 TEST(PeerMessages, TruncatedRepliesAreRejectedAndDamagedOnesDoNotCrash)
 {
-  peers::SyncReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {}, {}, {},
+  peers::SyncReply reply{ 11, {}, {}, { { 7, 8 } }, { { 4, "m", 3, 900, 17 } }, {}, {}, {}, {},
                           {}, {}, 0 };
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   const std::string whole = peers::Encode(reply);
--- a/src/ferrytray/peers/news_notices_test.cpp
+++ b/src/ferrytray/peers/news_notices_test.cpp
@@ -41,6 +41,17 @@
   CHECK(m_follower->m_announcedLeaving.Contains(10));
 }
 
+TEST(PeerNotices, BackoffsReachBothHosts)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_reader->m_backoffs.OnNotice({ 10, 1, 9000 }, now);
+  m_follower->m_backoffs.OnNotice({ 10, 2, 9000 }, now);
+  CHECK(RunUntil([&] {
+    return m_reader->m_backoffs.IsInBackoff(10, base::MonotonicNow()) &&
+           m_follower->m_backoffs.IsInBackoff(10, base::MonotonicNow());
+  }));
+}
+
 TEST(PeerNotices, RequestLimitsReachBothHosts)
 {
   const base::TimePoint now = base::MonotonicNow();
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -43,6 +43,7 @@
   , m_crashes(aState.m_crashes)
   , m_limits(aState.m_limits)
   , m_announcedLeaving(aState.m_announcedLeaving)
+  , m_backoffs(aState.m_backoffs)
   , m_options(std::move(aOptions))
   , m_incarnation(RandomNumber())
 {
@@ -127,6 +128,7 @@
   m_replaced.Expire(now);
   m_limits.Expire(now);
   m_announcedLeaving.Expire(now);
+  m_backoffs.Expire(now);
   if (!m_hostsKnown) {
     return; // no other host is known yet
   }
@@ -188,6 +190,7 @@
   syncRequest.m_sourcesDigest = m_sourcesDigest;
   syncRequest.m_replaced = m_replaced.Notices(aNow);
   syncRequest.m_announcedLeaving = m_announcedLeaving.Notices(aNow);
+  syncRequest.m_backoffs = m_backoffs.Notices(aNow);
   syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aSource, syncRequest, aNow);
 }
@@ -200,6 +203,7 @@
   syncRequest.m_reloads = m_reloads.Notices(aNow);
   syncRequest.m_replaced = m_replaced.Notices(aNow);
   syncRequest.m_announcedLeaving = m_announcedLeaving.Notices(aNow);
+  syncRequest.m_backoffs = m_backoffs.Notices(aNow);
   syncRequest.m_limits = m_limits.Reports(aNow);
   SendSyncRequest(aReader, syncRequest, aNow);
 }
@@ -261,6 +265,7 @@
   ApplyReloads(reply->m_reloads, now);
   ApplyReplacements(reply->m_replaced, now);
   ApplyLeaving(reply->m_announcedLeaving, now);
+  ApplyBackoffs(reply->m_backoffs, now);
   ApplyLimits(reply->m_limits, now);
   OnCrashNoticesAcknowledged(aSource, *reply, aPending.m_crashesSentUpTo);
   ApplyCrashes(reply->m_crashes, now);
@@ -347,6 +352,7 @@
   ApplyReloads(syncRequest->m_reloads, now);
   ApplyReplacements(syncRequest->m_replaced, now);
   ApplyLeaving(syncRequest->m_announcedLeaving, now);
+  ApplyBackoffs(syncRequest->m_backoffs, now);
   ApplyLimits(syncRequest->m_limits, now);
   ApplyCrashes(syncRequest->m_crashes, now);
   m_loads.OnReport(syncRequest->m_sender.m_name, syncRequest->m_scope, syncRequest->m_loads, now);
@@ -355,6 +361,7 @@
   reply.m_reloads = m_reloads.Notices(now);
   reply.m_replaced = m_replaced.Notices(now);
   reply.m_announcedLeaving = m_announcedLeaving.Notices(now);
+  reply.m_backoffs = m_backoffs.Notices(now);
   reply.m_limits = m_limits.Reports(now);
   reply.m_topics = CollectTopicUpdates(syncRequest->m_topics, now);
   reply.m_loads = m_ownLoads();
--- a/src/ferrytray/peers/peer_notices.cpp
+++ b/src/ferrytray/peers/peer_notices.cpp
@@ -1,5 +1,5 @@
 // Exchange of notices on single endpoints: reloads of weights, replaced incarnations, announced
-// shutdowns, request limits, and requests that crashed endpoints.
+// shutdowns, backoffs, request limits, and requests that crashed endpoints.
 #include "ferrytray/peers/peer_exchange.hpp"
 
 namespace ferrytray::peers {
@@ -49,6 +49,13 @@
   }
 }
 
+void PeerExchange::ApplyBackoffs(const BackoffNotices& aNotices, base::TimePoint aNow)
+{
+  for (const BackoffNotice& notice : aNotices) {
+    m_backoffs.OnNotice(notice, aNow);
+  }
+}
+
 void PeerExchange::ApplyLimits(const limits::LimitReports& aReports, base::TimePoint aNow)
 {
   for (const limits::LimitReport& report : aReports) {
--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -76,6 +76,15 @@
            peers::KeyOf(aIncarnation), aCore.m_endpointTracker.OpenRequests(aIncarnation), aNow);
 }
 
+/// Whether the endpoint has requested backoffs from several hosts, so that it is overloaded.
+bool IsInReportedBackoff(const RelayCore& aCore,
+                         const std::string& aIncarnation,
+                         base::TimePoint aNow)
+{
+  return !aCore.m_reportedBackoffs.Empty() &&
+         aCore.m_reportedBackoffs.IsInBackoff(peers::KeyOf(aIncarnation), aNow);
+}
+
 void SetEarliest(std::optional<base::TimePoint>& aTime, base::TimePoint aOther)
 {
   aTime = std::min(aTime.value_or(aOther), aOther);
@@ -112,7 +121,8 @@
   const bool reloading = isPrompt && aCore.m_reloads.IsReloading(tag, aQuery.m_now);
   const bool avoided = reloading || aCore.m_endpointTracker.IsAvoided(incarnation, aQuery.m_now) ||
                        HasCrashed(aCore, incarnation, aQuery.m_now) ||
-                       IsWindowFull(aCore, incarnation, aQuery.m_now);
+                       IsWindowFull(aCore, incarnation, aQuery.m_now) ||
+                       IsInReportedBackoff(aCore, incarnation, aQuery.m_now);
   aCandidates.m_endpoints.push_back(&aEndpoint);
   aCandidates.m_placements.push_back(
     { incarnation,
--- a/src/ferrytray/relay/endpoint_signals.cpp
+++ b/src/ferrytray/relay/endpoint_signals.cpp
@@ -1,5 +1,8 @@
 #include "ferrytray/relay/endpoint_signals.hpp"
 
+#include <algorithm> // for clamp
+#include <cstdint>   // for INT32_MAX, int32_t
+
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
@@ -56,6 +59,9 @@
   if (change == limits::BackoffChange::None) {
     return;
   }
+  const auto millis = std::clamp<long>(base::ToMillis(*aHead.m_retryAfter), 0, INT32_MAX);
+  aCore.m_reportedBackoffs.OnNotice(
+    { key, aCore.m_options.m_hostKey, static_cast<std::int32_t>(millis) }, aNow);
   aCore.m_metrics.Count("endpoint_backoffs_total");
   telemetry::LogLine("endpoint_backoff")
     .Add("endpoint", aIncarnation)
--- a/src/ferrytray/relay/exchange_backoff_test.cpp
+++ b/src/ferrytray/relay/exchange_backoff_test.cpp
@@ -170,6 +170,38 @@
   }
 }
 
+// A host that sends few requests would be refused by each overloaded endpoint in turn.
+TEST(ExchangeBackoff, EndpointInBackoffForOtherHostsIsUsedLast)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_reportedBackoffs.OnNotice({ peers::KeyOf("a"), 1, 3000 }, now);
+  for (int i = 0; i < 20; ++i) {
+    SendRequest("/once/x");
+  }
+  CHECK(SentTo("a") > 0); // it may have room for other hosts than one
+  const std::size_t before = SentTo("a");
+  m_core.m_reportedBackoffs.OnNotice({ peers::KeyOf("a"), 2, 3000 }, now);
+  for (int i = 0; i < 20; ++i) {
+    SendRequest("/once/x");
+  }
+  LONGS_EQUAL(before, SentTo("a"));
+  m_core.m_directory.MarkGone("b");
+  CHECK_FALSE(SendRequest("/once/x")->m_finished);
+  LONGS_EQUAL(before + 1, SentTo("a"));
+}
+
+TEST(ExchangeBackoff, RefusalsAreReportedToOtherHosts)
+{
+  m_core.m_options.m_hostKey = 17;
+  SendRequest("/once/x");
+  const std::string endpoint = RefuseLastCall("2.5");
+  const auto notices = m_core.m_reportedBackoffs.Notices(base::MonotonicNow());
+  LONGS_EQUAL(1, notices.size());
+  CHECK(notices.at(0).m_endpoint == peers::KeyOf(endpoint));
+  LONGS_EQUAL(17, notices.at(0).m_host);
+  CHECK(notices.at(0).m_endsInMillis > 2400 && notices.at(0).m_endsInMillis <= 2500);
+}
+
 TEST(ExchangeBackoff, EngineInBackoffIsNotAssigned)
 {
   m_dispatcher.emplace(m_core, *m_peerExchange);
--- a/src/ferrytray/relay/permit_client_test.cpp
+++ b/src/ferrytray/relay/permit_client_test.cpp
@@ -35,7 +35,8 @@
                    m_core.m_reloads,
                    m_core.m_crashes,
                    m_core.m_endpointLimits,
-                   m_core.m_announcedLeaving },
+                   m_core.m_announcedLeaving,
+                   m_core.m_reportedBackoffs },
                  OptionsOf(aName, aZone))
     , m_permits(m_core, m_exchange)
   {
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -4,6 +4,7 @@
 #include <map>     // for map
 #include <utility> // for exchange, move
 
+#include "ferrytray/base/digest.hpp"            // for Hash64
 #include "ferrytray/relay/endpoint_signals.hpp" // for BackoffEndsAt
 #include "ferrytray/telemetry/log_line.hpp"     // for LogLine
 
@@ -58,7 +59,8 @@
                      m_core.m_reloads,
                      m_core.m_crashes,
                      m_core.m_endpointLimits,
-                     m_core.m_announcedLeaving },
+                     m_core.m_announcedLeaving,
+                     m_core.m_reportedBackoffs },
                    WithTopic(m_options.m_peers, aPorts.m_records))
   , m_dispatcher(m_core, m_peerExchange)
   , m_permitClient(m_core, m_peerExchange)
@@ -86,6 +88,7 @@
     m_peerExchange.AddTopic(std::move(topic));
   }
   m_peerExchange.AddTopic(m_quarantine.Topic());
+  m_core.m_options.m_hostKey = base::Hash64("host", m_options.m_peers.m_name);
   m_core.m_dispatcher = &m_dispatcher;
   m_core.m_permitClient = &m_permitClient;
   m_core.m_onEndpointReplaced = [this](const std::string& aIncarnation) {
--- a/tests/support/news_fixture.hpp
+++ b/tests/support/news_fixture.hpp
@@ -57,7 +57,9 @@
 
   peers::SharedState State()
   {
-    return { m_stores, m_peerLoads, m_reloads, m_crashes, m_limits, m_announcedLeaving };
+    return {
+      m_stores, m_peerLoads, m_reloads, m_crashes, m_limits, m_announcedLeaving, m_backoffs
+    };
   }
   bool MayFetch() { return m_stores.at(kStore).MayFetch(kPart, base::MonotonicNow()); }
 
@@ -68,6 +70,7 @@
   quarantine::CrashTracker m_crashes;
   limits::EndpointLimits m_limits;
   peers::IncarnationTable m_announcedLeaving;
+  peers::BackoffTable m_backoffs;
   peers::EndpointLoads m_localLoads;
   bool m_isReader = false;
   peers::PeerExchange m_exchange;
--- a/tests/support/peer_host_fixture.hpp
+++ b/tests/support/peer_host_fixture.hpp
@@ -46,7 +46,8 @@
                                                m_core.m_reloads,
                                                m_core.m_crashes,
                                                m_core.m_endpointLimits,
-                                               m_core.m_announcedLeaving },
+                                               m_core.m_announcedLeaving,
+                                               m_core.m_reportedBackoffs },
                            options);
     m_peerExchange->SetOwnLoadsProvider([] { return peers::EndpointLoads{}; });
   }
