--- a/include/ferrytray/control/swap_planner.hpp
+++ b/include/ferrytray/control/swap_planner.hpp
@@ -19,7 +19,7 @@
   bool m_swapping = false;
   bool m_leaving = false;
   std::uint32_t m_queuedMillis = 0;
-  bool m_inBackoff = false; ///< wants no messages now: gets no order
+  bool m_inBackoff = false; ///< has requested a backoff: gets no order
 };
 
 /// @brief Order to run a version. Idempotent, since it names the target version.
--- a/include/ferrytray/limits/endpoint_backoffs.hpp
+++ b/include/ferrytray/limits/endpoint_backoffs.hpp
@@ -18,9 +18,9 @@
   /// Window of open requests when a backoff has ended. Each answer that requests no further backoff
   /// adds one.
   std::uint32_t m_initialWindow = 2;
-  /// With a window of this size, the endpoint is treated as any other one.
+  /// The slow start ends with a window of this size.
   std::uint32_t m_fullWindow = 16;
-  /// How long after the end of its backoff an endpoint has a window at most.
+  /// Maximum duration of the slow start.
   base::Duration m_maxRampTime = std::chrono::seconds(5);
   /// Endpoints kept at a time; further ones are dropped to bound memory.
   std::size_t m_maxEntries = 16384;
@@ -37,9 +37,10 @@
 /// @brief Backoffs that endpoints request from this host in their refusals (Retry-After). Does no
 /// I/O.
 ///
-/// An endpoint gets no request of this host until the latest of the times that it has named. Then
-/// others are preferred to it while it has a window of open requests, which grows with its answers
-/// (slow start): all hosts that it has refused at the same time return at the same time.
+/// An endpoint gets no request of this host until the latest of the times that it has named. After
+/// that it has a window of open requests which grows with its answers (slow start), since all hosts
+/// that it refused at the same time return at the same time. With a full window, other endpoints
+/// are preferred.
 class EndpointBackoffs
 {
 public:
--- a/include/ferrytray/peers/backoff_table.hpp
+++ b/include/ferrytray/peers/backoff_table.hpp
@@ -39,7 +39,7 @@
 
 /// @brief Endpoints that have requested backoffs from several hosts. Does no I/O.
 ///
-/// An endpoint in need refuses each host separately. A host that sends a request only every few
+/// An overloaded endpoint refuses each host separately. A host that sends a request only every few
 /// seconds would be refused by each such endpoint in turn, and its retries would use up the retry
 /// budget. The report of one host does not suffice: the endpoint may have room for others.
 class BackoffTable
--- a/include/ferrytray/peers/incarnation_table.hpp
+++ b/include/ferrytray/peers/incarnation_table.hpp
@@ -10,8 +10,8 @@
 
 namespace ferrytray::peers {
 
-/// @brief Hash of an incarnation. What is noted of an incarnation is final, so the key is wider
-/// than an EndpointTag: among 3,000 endpoints two share a key with a probability of 10^-12.
+/// @brief Hash of an incarnation. Notices on an incarnation are final, so the key is wider than an
+/// EndpointTag: among 3,000 endpoints two share a key with a probability of 10^-12.
 using IncarnationKey = std::uint64_t;
 
 IncarnationKey KeyOf(std::string_view aIncarnation);
--- a/include/ferrytray/relay/endpoint_call.hpp
+++ b/include/ferrytray/relay/endpoint_call.hpp
@@ -46,7 +46,7 @@
   /// Requests per second that the endpoint accepts from all hosts together; empty: no limit named.
   std::optional<double> m_requestLimit;
   bool m_invalidRequestLimit = false; ///< a limit was named that is no valid number
-  bool m_leaving = false;             ///< the endpoint announces that it shuts down
+  bool m_leaving = false;             ///< the endpoint announces its shutdown
   bool m_invalidLeaving = false;      ///< the announcement has an unknown value
   /// With a refusal: how long the endpoint wants no request of this host; empty: not requested.
   std::optional<base::Duration> m_retryAfter;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -78,8 +78,8 @@
   std::size_t m_maxReplyBytes = 16U << 20U;
 };
 
-/// An endpoint may serve for minutes after the announcement. Directories list it again after an
-/// outage of the record log, which takes longer than it takes a notice to reach all hosts.
+/// Notices reach all hosts within a second. They are kept longer, since the endpoint's entry may be
+/// read again after an outage of the record log.
 inline constexpr peers::IncarnationTableOptions kLeavingNotices{ std::chrono::seconds(5),
                                                                  std::chrono::minutes(30) };
 
@@ -147,7 +147,7 @@
   /// began then, at this host or at the host that forwards the records.
   std::optional<base::TimePoint> m_operatorsReadAt;
   std::size_t m_openExchanges = 0;           ///< exchanges that have not finished
-  base::TimePoint m_nextInvalidHeaderLine{}; ///< earliest time of the next log line on one
+  base::TimePoint m_nextInvalidHeaderLine{}; ///< when the next one may be logged
   bool m_stopping = false;                   ///< a planned shutdown has begun
   bool m_refusesNewRequests = false; ///< late phase of the shutdown: new requests are refused
 
--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -84,8 +84,8 @@
   void AddDuty(LeasedDuty& aDuty) { m_duties.push_back(&aDuty); }
   /// @brief Sets the callback for each planned reload; called again when its expected end changes.
   void OnReload(std::function<void(const PlannedReload&)> aCall) { m_onReload = std::move(aCall); }
-  /// @brief Sets the function that returns whether an incarnation wants no messages of this host
-  /// now. Its order waits meanwhile, unless the roll-out is late. If unset: none does.
+  /// @brief Sets the function that returns whether an engine is in backoff. Its order waits for the
+  /// end of the backoff, unless the roll-out is late. If unset: none is.
   void SetBackoffFunction(std::function<bool(const std::string& aIncarnation)> aIsInBackoff)
   {
     m_isInBackoff = std::move(aIsInBackoff);
--- a/src/ferrytray/relay/exchange_backoff_test.cpp
+++ b/src/ferrytray/relay/exchange_backoff_test.cpp
@@ -3,9 +3,7 @@
 #include <cstdlib>   // for strtod
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
-#include "ferrytray/relay/permit_client.hpp"     // for PermitClient
-#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
-#include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
+#include "tests/support/send_path_fixture.hpp"   // for SendPathFixture
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -14,41 +12,31 @@
 using net::WireEnd;
 using support::kLongPromptTokens;
 
-TEST_GROUP_BASE(ExchangeBackoff, support::PeerHostFixture)
+TEST_GROUP_BASE(ExchangeBackoff,
+                support::SendPathFixture){ /// @return the endpoint
+                                           std::string RefuseLastCall(const char* aDelay = "3"){
+                                             const std::string endpoint = SentHeader("to");
+m_client.Head(503, { { "not-run", "1" }, { "retry-after", aDelay } });
+m_client.End(WireEnd::Complete);
+return endpoint;
+}
+void BackOff(const char* aEndpoint, base::Duration aDelay)
 {
-  std::optional<relay::PromptDispatcher> m_dispatcher;
-  std::optional<relay::PermitClient> m_permitClient;
-
-  void setup() override
-  {
-    support::PeerHostFixture::setup();
-    StartPeerExchange(9);
-  }
-
-  /// @return the endpoint
-  std::string RefuseLastCall(const char* aDelay = "3")
-  {
-    const std::string endpoint = SentHeader("to");
-    m_client.Head(503, { { "not-run", "1" }, { "retry-after", aDelay } });
-    m_client.End(WireEnd::Complete);
-    return endpoint;
-  }
-  void BackOff(const char* aEndpoint, base::Duration aDelay)
-  {
-    m_core.m_endpointBackoffs.OnRefused(peers::KeyOf(aEndpoint), aDelay, base::MonotonicNow());
-  }
-  [[nodiscard]] std::size_t SentTo(const std::string& aEndpoint) const
-  {
-    return static_cast<std::size_t>(
-      std::count_if(m_client.m_calls.begin(), m_client.m_calls.end(), [&](const auto& aCall) {
-        return aCall.m_request.m_url == aEndpoint + ":1";
-      }));
-  }
-  static double RetryAfter(const support::FakeReply& aReply)
-  {
-    return std::strtod(aReply.Header("retry-after").c_str(), nullptr);
-  }
-};
+  m_core.m_endpointBackoffs.OnRefused(peers::KeyOf(aEndpoint), aDelay, base::MonotonicNow());
+}
+[[nodiscard]] std::size_t SentTo(const std::string& aEndpoint) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_client.m_calls.begin(), m_client.m_calls.end(), [&](const auto& aCall) {
+      return aCall.m_request.m_url == aEndpoint + ":1";
+    }));
+}
+static double RetryAfter(const support::FakeReply& aReply)
+{
+  return std::strtod(aReply.Header("retry-after").c_str(), nullptr);
+}
+}
+;
 
 // Hosts returned every 150 ms to endpoints that had asked for 3 s.
 TEST(ExchangeBackoff, EndpointGetsNoRequestsDuringItsDelay)
@@ -222,11 +210,7 @@
 
 TEST(ExchangeBackoff, DispatcherIsToldOfTheBackoffsOfTheRequestingHost)
 {
-  AddStrongHost();
-  StartPeerExchange(0);
-  m_dispatcher.emplace(m_core, *m_peerExchange);
-  AwaitHosts();
-  m_core.m_dispatcher = &*m_dispatcher;
+  UseRemoteDispatcher();
   BackOff("a", 3s);
   SendRequest("/stream/x", "k", "long");
   const auto request = peers::DecodePlacementRequest(m_client.m_calls.back().m_request.m_body);
@@ -238,35 +222,19 @@
 // Another host chose the engine, and was not asked to back off.
 TEST(ExchangeBackoff, AssignedEngineIsNotUsed)
 {
-  AddStrongHost();
-  StartPeerExchange(0);
-  m_dispatcher.emplace(m_core, *m_peerExchange);
-  AwaitHosts();
-  m_core.m_dispatcher = &*m_dispatcher;
+  UseRemoteDispatcher();
   SendRequest("/stream/x", "k", "long");
   BackOff("a", 3s); // by another answer, while the dispatcher is asked
-  m_client.Head(200, {});
-  m_client.Data(peers::Encode(peers::PlacementReply{ "a", "", true, false }));
-  m_client.End(WireEnd::Complete);
+  AssignEngine("a");
   STRCMP_EQUAL("b", SentHeader("to").c_str());
 }
 
 TEST(ExchangeBackoff, EndpointIsCheckedAgainAfterWaitingForAPermit)
 {
-  AddStrongHost();
-  StartPeerExchange(0, 1);
-  m_permitClient.emplace(m_core, *m_peerExchange);
-  AwaitHosts();
-  m_core.m_permitClient = &*m_permitClient;
-  const base::TimePoint now = base::MonotonicNow();
-  m_core.m_endpointLimits.OnAnswer(peers::KeyOf("a"), 2.5, now, now);
-  m_core.m_directory.MarkGone("b");
-  const auto reply = SendRequest("/once/x");
+  const auto reply = SendRequestThatNeedsPermit();
   LONGS_EQUAL(1, m_client.m_calls.size()); // the request for a permit
   BackOff("a", 3s);
-  m_client.Head(200, {});
-  m_client.Data(peers::Encode(peers::PermitReply{ 1, false, 0 }));
-  m_client.End(WireEnd::Complete);
+  GrantPermit();
   LONGS_EQUAL(1, m_client.m_calls.size());
   LONGS_EQUAL(503, reply->m_status);
 }
--- a/src/ferrytray/relay/exchange_leaving_test.cpp
+++ b/src/ferrytray/relay/exchange_leaving_test.cpp
@@ -1,9 +1,7 @@
 // Endpoints that announce their shutdown in an answer, while the directory lists them as usable.
 #include <algorithm> // for any_of
 
-#include "ferrytray/relay/permit_client.hpp"     // for PermitClient
-#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
-#include "tests/support/peer_host_fixture.hpp"   // for PeerHostFixture
+#include "tests/support/send_path_fixture.hpp" // for SendPathFixture
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -11,33 +9,21 @@
 using namespace std::chrono_literals;
 using net::WireEnd;
 
-TEST_GROUP_BASE(ExchangeLeaving, support::PeerHostFixture)
-{
-  std::optional<relay::PromptDispatcher> m_dispatcher;
-  std::optional<relay::PermitClient> m_permitClient;
-
-  void setup() override
-  {
-    support::PeerHostFixture::setup();
-    StartPeerExchange(9);
-  }
-
+TEST_GROUP_BASE(ExchangeLeaving, support::SendPathFixture){
   /// @return the endpoint
-  std::string AnswerLastCallAsLeaving()
-  {
-    const std::string endpoint = SentHeader("to");
-    m_client.Head(200, { { "leaving", "1" } });
-    m_client.End(WireEnd::Complete);
-    return endpoint;
-  }
-  [[nodiscard]] bool WasSentTo(const std::string& aEndpoint, std::size_t aSinceCall) const
-  {
-    return std::any_of(
-      m_client.m_calls.begin() + static_cast<std::ptrdiff_t>(aSinceCall),
-      m_client.m_calls.end(),
-      [&](const auto& aCall) { return aCall.m_request.m_url == aEndpoint + ":1"; });
-  }
-};
+  std::string AnswerLastCallAsLeaving(){ const std::string endpoint = SentHeader("to");
+m_client.Head(200, { { "leaving", "1" } });
+m_client.End(WireEnd::Complete);
+return endpoint;
+}
+[[nodiscard]] bool WasSentTo(const std::string& aEndpoint, std::size_t aSinceCall) const
+{
+  return std::any_of(m_client.m_calls.begin() + static_cast<std::ptrdiff_t>(aSinceCall),
+                     m_client.m_calls.end(),
+                     [&](const auto& aCall) { return aCall.m_request.m_url == aEndpoint + ":1"; });
+}
+}
+;
 
 // Hosts sent to an endpoint until its entry changed, which took 13 s during an outage of the log.
 TEST(ExchangeLeaving, GetsNoNewRequests)
@@ -121,35 +107,19 @@
 // Another host chose the engine, and does not know of the announcement.
 TEST(ExchangeLeaving, AssignedEngineIsNotUsed)
 {
-  AddStrongHost();
-  StartPeerExchange(0);
-  m_dispatcher.emplace(m_core, *m_peerExchange);
-  AwaitHosts();
-  m_core.m_dispatcher = &*m_dispatcher;
+  UseRemoteDispatcher();
   SendRequest("/stream/x", "k", "long");
   m_core.m_directory.MarkLeaving("a"); // by another answer, while the dispatcher is asked
-  m_client.Head(200, {});
-  m_client.Data(peers::Encode(peers::PlacementReply{ "a", "", true, false }));
-  m_client.End(WireEnd::Complete);
+  AssignEngine("a");
   STRCMP_EQUAL("b", SentHeader("to").c_str());
 }
 
 TEST(ExchangeLeaving, EndpointIsCheckedAgainAfterWaitingForAPermit)
 {
-  AddStrongHost();
-  StartPeerExchange(0, 1);
-  m_permitClient.emplace(m_core, *m_peerExchange);
-  AwaitHosts();
-  m_core.m_permitClient = &*m_permitClient;
-  const base::TimePoint now = base::MonotonicNow();
-  m_core.m_endpointLimits.OnAnswer(peers::KeyOf("a"), 2.5, now, now);
-  m_core.m_directory.MarkGone("b");
-  const auto reply = SendRequest("/once/x");
+  const auto reply = SendRequestThatNeedsPermit();
   LONGS_EQUAL(1, m_client.m_calls.size()); // the request for a permit
   m_core.m_directory.MarkLeaving("a");
-  m_client.Head(200, {});
-  m_client.Data(peers::Encode(peers::PermitReply{ 1, false, 0 }));
-  m_client.End(WireEnd::Complete);
+  GrantPermit();
   LONGS_EQUAL(1, m_client.m_calls.size());
   LONGS_EQUAL(503, reply->m_status);
 }
