Net: options and outcome of a call in a file of their own; calls that only connect

SetOptions() and OutcomeOf() need nothing of the client; they move unchanged. New: ClientRequest::m_connectOnly opens a connection, sends nothing and closes it (CURLOPT_CONNECT_ONLY), for probes that must not cost a request.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -25,6 +25,8 @@
   /// Opens a new connection and does not reuse it, so that libcurl never resends the request
   /// (it does so when a reused connection closes before the first reply byte).
   bool m_freshConnection = false;
+  /// Only opens a connection, sends nothing and closes it. Complete: it was established.
+  bool m_connectOnly = false;
   /// Allows a reused connection, but fails the request instead of sending it a second time.
   bool m_sendOnce = false;
   /// Connections idle for longer are not reused (whole seconds; zero: libcurl's default).
--- /dev/null
+++ b/src/ferrytray/net/curl_call.cpp
@@ -0,0 +1,112 @@
+#include "ferrytray/net/curl_call.hpp"
+
+#include <netinet/in.h>  // for IPPROTO_TCP
+#include <netinet/tcp.h> // for TCP_USER_TIMEOUT
+#include <sys/socket.h>  // for setsockopt
+
+namespace ferrytray::net {
+
+namespace {
+
+// Small, so that thousands of open streams fit in an entry host's memory.
+constexpr long kReceiveBufferBytes = 4096;
+// Keep-alive probes of a connection on which only the peer has data to send (seconds, count).
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
+{
+  const auto& call = *static_cast<const CurlCall*>(aCall);
+  const auto set = [aSocket](int aLevel, int aName, int aValue) {
+    setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
+  };
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(call.m_peerTimeoutMillis));
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  return CURL_SOCKOPT_OK;
+}
+
+} // namespace
+
+void SetOptions(CurlCall& aCall, const ClientRequest& aRequest)
+{
+  CURL* easy = aCall.m_easy;
+  for (const auto& [name, value] : aRequest.m_headers) {
+    aCall.m_headerList = curl_slist_append(aCall.m_headerList, (name + ": " + value).c_str());
+  }
+  // Disables "Expect: 100-continue", which would add a round trip to every larger prompt.
+  aCall.m_headerList = curl_slist_append(aCall.m_headerList, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_URL, aRequest.m_url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.m_method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.m_headerList);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, base::ToMillis(aRequest.m_connectTimeout));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, base::ToMillis(aRequest.m_timeout));
+  if (!aRequest.m_target.empty()) {
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, aRequest.m_target.c_str());
+  }
+  aCall.m_sendOnce = aRequest.m_sendOnce;
+  const auto idle = std::chrono::duration_cast<std::chrono::seconds>(aRequest.m_maxIdle);
+  if (idle.count() > 0) {
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(idle.count()));
+  }
+  aCall.m_peerTimeoutMillis = base::ToMillis(aRequest.m_peerTimeout);
+  if (aCall.m_peerTimeoutMillis > 0) {
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &aCall);
+  }
+  if (aRequest.m_freshConnection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (aRequest.m_connectOnly) {
+    curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
+  }
+  const bool hasBody = !aCall.m_body.empty() || aRequest.m_method != "GET";
+  if (hasBody) {
+    const auto size = static_cast<curl_off_t>(aCall.m_body.size());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, size);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, aCall.m_body.c_str());
+  }
+}
+
+ClientOutcome OutcomeOf(const CurlCall& aCall, CURLcode aResult)
+{
+  ClientOutcome outcome;
+  long status = 0;
+  curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
+  outcome.m_status = static_cast<int>(status);
+  outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
+  outcome.m_detail = curl_easy_strerror(aResult);
+  outcome.m_etag = aCall.m_etag;
+  outcome.m_retryAfter = aCall.m_retryAfter;
+  if (aResult == CURLE_OK) {
+    outcome.m_end = WireEnd::Complete;
+  } else if (aCall.m_receivedBytes) {
+    outcome.m_end = WireEnd::BrokenReply;
+  } else if (aCall.m_sends > 0) {
+    outcome.m_end = WireEnd::NoReply;
+  } else {
+    outcome.m_end = WireEnd::NotSent;
+  }
+  return outcome;
+}
+
+std::uint64_t BytesOf(const CurlCall& aCall)
+{
+  curl_off_t down = 0;
+  long headers = 0;
+  long request = 0;
+  curl_easy_getinfo(aCall.m_easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+  curl_easy_getinfo(aCall.m_easy, CURLINFO_HEADER_SIZE, &headers);
+  curl_easy_getinfo(aCall.m_easy, CURLINFO_REQUEST_SIZE, &request);
+  return static_cast<std::uint64_t>(down + headers + request);
+}
+
+} // namespace ferrytray::net
--- /dev/null
+++ b/src/ferrytray/net/curl_call.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string> // for string
+
+#include <curl/curl.h> // for CURL, curl_slist
+
+#include "ferrytray/net/http_client.hpp" // for CallId, ClientEvents, ClientOutcome, ClientRequest
+
+namespace ferrytray::net {
+
+/// @brief A request of the HTTP client and what has been received of its reply.
+struct CurlCall
+{
+  CallId m_id = 0;
+  CURL* m_easy = nullptr;
+  curl_slist* m_headerList = nullptr;
+  std::string m_body;
+  ClientEvents m_events;
+  bool m_statusReported = false;
+  bool m_receivedBytes = false;
+  bool m_headReported = false;
+  bool m_sendOnce = false;
+  int m_sends = 0;
+  long m_peerTimeoutMillis = 0;
+  std::string m_etag;
+  std::string m_retryAfter;
+  Headers m_headers;
+};
+
+/// @brief Sets the options of a call's handle that do not refer to the client.
+void SetOptions(CurlCall& aCall, const ClientRequest& aRequest);
+
+/// @brief Describes how a finished call ended.
+[[nodiscard]] ClientOutcome OutcomeOf(const CurlCall& aCall, CURLcode aResult);
+
+/// @brief Bytes of the request and its reply, headers included.
+[[nodiscard]] std::uint64_t BytesOf(const CurlCall& aCall);
+
+} // namespace ferrytray::net
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -1,16 +1,15 @@
 #include "ferrytray/net/http_client.hpp"
 
-#include <algorithm>     // for min
-#include <map>           // for map
-#include <netinet/tcp.h> // for TCP_USER_TIMEOUT
-#include <strings.h>     // for strcasecmp
-#include <sys/socket.h>  // for setsockopt
-#include <utility>       // for move
+#include <algorithm> // for min
+#include <map>       // for map
+#include <strings.h> // for strcasecmp
+#include <utility>   // for move
 
 #include <asio/post.hpp>         // for post
 #include <asio/steady_timer.hpp> // for steady_timer
 #include <curl/curl.h>           // for curl_easy_*, curl_multi_*
 
+#include "ferrytray/net/curl_call.hpp"    // for CurlCall, SetOptions
 #include "ferrytray/net/curl_sockets.hpp" // for CurlSockets
 #include "ferrytray/net/loop_impl.hpp"    // for LoopImpl
 
@@ -18,32 +17,9 @@
 
 namespace {
 
-// Small, so that thousands of open streams fit in an entry host's memory.
-constexpr long kReceiveBufferBytes = 4096;
 constexpr long kMaxIdleConnections = 512;
-// Keep-alive probes of a connection on which only the peer has data to send (seconds, count).
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
 constexpr int kFirstFinalStatus = 200;
 
-struct Call
-{
-  CallId m_id = 0;
-  CURL* m_easy = nullptr;
-  curl_slist* m_headerList = nullptr;
-  std::string m_body;
-  ClientEvents m_events;
-  bool m_statusReported = false;
-  bool m_receivedBytes = false;
-  bool m_headReported = false;
-  bool m_sendOnce = false;
-  int m_sends = 0;
-  long m_peerTimeoutMillis = 0;
-  std::string m_etag;
-  std::string m_retryAfter;
-  Headers m_headers;
-};
-
 class CurlClient final : public HttpClient
 {
 public:
@@ -73,12 +49,13 @@
 
   CallId Start(ClientRequest aRequest, ClientEvents aEvents) override
   {
-    auto call = std::make_unique<Call>();
+    auto call = std::make_unique<CurlCall>();
     call->m_id = ++m_lastCallId;
     call->m_easy = curl_easy_init();
     call->m_body = std::move(aRequest.m_body);
     call->m_events = std::move(aEvents);
-    Prepare(*call, aRequest);
+    SetOptions(*call, aRequest);
+    SetCallbacks(*call);
     const CallId id = call->m_id;
     m_calls.emplace(id, std::move(call));
     if (m_inCallback) {
@@ -102,7 +79,7 @@
       asio::post(m_context, [this, aCall] { Cancel(aCall); });
       return;
     }
-    const std::unique_ptr<Call> call = std::move(found->second);
+    const std::unique_ptr<CurlCall> call = std::move(found->second);
     m_calls.erase(found);
     Release(*call);
   }
@@ -110,17 +87,6 @@
   [[nodiscard]] std::uint64_t BytesTransferred() const override { return m_bytes; }
 
 private:
-  void CountBytes(const Call& aCall)
-  {
-    curl_off_t down = 0;
-    long headers = 0;
-    long request = 0;
-    curl_easy_getinfo(aCall.m_easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
-    curl_easy_getinfo(aCall.m_easy, CURLINFO_HEADER_SIZE, &headers);
-    curl_easy_getinfo(aCall.m_easy, CURLINFO_REQUEST_SIZE, &request);
-    m_bytes += static_cast<std::uint64_t>(down + headers + request);
-  }
-
   void AddToMulti(CallId aId)
   {
     const auto found = m_calls.find(aId);
@@ -129,63 +95,25 @@
     }
   }
 
-  void Prepare(Call& aCall, const ClientRequest& aRequest)
+  static void SetCallbacks(CurlCall& aCall)
   {
     CURL* easy = aCall.m_easy;
-    for (const auto& [name, value] : aRequest.m_headers) {
-      aCall.m_headerList = curl_slist_append(aCall.m_headerList, (name + ": " + value).c_str());
-    }
-    // Disables "Expect: 100-continue", which would add a round trip to every larger prompt.
-    aCall.m_headerList = curl_slist_append(aCall.m_headerList, "Expect:");
-    curl_easy_setopt(easy, CURLOPT_URL, aRequest.m_url.c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.m_method.c_str());
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.m_headerList);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
-    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, base::ToMillis(aRequest.m_connectTimeout));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, base::ToMillis(aRequest.m_timeout));
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aCall);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlClient::OnSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aCall);
-    if (!aRequest.m_target.empty()) {
-      curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, aRequest.m_target.c_str());
-    }
-    aCall.m_sendOnce = aRequest.m_sendOnce;
-    const auto idle = std::chrono::duration_cast<std::chrono::seconds>(aRequest.m_maxIdle);
-    if (idle.count() > 0) {
-      curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(idle.count()));
-    }
-    aCall.m_peerTimeoutMillis = base::ToMillis(aRequest.m_peerTimeout);
-    if (aCall.m_peerTimeoutMillis > 0) {
-      curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlClient::OnSocketCreated);
-      curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &aCall);
-    }
-    if (aRequest.m_freshConnection) {
-      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
-    const bool hasBody = !aCall.m_body.empty() || aRequest.m_method != "GET";
-    if (hasBody) {
-      const auto size = static_cast<curl_off_t>(aCall.m_body.size());
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, size);
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, aCall.m_body.c_str());
-    }
   }
 
-  void Release(Call& aCall)
+  void Release(CurlCall& aCall)
   {
     curl_multi_remove_handle(m_multi, aCall.m_easy);
     curl_easy_cleanup(aCall.m_easy);
     curl_slist_free_all(aCall.m_headerList);
   }
 
-  void ReportStatus(Call& aCall)
+  void ReportStatus(CurlCall& aCall)
   {
     if (aCall.m_statusReported) {
       return;
@@ -200,7 +128,7 @@
 
   static std::size_t OnHeader(char* aLine, std::size_t aSize, std::size_t aCount, void* aCall)
   {
-    auto& call = *static_cast<Call*>(aCall);
+    auto& call = *static_cast<CurlCall*>(aCall);
     call.m_receivedBytes = true;
     std::string_view line(aLine, aSize * aCount);
     line = line.substr(0, line.find_last_not_of("\r\n") + 1);
@@ -218,7 +146,7 @@
     return aSize * aCount;
   }
 
-  static void StoreHeader(Call& aCall)
+  static void StoreHeader(CurlCall& aCall)
   {
     const auto& [name, value] = aCall.m_headers.back();
     if (strcasecmp(name.c_str(), "etag") == 0) {
@@ -228,7 +156,7 @@
     }
   }
 
-  void ReportHead(Call& aCall)
+  void ReportHead(CurlCall& aCall)
   {
     long status = 0;
     curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
@@ -245,28 +173,14 @@
   /// Called before every send, including a resend by libcurl itself.
   static int OnSend(void* aCall, char*, char*, int, int)
   {
-    auto& call = *static_cast<Call*>(aCall);
+    auto& call = *static_cast<CurlCall*>(aCall);
     ++call.m_sends;
     return call.m_sendOnce && call.m_sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   }
 
-  static int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
-  {
-    const auto& call = *static_cast<const Call*>(aCall);
-    const auto set = [aSocket](int aLevel, int aName, int aValue) {
-      setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
-    };
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(call.m_peerTimeoutMillis));
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-    return CURL_SOCKOPT_OK;
-  }
-
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aCall)
   {
-    auto& call = *static_cast<Call*>(aCall);
+    auto& call = *static_cast<CurlCall*>(aCall);
     CurlClient& self = *s_current;
     self.m_inCallback = true;
     self.ReportStatus(call);
@@ -320,7 +234,7 @@
       }
       char* privateData = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &privateData);
-      const auto* raw = reinterpret_cast<Call*>(privateData);
+      const auto* raw = reinterpret_cast<CurlCall*>(privateData);
       Finish(raw->m_id, message->data.result);
     }
   }
@@ -328,10 +242,10 @@
   void Finish(CallId aId, CURLcode aResult)
   {
     const auto found = m_calls.find(aId);
-    const std::unique_ptr<Call> call = std::move(found->second);
+    const std::unique_ptr<CurlCall> call = std::move(found->second);
     m_calls.erase(found);
     const ClientOutcome outcome = OutcomeOf(*call, aResult);
-    CountBytes(*call);
+    m_bytes += BytesOf(*call);
     if (outcome.m_status != 0) {
       ReportStatus(*call);
     }
@@ -341,28 +255,6 @@
     }
   }
 
-  static ClientOutcome OutcomeOf(const Call& aCall, CURLcode aResult)
-  {
-    ClientOutcome outcome;
-    long status = 0;
-    curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
-    outcome.m_status = static_cast<int>(status);
-    outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
-    outcome.m_detail = curl_easy_strerror(aResult);
-    outcome.m_etag = aCall.m_etag;
-    outcome.m_retryAfter = aCall.m_retryAfter;
-    if (aResult == CURLE_OK) {
-      outcome.m_end = WireEnd::Complete;
-    } else if (aCall.m_receivedBytes) {
-      outcome.m_end = WireEnd::BrokenReply;
-    } else if (aCall.m_sends > 0) {
-      outcome.m_end = WireEnd::NoReply;
-    } else {
-      outcome.m_end = WireEnd::NotSent;
-    }
-    return outcome;
-  }
-
   // libcurl passes only the call to its callbacks. All clients of a thread share its event loop.
   static thread_local CurlClient* s_current;
 
@@ -372,7 +264,7 @@
   CallId m_lastCallId = 0;
   std::uint64_t m_bytes = 0;
   bool m_inCallback = false;
-  std::map<CallId, std::unique_ptr<Call>> m_calls;
+  std::map<CallId, std::unique_ptr<CurlCall>> m_calls;
   CurlSockets m_sockets;
 };
 
