Relay: whether this host reaches any endpoint is observed and logged

The logs of the incident do not tell whether a host knew that it reached no endpoint. routing::ReachabilityMonitor decides that from connects and answers; relay::ReachabilityProber opens connections to a few endpoints of different zones while it is unknown. Each change is logged (event=endpoints_reachability) and a gauge is set. No request is handled differently yet.

--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -31,6 +31,7 @@
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
 #include "ferrytray/routing/cold_starts.hpp"       // for ColdStarts
 #include "ferrytray/routing/endpoint_tracker.hpp"  // for EndpointTracker
+#include "ferrytray/routing/reachability.hpp"      // for ReachabilityMonitor
 #include "ferrytray/store/unreadable_records.hpp"  // for UnreadableRecords
 #include "ferrytray/telemetry/metrics.hpp"         // for Metrics
 
@@ -106,6 +107,7 @@
   fleet::ConfigurationPtr m_configuration; ///< null until the first one is read
   fleet::Directory m_directory;
   routing::EndpointTracker m_endpointTracker;
+  routing::ReachabilityMonitor m_reachability;
   routing::ColdStarts m_coldStarts;
   /// Whether this host is among the first aFirst hosts by a hash of aName; false while the other
   /// hosts are unknown. If unset: false.
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -3,19 +3,20 @@
 #include <functional> // for function
 #include <memory>     // for unique_ptr
 
-#include "ferrytray/base/error.hpp"              // for Result
-#include "ferrytray/net/http_server.hpp"         // for HttpServer
-#include "ferrytray/peers/peer_exchange.hpp"     // for PeerExchange
-#include "ferrytray/relay/permit_client.hpp"     // for PermitClient
-#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
-#include "ferrytray/relay/quarantine_feed.hpp"   // for QuarantineFeed
-#include "ferrytray/relay/relay_core.hpp"        // for RelayCore
-#include "ferrytray/relay/relay_front.hpp"       // for RelayFront
-#include "ferrytray/relay/state_feeds.hpp"       // for StateFeeds
-#include "ferrytray/relay/store_watch.hpp"       // for StoreWatch
-#include "ferrytray/relay/upkeep_duty.hpp"       // for UpkeepDuty, PartFreer
-#include "ferrytray/rollout/rollout_driver.hpp"  // for RolloutDriver
-#include "ferrytray/store/metered_log.hpp"       // for MeteredLog
+#include "ferrytray/base/error.hpp"                // for Result
+#include "ferrytray/net/http_server.hpp"           // for HttpServer
+#include "ferrytray/peers/peer_exchange.hpp"       // for PeerExchange
+#include "ferrytray/relay/permit_client.hpp"       // for PermitClient
+#include "ferrytray/relay/prompt_dispatcher.hpp"   // for PromptDispatcher
+#include "ferrytray/relay/quarantine_feed.hpp"     // for QuarantineFeed
+#include "ferrytray/relay/reachability_prober.hpp" // for ReachabilityProber
+#include "ferrytray/relay/relay_core.hpp"          // for RelayCore
+#include "ferrytray/relay/relay_front.hpp"         // for RelayFront
+#include "ferrytray/relay/state_feeds.hpp"         // for StateFeeds
+#include "ferrytray/relay/store_watch.hpp"         // for StoreWatch
+#include "ferrytray/relay/upkeep_duty.hpp"         // for UpkeepDuty, PartFreer
+#include "ferrytray/rollout/rollout_driver.hpp"    // for RolloutDriver
+#include "ferrytray/store/metered_log.hpp"         // for MeteredLog
 
 namespace ferrytray::relay {
 
@@ -97,6 +98,7 @@
   peers::PeerExchange m_peerExchange;
   PromptDispatcher m_dispatcher;
   PermitClient m_permitClient;
+  ReachabilityProber m_prober;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -3,10 +3,11 @@
 #include <algorithm> // for max, min
 #include <utility>   // for move
 
-#include "ferrytray/relay/cold_engines.hpp"      // for RecordColdSend, SuspectColdStart
-#include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
-#include "ferrytray/relay/request_limits.hpp"    // for NeedsPermit
-#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
+#include "ferrytray/relay/cold_engines.hpp"        // for RecordColdSend, SuspectColdStart
+#include "ferrytray/relay/prompt_dispatcher.hpp"   // for PromptDispatcher
+#include "ferrytray/relay/reachability_prober.hpp" // for CountListed
+#include "ferrytray/relay/request_limits.hpp"      // for NeedsPermit
+#include "ferrytray/telemetry/log_line.hpp"        // for LogLine
 
 namespace ferrytray::relay {
 
@@ -151,6 +152,7 @@
   m_lastTokensByOutcome = call.m_tokensByOutcome;
   ++m_sends;
   m_core.m_endpointTracker.OnSent(endpoint->m_incarnation, m_work);
+  m_core.m_reachability.OnSent(m_attempt->m_sentAt);
   if (endpoint->m_incarnation != m_assigned.m_engine) {
     RecordColdSend(m_core, *endpoint, routing::ColdTrafficSource::Own, m_attempt->m_sentAt);
   }
@@ -241,6 +243,10 @@
       (aOutcome == AttemptOutcome::Broken && !aAttempt.m_head)) {
     m_core.m_endpointTracker.OnUnreachable(aAttempt.m_incarnation, now);
     if (const fleet::Endpoint* endpoint = m_core.m_directory.Find(aAttempt.m_incarnation)) {
+      if (aOutcome == AttemptOutcome::NotSent) {
+        m_core.m_reachability.OnConnectFailed(
+          endpoint->m_incarnation, endpoint->m_zone, CountListed(m_core.m_directory), now);
+      }
       SuspectColdStart(m_core, *endpoint, now);
     }
   } else if (aOutcome == AttemptOutcome::NotRun) {
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -17,6 +17,7 @@
   if (!m_attempt) {
     return;
   }
+  m_core.m_reachability.OnAnswered(base::MonotonicNow());
   ReplyHead head = m_core.m_format.ReadHead(aStatus, aHeaders);
   m_attempt->m_invalidReply = head.m_requestId != m_request.m_id;
   if (!m_attempt->m_invalidReply) {
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -64,6 +64,7 @@
                    WithTopic(m_options.m_peers, aPorts.m_records))
   , m_dispatcher(m_core, m_peerExchange)
   , m_permitClient(m_core, m_peerExchange)
+  , m_prober(m_core)
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               m_log,
@@ -119,6 +120,7 @@
   });
   m_rollout.OnReload([this](const rollout::PlannedReload& aReload) { OnReloadPlanned(aReload); });
   m_rollout.Start();
+  m_prober.Start();
   m_trafficTimer = m_loop.Every(kTrafficLogInterval, [this] { LogTraffic(); });
   m_expiryTimer = m_loop.Every(kExpiryInterval, [this] {
     const base::TimePoint now = base::MonotonicNow();
@@ -364,6 +366,7 @@
   telemetry::LogLine("stop").Add("outcome", "done").Add("open", m_core.m_openExchanges);
   m_feeds.Stop();
   m_quarantine.Stop();
+  m_prober.Stop();
   m_isolationTimer.reset();
   m_trafficTimer.reset();
   m_expiryTimer.reset();
