Relay: a host that reaches no endpoint forwards requests to one that does

Callers saw: hosts that were partitioned from all endpoints served 0 of 72 and 12 of 427 first attempts, the others 1606 of 1617 and 1263 of 1288.

Cause: there was no second path. Such a host tried up to four endpoints in turn, each with a connect that timed out, and refused or ran into the deadline, although the other hosts reached every endpoint (298 of 320 failed sends in its log are connects).

Change: while the host connects to no endpoint, or after two failed connects of one request, the request goes to another host (POST /forward between hosts), which sends it to an endpoint and passes the answer back as it comes. The forwarding host has authenticated the caller and chosen route, account and service; the other host never forwards again, runs it on one endpoint, and says whether a failed request has run, so that limits on endpoints and retries are kept over both. Hosts are drawn at random, the less loaded of two, own zone first; what declines is in backoff, and so is a zone whose hosts decline. If no host can help the caller is refused at once, with the time at which a host may be asked again. The load returns over 1.5 s.

--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -92,6 +92,7 @@
 public:
   static constexpr std::string_view kPlacementPath = "/placement";
   static constexpr std::string_view kPermitPath = "/permits";
+  static constexpr std::string_view kForwardPath = "/forward";
 
   PeerExchange(net::Loop& aLoop,
                net::HttpClient& aClient,
@@ -188,6 +189,11 @@
   void RequestPermits(const Peer& aPeer,
                       const PermitRequest& aRequest,
                       std::function<void(std::optional<PermitReply>)> aDone);
+  /// @brief Sets the function that handles requests that other hosts have forwarded.
+  void OnForwarded(net::HttpHandler aCall) { m_onForwarded = std::move(aCall); }
+  /// @brief Returns the registered hosts that are reachable, without this one; none while the hosts
+  /// are unknown.
+  [[nodiscard]] std::vector<Peer> ReachableHosts(base::TimePoint aNow) const;
   /// @brief Whether any other host is reachable.
   /// @param aExcluded names of hosts that do not count
   [[nodiscard]] bool AnyHostReachable(const std::set<std::string>& aExcluded,
@@ -263,6 +269,10 @@
   void OnSourceFailed(const Peer& aSource, base::TimePoint aNow);
   void HandleRequest(const net::HttpRequest& aRequest,
                      const std::shared_ptr<net::HttpReply>& aReply);
+  void HandleSyncRequest(const net::HttpRequest& aRequest,
+                         const std::shared_ptr<net::HttpReply>& aReply);
+  void HandleForwardedRequest(const net::HttpRequest& aRequest,
+                              const std::shared_ptr<net::HttpReply>& aReply);
   void SetReader(bool aIsReader, const char* aWhy);
   void ApplyReloads(const ReloadNotices& aNotices, base::TimePoint aNow);
   void ApplyReplacements(const IncarnationNotices& aNotices, base::TimePoint aNow);
@@ -310,6 +320,7 @@
   std::function<void(IncarnationKey)> m_onLeaving;
   std::function<PlacementReply(const PlacementRequest&)> m_onPlacement;
   std::function<PermitReply(const PermitRequest&)> m_onPermitRequest;
+  net::HttpHandler m_onForwarded;
   std::function<EndpointLoads()> m_ownLoads;
   std::string m_source;                          ///< name of the reader that is followed
   std::uint64_t m_sourceIncarnation = 0;         ///< to which the cursors belong
--- a/include/ferrytray/peers/roster.hpp
+++ b/include/ferrytray/peers/roster.hpp
@@ -90,6 +90,9 @@
   /// @brief Whether any other host that is not in aExcluded is reachable.
   [[nodiscard]] bool AnyReachable(const std::set<std::string>& aExcluded,
                                   base::TimePoint aNow) const;
+  /// @brief Returns the registered hosts to which requests do not fail at the moment, without this
+  /// one.
+  [[nodiscard]] std::vector<Peer> ReachableHosts(base::TimePoint aNow) const;
   [[nodiscard]] const Peer& Self() const { return m_self.m_peer; }
   [[nodiscard]] std::size_t HostCount() const { return m_peers.size() + 1; }
 
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -37,6 +37,7 @@
 
 namespace ferrytray::relay {
 
+class Forwarder;
 class PermitClient;
 class PromptDispatcher;
 
@@ -54,6 +55,9 @@
   /// after a second, so it is better to try another endpoint much earlier. With 400 ms and a zone
   /// cut off, failures and late answers each rose by 1 in 1,000 requests.
   base::Duration m_connectTimeout = std::chrono::milliseconds(200);
+  /// The same while connects fail: a connect that is given up too early costs a hop through another
+  /// host, a late one delays the caller.
+  base::Duration m_suspectConnectTimeout = std::chrono::milliseconds(60);
   /// An endpoint that acknowledges nothing for this long is cut off or gone.
   base::Duration m_peerTimeout = std::chrono::milliseconds(1500);
   /// Number of hosts that share an endpoint's connection limit equally.
@@ -134,6 +138,7 @@
   peers::BackoffTable m_reportedBackoffs;      ///< requested from any host
   limits::PermitTable m_permits;               ///< for limited endpoints, by the same key
   PermitClient* m_permitClient = nullptr;      ///< null: limits are not enforced
+  Forwarder* m_forwarder = nullptr;            ///< null: no request is forwarded to other hosts
   std::map<std::string, limits::AdmissionLimit> m_admissionLimits; ///< by service
   PromptPlacement m_promptPlacement;
   PromptDispatcher* m_dispatcher = nullptr; ///< null: this host chooses engines itself
@@ -149,6 +154,7 @@
   /// began then, at this host or at the host that forwards the records.
   std::optional<base::TimePoint> m_operatorsReadAt;
   std::size_t m_openExchanges = 0;           ///< exchanges that have not finished
+  std::size_t m_openForwards = 0;            ///< those whose request another host has forwarded
   base::TimePoint m_nextInvalidHeaderLine{}; ///< when the next one may be logged
   bool m_stopping = false;                   ///< a planned shutdown has begun
   bool m_refusesNewRequests = false; ///< late phase of the shutdown: new requests are refused
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -6,6 +6,8 @@
 #include "ferrytray/base/error.hpp"                // for Result
 #include "ferrytray/net/http_server.hpp"           // for HttpServer
 #include "ferrytray/peers/peer_exchange.hpp"       // for PeerExchange
+#include "ferrytray/relay/forward_receiver.hpp"    // for ForwardReceiver
+#include "ferrytray/relay/forwarder.hpp"           // for Forwarder
 #include "ferrytray/relay/permit_client.hpp"       // for PermitClient
 #include "ferrytray/relay/prompt_dispatcher.hpp"   // for PromptDispatcher
 #include "ferrytray/relay/quarantine_feed.hpp"     // for QuarantineFeed
@@ -81,6 +83,7 @@
   void AnswerReadiness(const std::shared_ptr<net::HttpReply>& aReply) const;
   void CheckShutdown();
   void StartQuarantine();
+  void StartQuarantineLoadTimer();
   /// Called some time after the configuration was read; serves requests without the quarantine
   /// records if these have not been read by then.
   void ServeWithoutQuarantine();
@@ -99,6 +102,8 @@
   PromptDispatcher m_dispatcher;
   PermitClient m_permitClient;
   ReachabilityProber m_prober;
+  Forwarder m_forwarder;
+  ForwardReceiver m_forwardReceiver;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -18,6 +18,9 @@
 /// Timers may fire early by this much relative to the previous call.
 constexpr base::Duration kTimerSlack = std::chrono::milliseconds(2);
 
+/// A forwarded request has the largest body that callers may send, and headers.
+constexpr std::size_t kMaxRequestBytes = 17U << 20U;
+
 constexpr base::Duration kMinPiecePause = std::chrono::milliseconds(5);
 
 std::uint64_t RandomNumber()
@@ -53,6 +56,7 @@
 {
   net::HttpServerOptions options;
   options.m_listen = m_options.m_listen;
+  options.m_maxBodyBytes = kMaxRequestBytes;
   auto server = net::HttpServer::Create(
     m_loop,
     options,
@@ -323,17 +327,9 @@
   }
 }
 
-void PeerExchange::HandleRequest(const net::HttpRequest& aRequest,
-                                 const std::shared_ptr<net::HttpReply>& aReply)
+void PeerExchange::HandleSyncRequest(const net::HttpRequest& aRequest,
+                                     const std::shared_ptr<net::HttpReply>& aReply)
 {
-  if (aRequest.m_path == kPlacementPath) {
-    HandlePlacementRequest(aRequest, aReply);
-    return;
-  }
-  if (aRequest.m_path == kPermitPath) {
-    HandlePermitRequest(aRequest, aReply);
-    return;
-  }
   base::Result<SyncRequest> syncRequest = DecodeSyncRequest(aRequest.m_body);
   if (!syncRequest) {
     aReply->Send(kBadRequest, {}, syncRequest.error().m_message);
--- a/src/ferrytray/peers/placement_exchange.cpp
+++ b/src/ferrytray/peers/placement_exchange.cpp
@@ -23,31 +23,6 @@
                                     : std::nullopt;
 }
 
-void PeerExchange::SendCall(const Peer& aPeer,
-                            std::string_view aPath,
-                            std::string aBody,
-                            base::Duration aTimeout,
-                            std::function<void(const base::Result<std::string>&)> aDone)
-{
-  net::ClientRequest request;
-  request.m_method = "POST";
-  request.m_url = "http://" + aPeer.m_address + std::string(aPath);
-  request.m_headers = { { "Content-Type", "application/octet-stream" } };
-  request.m_body = std::move(aBody);
-  request.m_connectTimeout = aTimeout;
-  request.m_timeout = aTimeout;
-  m_client.Fetch(
-    std::move(request),
-    [done = std::move(aDone)](const net::ClientOutcome& aOutcome, const std::string& aReply) {
-      if (aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status == kOk) {
-        done(aReply);
-        return;
-      }
-      done(base::Fail(base::ErrorCode::EndpointUnreachable,
-                      "status " + std::to_string(aOutcome.m_status) + ", " + aOutcome.m_detail));
-    });
-}
-
 void PeerExchange::RequestPlacement(const Peer& aPeer,
                                     const PlacementRequest& aRequest,
                                     std::function<void(std::optional<PlacementReply>)> aDone)
--- a/src/ferrytray/peers/roster.cpp
+++ b/src/ferrytray/peers/roster.cpp
@@ -229,6 +229,17 @@
   });
 }
 
+std::vector<Peer> Roster::ReachableHosts(base::TimePoint aNow) const
+{
+  std::vector<Peer> hosts;
+  for (const auto& [name, entry] : m_peers) {
+    if (!IsBackingOff(entry, aNow)) {
+      hosts.push_back(entry.m_peer);
+    }
+  }
+  return hosts;
+}
+
 std::vector<Peer> Roster::SourcesOf(const std::string& aZone, base::TimePoint aNow) const
 {
   Entries sources = Ranked(aZone, aNow);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>   // for move
 
 #include "ferrytray/relay/cold_engines.hpp"        // for RecordColdSend, SuspectColdStart
+#include "ferrytray/relay/forwarder.hpp"           // for Forwarder
 #include "ferrytray/relay/prompt_dispatcher.hpp"   // for PromptDispatcher
 #include "ferrytray/relay/reachability_prober.hpp" // for CountListed
 #include "ferrytray/relay/request_limits.hpp"      // for NeedsPermit
@@ -34,6 +35,11 @@
   if (m_request.m_deadline) {
     m_deadlineAt = std::min(m_deadlineAt, m_arrivedAt + *m_request.m_deadline);
   }
+  if (IsForwarded()) {
+    m_service = m_routeMatch.m_forwarded->m_service;
+    m_triedEndpoints = m_routeMatch.m_forwarded->m_excluded;
+    ++m_core.m_openForwards;
+  }
   ++m_core.m_openExchanges;
 }
 
@@ -43,6 +49,7 @@
   if (m_admissionTicket) {
     m_core.m_admissionLimits[m_service].OnEnded(*m_admissionTicket);
   }
+  m_core.m_openForwards -= IsForwarded() ? 1 : 0;
   --m_core.m_openExchanges;
 }
 
@@ -57,8 +64,8 @@
   m_reply->OnClosed([self = shared_from_this()] { self->OnCallerDisconnected(); });
   if (!IsBlockedByQuarantine()) {
     Admit();
-  } else if (m_core.m_claimProbe && m_core.m_crashes.MayProbe(m_requestKey, m_arrivedAt) &&
-             PrepareProbe()) {
+  } else if (m_core.m_claimProbe && !IsForwarded() && !ShouldForward() &&
+             m_core.m_crashes.MayProbe(m_requestKey, m_arrivedAt) && PrepareProbe()) {
     ClaimProbe();
   } else {
     RefuseQuarantined(); // without using an admission slot
@@ -79,8 +86,10 @@
              " open, limit " + std::to_string(limit.Limit().value_or(0)));
     return;
   }
-  m_core.m_retryWindow.OnFirstSend(m_service, m_arrivedAt);
-  if (m_core.m_dispatcher == nullptr || !m_planner.IsLongPrompt(m_service)) {
+  if (!IsForwarded()) {
+    m_core.m_retryWindow.OnFirstSend(m_service, m_arrivedAt); // counted by one of the hosts
+  }
+  if (m_core.m_dispatcher == nullptr || !m_planner.IsLongPrompt(m_service) || ShouldForward()) {
     Send();
     return;
   }
@@ -116,7 +125,19 @@
     RefuseQuarantined();
     return;
   }
+  if (ShouldForward()) {
+    if (TryForward()) {
+      return;
+    }
+    if (m_core.m_reachability.IsUnreachable(base::MonotonicNow())) {
+      FailUnreachable();
+      return;
+    }
+  }
   const Target target = m_planner.PickTarget(m_service, m_triedEndpoints, m_assigned);
+  if (target.m_endpoint == nullptr && m_failedConnects > 0 && CanForward() && TryForward()) {
+    return;
+  }
   if (target.m_endpoint == nullptr) {
     FailWithoutEndpoint(target.m_retryTimes.m_nextPermitAt);
   } else if (target.m_memoryFull && !m_replyStarted) {
@@ -133,10 +154,10 @@
   const fleet::Endpoint* endpoint = aTarget.m_endpoint;
   const EndpointCall call = m_planner.BuildCall(aTarget, Remaining(), m_lastEventId);
   net::ClientRequest request = m_core.m_format.WriteCall(m_request, call);
-  request.m_connectTimeout = m_core.m_options.m_connectTimeout;
+  request.m_connectTimeout = CanForward() && m_core.m_reachability.FailedEndpoints() > 0
+                               ? m_core.m_options.m_suspectConnectTimeout
+                               : m_core.m_options.m_connectTimeout;
   request.m_peerTimeout = m_core.m_options.m_peerTimeout;
-  // The deadline timer ends the call; the limit in libcurl is only a backup.
-  request.m_timeout = Remaining() + std::chrono::seconds(1);
   request.m_maxIdle = call.m_maxIdle;
   request.m_sendOnce = true;
   m_attempt.emplace();
@@ -156,6 +177,13 @@
   if (endpoint->m_incarnation != m_assigned.m_engine) {
     RecordColdSend(m_core, *endpoint, routing::ColdTrafficSource::Own, m_attempt->m_sentAt);
   }
+  StartAttempt(std::move(request));
+}
+
+void Exchange::StartAttempt(net::ClientRequest aCall)
+{
+  // The deadline timer ends the call; the limit in libcurl is only a backup.
+  aCall.m_timeout = Remaining() + std::chrono::seconds(1);
   const std::weak_ptr<Exchange> weak = weak_from_this();
   net::ClientEvents events;
   events.m_onHead = [weak](int aStatus, const net::Headers& aHeaders) {
@@ -173,7 +201,7 @@
       self->OnEnd(aOutcome);
     }
   };
-  m_attempt->m_callId = m_core.m_client.Start(std::move(request), std::move(events));
+  m_attempt->m_callId = m_core.m_client.Start(std::move(aCall), std::move(events));
 }
 
 void Exchange::OnEnd(const net::ClientOutcome& aOutcome)
@@ -183,13 +211,25 @@
   }
   Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
-  m_core.m_endpointTracker.OnEnded(attempt.m_incarnation, m_work);
+  if (attempt.m_host.empty()) {
+    m_core.m_endpointTracker.OnEnded(attempt.m_incarnation, m_work);
+  } else {
+    m_core.m_forwarder->Targets().OnEnded(attempt.m_host);
+  }
   if (IsSuccess(attempt) && aOutcome.m_end == net::WireEnd::Complete) {
     RecordSuccess();
     Deliver(std::move(attempt));
     return;
   }
   const AttemptOutcome outcome = ClassifyOutcome(attempt, aOutcome);
+  if (!attempt.m_host.empty()) {
+    if (attempt.m_forwardFailure || outcome == AttemptOutcome::NotSent) {
+      HandleForwardFailure(attempt);
+    } else {
+      HandleFailure(outcome, std::move(attempt), aOutcome.m_detail);
+    }
+    return;
+  }
   // A failed link is silent, but the connections of a crashed process are closed.
   if (outcome == AttemptOutcome::Broken && !aOutcome.m_timedOut && !attempt.m_invalidReply) {
     RecordCrash(attempt);
@@ -202,7 +242,7 @@
   if (m_routeMatch.m_route->m_streaming) {
     const std::string rest = aAttempt.m_eventSplitter.Remainder();
     if (!m_replyStarted) {
-      m_reply->StartStream(aAttempt.m_head->m_status, aAttempt.m_head->m_forwardedHeaders);
+      m_reply->StartStream(aAttempt.m_head->m_status, ReplyHeaders(aAttempt));
     }
     m_reply->Write(rest);
     m_reply->Finish();
@@ -211,8 +251,7 @@
     if (m_core.m_stopping) {
       m_reply->CloseAfterReply();
     }
-    m_reply->Send(
-      aAttempt.m_head->m_status, aAttempt.m_head->m_forwardedHeaders, std::move(aAttempt.m_body));
+    m_reply->Send(aAttempt.m_head->m_status, ReplyHeaders(aAttempt), std::move(aAttempt.m_body));
   }
   Finish("delivered");
 }
@@ -233,30 +272,40 @@
   return context;
 }
 
-void Exchange::HandleFailure(AttemptOutcome aOutcome, Attempt aAttempt, std::string_view aDetail)
+void Exchange::RecordFailedAttempt(AttemptOutcome aOutcome,
+                                   const Attempt& aAttempt,
+                                   base::TimePoint aNow)
 {
-  const base::TimePoint now = base::MonotonicNow();
-  const bool ran = aOutcome == AttemptOutcome::Broken || aOutcome == AttemptOutcome::ErrorReply;
-  m_mayHaveRun = m_mayHaveRun || ran;
-  m_endpointsUsed += ran ? 1 : 0;
   if (aOutcome == AttemptOutcome::NotSent ||
       (aOutcome == AttemptOutcome::Broken && !aAttempt.m_head)) {
-    m_core.m_endpointTracker.OnUnreachable(aAttempt.m_incarnation, now);
+    m_core.m_endpointTracker.OnUnreachable(aAttempt.m_incarnation, aNow);
     if (const fleet::Endpoint* endpoint = m_core.m_directory.Find(aAttempt.m_incarnation)) {
       if (aOutcome == AttemptOutcome::NotSent) {
+        ++m_failedConnects;
         m_core.m_reachability.OnConnectFailed(
-          endpoint->m_incarnation, endpoint->m_zone, CountListed(m_core.m_directory), now);
+          endpoint->m_incarnation, endpoint->m_zone, CountListed(m_core.m_directory), aNow);
       }
-      SuspectColdStart(m_core, *endpoint, now);
+      SuspectColdStart(m_core, *endpoint, aNow);
     }
   } else if (aOutcome == AttemptOutcome::NotRun) {
     if (aAttempt.m_head->m_misdirected) {
       // Its weights are known now, or its incarnation is gone: the endpoint may be tried again.
       m_triedEndpoints.erase(aAttempt.m_incarnation);
     } else {
-      m_core.m_endpointTracker.OnFull(aAttempt.m_incarnation, now);
+      m_core.m_endpointTracker.OnFull(aAttempt.m_incarnation, aNow);
     }
   }
+}
+
+void Exchange::HandleFailure(AttemptOutcome aOutcome, Attempt aAttempt, std::string_view aDetail)
+{
+  const base::TimePoint now = base::MonotonicNow();
+  const bool ran = aOutcome == AttemptOutcome::Broken || aOutcome == AttemptOutcome::ErrorReply;
+  m_mayHaveRun = m_mayHaveRun || ran;
+  m_endpointsUsed += ran ? 1 : 0;
+  if (aAttempt.m_host.empty()) {
+    RecordFailedAttempt(aOutcome, aAttempt, now);
+  }
   const int status = aAttempt.m_head ? aAttempt.m_head->m_status : 0;
   const RetryContext context = RetryContextOf(aOutcome, aAttempt);
   // The shared retry budget limits the load on endpoints beyond first sends; an unsent attempt adds
@@ -269,6 +318,7 @@
     .Add("request", m_request.m_id)
     .Add("request_key", base::ToHex(m_requestKey))
     .Add("endpoint", aAttempt.m_incarnation)
+    .Add("host", aAttempt.m_host)
     .Add("end", ToString(aOutcome))
     .Add("status", status)
     .Add("detail", aDetail)
@@ -289,7 +339,7 @@
       if (m_core.m_stopping) {
         m_reply->CloseAfterReply();
       }
-      m_reply->Send(status, aAttempt.m_head->m_forwardedHeaders, std::move(aAttempt.m_body));
+      m_reply->Send(status, ReplyHeaders(aAttempt), std::move(aAttempt.m_body));
       Finish("endpoint_failed");
       break;
     case NextStep::Refuse:
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -5,6 +5,7 @@
 #include <utility> // for move
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/forwarder.hpp"         // for Forwarder
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
@@ -20,7 +21,11 @@
 {
   if (m_attempt) {
     m_core.m_client.Cancel(m_attempt->m_callId);
-    m_core.m_endpointTracker.OnEnded(m_attempt->m_incarnation, m_work);
+    if (m_attempt->m_host.empty()) {
+      m_core.m_endpointTracker.OnEnded(m_attempt->m_incarnation, m_work);
+    } else {
+      m_core.m_forwarder->Targets().OnEnded(m_attempt->m_host);
+    }
     m_mayHaveRun = true;
     m_attempt.reset();
   }
@@ -143,7 +148,9 @@
 
 void Exchange::SendFailure(const base::Failure& aFailure)
 {
-  const GeneratedReply reply = m_core.m_format.WriteFailure(m_request.m_id, aFailure);
+  const GeneratedReply reply = IsForwarded()
+                                 ? WriteForwardedFailure(aFailure)
+                                 : m_core.m_format.WriteFailure(m_request.m_id, aFailure);
   if (m_core.m_stopping) {
     m_reply->CloseAfterReply();
   }
@@ -181,6 +188,8 @@
     .Add("endpoint", m_lastEndpoint)
     .Add("work_there", m_lastOpenWork)
     .Add("at_home", m_lastAtHome ? "yes" : "no")
+    .Add("via", m_lastHost)
+    .Add("forwarded", IsForwarded() ? "yes" : "no")
     .Add("assigned", m_assigned.m_engine.empty() ? "no" : "yes")
     .Add("sends", m_sends)
     .Add("took_ms", base::ToMillis(duration))
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -17,6 +17,10 @@
   if (!m_attempt) {
     return;
   }
+  if (!m_attempt->m_host.empty()) {
+    OnForwardHead(aStatus, aHeaders);
+    return;
+  }
   m_core.m_reachability.OnAnswered(base::MonotonicNow());
   ReplyHead head = m_core.m_format.ReadHead(aStatus, aHeaders);
   m_attempt->m_invalidReply = head.m_requestId != m_request.m_id;
@@ -110,7 +114,7 @@
     }
     m_core.m_metrics.Observe("first_event_seconds",
                              base::Seconds(base::MonotonicNow() - m_arrivedAt));
-    m_reply->StartStream(m_attempt->m_head->m_status, m_attempt->m_head->m_forwardedHeaders);
+    m_reply->StartStream(m_attempt->m_head->m_status, ReplyHeaders(*m_attempt));
   }
   m_reply->Write(std::move(aEvents));
 }
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -27,13 +27,6 @@
 constexpr std::size_t kMaxBodyBytes = 16U << 20U;
 constexpr base::Duration kCallerReadTimeout = std::chrono::seconds(75);
 
-// A crashing endpoint breaks off many requests at once; their notices are sent together.
-constexpr base::Duration kCrashNoticeDelay = std::chrono::milliseconds(20);
-
-// How long after reading the configuration a host waits for the quarantine records. If the record
-// log does not return them, the host serves without them.
-constexpr base::Duration kQuarantineLoadTimeout = std::chrono::milliseconds(1500);
-
 constexpr base::Duration kShutdownCheckInterval = std::chrono::milliseconds(50);
 
 constexpr base::Duration kTrafficLogInterval = std::chrono::seconds(10);
@@ -65,6 +58,11 @@
   , m_dispatcher(m_core, m_peerExchange)
   , m_permitClient(m_core, m_peerExchange)
   , m_prober(m_core)
+  , m_forwarder(
+      m_core,
+      [this] { return m_peerExchange.ReachableHosts(base::MonotonicNow()); },
+      std::string(peers::PeerExchange::kForwardPath))
+  , m_forwardReceiver(m_core)
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               m_log,
@@ -92,6 +90,11 @@
   m_core.m_options.m_hostKey = base::Hash64("host", m_options.m_peers.m_name);
   m_core.m_dispatcher = &m_dispatcher;
   m_core.m_permitClient = &m_permitClient;
+  m_core.m_forwarder = &m_forwarder;
+  m_peerExchange.OnForwarded(
+    [this](const net::HttpRequest& aRequest, std::shared_ptr<net::HttpReply> aReply) {
+      m_forwardReceiver.Handle(aRequest, std::move(aReply));
+    });
   m_core.m_onEndpointReplaced = [this](const std::string& aIncarnation) {
     m_peerExchange.ReportReplaced(aIncarnation);
   };
@@ -105,8 +108,7 @@
   m_feeds.OnConfigured([this] {
     m_stores.OnConfiguration();
     if (!m_core.m_crashesLoaded && !m_quarantineLoadTimer) {
-      m_quarantineLoadTimer =
-        m_loop.After(kQuarantineLoadTimeout, [this] { ServeWithoutQuarantine(); });
+      StartQuarantineLoadTimer();
     }
   });
   StartQuarantine();
@@ -136,58 +138,6 @@
   return {};
 }
 
-void RelayHost::ServeWithoutQuarantine()
-{
-  if (!std::exchange(m_core.m_crashesLoaded, true)) {
-    telemetry::LogLine("quarantine")
-      .Add("outcome", "not_read")
-      .Add("why",
-           "the record log did not return the quarantine topic; requests are served without it");
-  }
-}
-
-void RelayHost::StartQuarantine()
-{
-  m_core.m_onCrashesChanged = [this](const quarantine::RequestKey& aRequest) {
-    OnCrashesChanged(aRequest);
-  };
-  m_peerExchange.OnCrashes([this] { m_quarantine.OnTrackerChanged(); });
-  m_quarantine.SetRoleFunction([this](const quarantine::RequestKey& aRequest) {
-    constexpr std::size_t kFirstWriters = 2;
-    if (m_peerExchange.IsAmongFirst(base::ToHex(aRequest), kFirstWriters)) {
-      return quarantine::WriterRole::Primary;
-    }
-    return m_peerExchange.IsReader() ? quarantine::WriterRole::LogReader
-                                     : quarantine::WriterRole::NonWriter;
-  });
-  m_core.m_claimProbe = [this](const quarantine::RequestKey& aRequest,
-                               std::function<void(bool)> aDone) {
-    if (m_peerExchange.IsAmongFirst(base::ToHex(aRequest), 1)) {
-      m_quarantine.ClaimProbe(aRequest, std::move(aDone));
-    } else {
-      aDone(false);
-    }
-  };
-  m_quarantine.Start();
-  const base::Duration interval = m_options.m_feeds.m_quarantineIsolatedInterval;
-  m_isolationTimer = m_loop.Every(interval, [this, interval] {
-    if (m_peerExchange.IsIsolated(interval, base::MonotonicNow())) {
-      m_quarantine.OnIsolated();
-    }
-  });
-}
-
-void RelayHost::OnCrashesChanged(const quarantine::RequestKey& aRequest)
-{
-  m_quarantine.OnLocalChange(aRequest);
-  if (!m_crashNoticeTimer) {
-    m_crashNoticeTimer = m_loop.After(kCrashNoticeDelay, [this] {
-      m_crashNoticeTimer.reset();
-      m_peerExchange.PushCrashes();
-    });
-  }
-}
-
 base::Result<void> RelayHost::Listen()
 {
   net::HttpServerOptions callers;
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -28,6 +28,7 @@
   {
     relay::CallerRequest request;
     request.m_id = std::string(aRequest.Header("id"));
+    request.m_method = aRequest.m_method;
     request.m_hostName = "h";
     request.m_path = aRequest.m_path;
     request.m_target = aRequest.m_path;
@@ -141,6 +142,7 @@
   FakeFormat m_format;
   relay::RelayCore m_core{ m_loop, m_client, m_format, {} };
   relay::RelayFront m_front{ m_core };
+  std::string m_method; ///< of requests
 
   void setup() override
   {
@@ -163,6 +165,7 @@
   {
     net::HttpRequest request;
     request.m_body = aBody;
+    request.m_method = m_method;
     request.m_path = aPath;
     request.m_headers = { { "id", "r1" }, { "key", aKey }, { "model", aModel } };
     auto reply = std::make_shared<FakeReply>();
