Rollout: a host that reaches no engine lets its order lease expire

Cause: the lease says nothing about the engines, so a partitioned holder renewed it at the log and sent orders that none received, for as long as the partition lasted. SetPaused() drops the lease and takes none; another host reads it as expired and goes on.

--- a/include/ferrytray/rollout/rollout_driver.hpp
+++ b/include/ferrytray/rollout/rollout_driver.hpp
@@ -94,6 +94,9 @@
   /// @brief Sets whether this host sends orders only if the other hosts are late. Every read of the
   /// lease is charged, which adds up with many hosts.
   void SetStandby(bool aStandby);
+  /// @brief Sets whether this host reaches no engine. It then lets its lease expire and takes none,
+  /// so that another host sends the orders.
+  void SetPaused(bool aPaused);
   /// @brief Records that another host announced a reload and therefore holds the lease. While such
   /// announcements continue, this host does not read the lease, as every read is charged.
   void NoteOrderByOtherHost(base::TimePoint aNow) { m_otherHostOrderedAt = aNow; }
@@ -170,6 +173,7 @@
   bool m_leaseReadPending = false;
   bool m_wasHolder = false;
   bool m_standby = false;
+  bool m_paused = false; ///< this host reaches no engine
 };
 
 } // namespace ferrytray::rollout
--- a/src/ferrytray/rollout/rollout_driver.cpp
+++ b/src/ferrytray/rollout/rollout_driver.cpp
@@ -57,6 +57,9 @@
     m_lease.Drop();
   }
   m_lastTick = now;
+  if (m_paused) {
+    return;
+  }
   const bool outdated = HasOutdatedEngines();
   if (!outdated) {
     m_outdatedSince.clear();
@@ -102,6 +105,19 @@
   }
 }
 
+void RolloutDriver::SetPaused(bool aPaused)
+{
+  if (std::exchange(m_paused, aPaused) == aPaused) {
+    return;
+  }
+  telemetry::LogLine("order_lease").Add("outcome", aPaused ? "paused" : "resumed");
+  if (aPaused) {
+    m_lease.Drop();
+    m_wasHolder = false;
+    m_leaseAttemptAt.reset();
+  }
+}
+
 bool RolloutDriver::IsOtherHostOrdering(base::TimePoint aNow) const
 {
   if (m_wasHolder || !m_otherHostOrderedAt) {
