Relay: connections that a partition resets are not reported as crashes

Cause: a partition that resets connections looks to the sending host like all endpoints crashing at once. It reported each request and each endpoint to all hosts, which then avoided endpoints that were fine, and counted the requests towards their quarantine.

On the return of the endpoints the host forgets the failures that the partition caused.

--- a/include/ferrytray/relay/reachability_prober.hpp
+++ b/include/ferrytray/relay/reachability_prober.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <cstddef> // for size_t
-#include <string>  // for string
-#include <vector>  // for vector
+#include <cstddef>    // for size_t
+#include <functional> // for function
+#include <string>     // for string
+#include <utility>    // for move
+#include <vector>     // for vector
 
 #include "ferrytray/net/loop.hpp"             // for TimerHandle
 #include "ferrytray/relay/relay_core.hpp"     // for RelayCore
@@ -28,6 +30,11 @@
 public:
   explicit ReachabilityProber(RelayCore& aCore, ReachabilityProberOptions aOptions = {});
   void Start();
+  /// @brief Sets the function that is called after each change of the state.
+  void OnStateChange(std::function<void(routing::Reachability)> aCall)
+  {
+    m_onStateChange = std::move(aCall);
+  }
   void Stop() { m_timer.reset(); }
 
 private:
@@ -37,10 +44,11 @@
   void OnProbed(const std::string& aIncarnation,
                 const std::string& aZone,
                 const net::ClientOutcome& aOutcome);
-  void LogStateChange(base::TimePoint aNow);
+  void UpdateState(base::TimePoint aNow);
 
   RelayCore& m_core;
   ReachabilityProberOptions m_options;
+  std::function<void(routing::Reachability)> m_onStateChange;
   net::TimerHandle m_timer;
   base::TimePoint m_nextProbeAt{};
   std::size_t m_probes = 0;
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -37,6 +37,7 @@
 
 namespace ferrytray::relay {
 
+class CrashReporter;
 class Forwarder;
 class PermitClient;
 class PromptDispatcher;
@@ -118,7 +119,8 @@
   std::function<bool(const std::string& aName, std::size_t aFirst)> m_isAmongFirstHosts;
   /// Called when another endpoint answered at the incarnation's address. May be unset.
   std::function<void(const std::string& aIncarnation)> m_onEndpointReplaced;
-  quarantine::CrashTracker m_crashes; ///< requests that crash the endpoints that run them
+  quarantine::CrashTracker m_crashes;       ///< requests that crash the endpoints that run them
+  CrashReporter* m_crashReporter = nullptr; ///< null: broken connections are reported at once
   /// Whether the crash tracker holds the quarantine records of the record log. Nothing is sent to
   /// endpoints before that: hosts that restart one after the other, or all at once, would each send
   /// quarantined requests again.
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -6,6 +6,7 @@
 #include "ferrytray/base/error.hpp"                // for Result
 #include "ferrytray/net/http_server.hpp"           // for HttpServer
 #include "ferrytray/peers/peer_exchange.hpp"       // for PeerExchange
+#include "ferrytray/relay/crash_reporter.hpp"      // for CrashReporter
 #include "ferrytray/relay/forward_receiver.hpp"    // for ForwardReceiver
 #include "ferrytray/relay/forwarder.hpp"           // for Forwarder
 #include "ferrytray/relay/permit_client.hpp"       // for PermitClient
@@ -104,6 +105,7 @@
   ReachabilityProber m_prober;
   Forwarder m_forwarder;
   ForwardReceiver m_forwardReceiver;
+  CrashReporter m_crashReporter;
   UpkeepDuty m_upkeep;
   rollout::RolloutDriver m_rollout;
   std::unique_ptr<net::HttpServer> m_callers;
--- a/include/ferrytray/routing/endpoint_tracker.hpp
+++ b/include/ferrytray/routing/endpoint_tracker.hpp
@@ -40,6 +40,8 @@
   /// @brief The endpoint announced after how long it closes idle connections.
   void OnIdleTimeout(const std::string& aEndpoint, base::Duration aTimeout);
   void Forget(const std::string& aEndpoint);
+  /// @brief Forgets failures and backoffs of all endpoints, since this host could not reach any.
+  void ForgetFailures();
 
   /// @brief Calls aCall(endpoint, work) for each endpoint that has open requests.
   template<typename Call>
--- a/include/ferrytray/routing/reachability.hpp
+++ b/include/ferrytray/routing/reachability.hpp
@@ -60,6 +60,8 @@
   void OnSent(base::TimePoint aNow);
   /// @brief An endpoint answered, on a new or an open connection.
   void OnAnswered(base::TimePoint aNow);
+  /// @brief An endpoint broke a connection, or the network did.
+  void OnBroken(base::TimePoint aNow) { m_brokenAt = aNow; }
   /// @brief A connection to an endpoint was established.
   void OnConnected(base::TimePoint aNow);
   void OnConnectFailed(const std::string& aEndpoint,
@@ -73,8 +75,11 @@
   {
     return State(aNow) == Reachability::Unreachable;
   }
-  /// @brief Whether connects failed or endpoints are silent, so that a probe is needed to tell
-  /// whether this host or the endpoints are at fault.
+  /// @brief Whether new connections can be opened, so that a failed connect tells something about
+  /// its endpoint.
+  [[nodiscard]] bool CanConnect() const { return !m_connectsFail; }
+  /// @brief Whether connects failed, connections broke or endpoints are silent, so that a probe is
+  /// needed to tell whether this host or the endpoints are at fault.
   [[nodiscard]] bool IsSuspect(base::TimePoint aNow) const;
   /// @brief Fraction of the requests that this host should send to endpoints itself (0 to 1).
   [[nodiscard]] double DirectFraction(base::TimePoint aNow) const;
@@ -105,6 +110,7 @@
   std::size_t m_failedConnects = 0;
   std::optional<base::TimePoint> m_unansweredSince; ///< first request after the last answer
   std::optional<base::TimePoint> m_answeredAt;
+  std::optional<base::TimePoint> m_brokenAt;   ///< unless a connection was established since
   std::optional<base::TimePoint> m_returnedAt; ///< first new connection after a partition
 };
 
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -5,6 +5,7 @@
 #include <utility> // for move
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/crash_reporter.hpp"    // for CrashReporter
 #include "ferrytray/relay/forwarder.hpp"         // for Forwarder
 #include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
@@ -37,8 +38,14 @@
   if (endpoint != nullptr && endpoint->m_leaving) {
     return; // closed by its shutdown, not by a crash
   }
-  m_core.m_crashes.OnConnectionBroken(
-    m_requestKey, peers::KeyOf(aAttempt.m_incarnation), aAttempt.m_sentAt, base::MonotonicNow());
+  const base::TimePoint now = base::MonotonicNow();
+  const peers::IncarnationKey key = peers::KeyOf(aAttempt.m_incarnation);
+  if (m_core.m_crashReporter != nullptr) {
+    m_core.m_reachability.OnBroken(now);
+    m_core.m_crashReporter->OnConnectionBroken(m_requestKey, key, aAttempt.m_sentAt, now);
+    return;
+  }
+  m_core.m_crashes.OnConnectionBroken(m_requestKey, key, aAttempt.m_sentAt, now);
   if (m_core.m_onCrashesChanged) {
     m_core.m_onCrashesChanged(m_requestKey);
   }
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -5,6 +5,7 @@
 #include <utility> // for move
 
 #include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/crash_reporter.hpp"    // for CrashReporter
 #include "ferrytray/relay/endpoint_signals.hpp"  // for RecordBackoff, RecordLeaving
 #include "ferrytray/relay/prompt_dispatcher.hpp" // for PromptDispatcher
 #include "ferrytray/relay/request_limits.hpp"    // for RecordRequestLimit
@@ -21,7 +22,11 @@
     OnForwardHead(aStatus, aHeaders);
     return;
   }
-  m_core.m_reachability.OnAnswered(base::MonotonicNow());
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_reachability.OnAnswered(now);
+  if (m_core.m_crashReporter != nullptr) {
+    m_core.m_crashReporter->OnEndpointAlive(peers::KeyOf(m_attempt->m_incarnation), now);
+  }
   ReplyHead head = m_core.m_format.ReadHead(aStatus, aHeaders);
   m_attempt->m_invalidReply = head.m_requestId != m_request.m_id;
   if (!m_attempt->m_invalidReply) {
--- a/src/ferrytray/relay/reachability_prober.cpp
+++ b/src/ferrytray/relay/reachability_prober.cpp
@@ -5,7 +5,9 @@
 #include <set>       // for set
 #include <utility>   // for move
 
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/relay/crash_reporter.hpp"    // for CrashReporter
+#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
 
@@ -64,11 +66,16 @@
 void ReachabilityProber::Check()
 {
   const base::TimePoint now = base::MonotonicNow();
-  LogStateChange(now);
+  UpdateState(now);
+  if (m_core.m_crashReporter != nullptr) {
+    m_core.m_crashReporter->Check(now);
+  }
   if (now < m_nextProbeAt || !m_core.m_reachability.IsSuspect(now)) {
     return;
   }
-  const bool onlySilent = m_core.m_reachability.FailedEndpoints() == 0;
+  const bool pendingReports =
+    m_core.m_crashReporter != nullptr && m_core.m_crashReporter->HasPending();
+  const bool onlySilent = m_core.m_reachability.FailedEndpoints() == 0 && !pendingReports;
   m_nextProbeAt = now + (onlySilent ? m_options.m_silenceProbeInterval : m_options.m_probeInterval);
   Probe(onlySilent ? 1 : m_options.m_endpointsPerRound);
 }
@@ -99,14 +106,17 @@
   const base::TimePoint now = base::MonotonicNow();
   if (aOutcome.m_end == net::WireEnd::Complete) {
     m_core.m_reachability.OnConnected(now);
+    if (m_core.m_crashReporter != nullptr) {
+      m_core.m_crashReporter->OnEndpointAlive(peers::KeyOf(aIncarnation), now);
+    }
   } else {
     m_core.m_reachability.OnConnectFailed(
       aIncarnation, aZone, CountListed(m_core.m_directory), now);
   }
-  LogStateChange(now);
+  UpdateState(now);
 }
 
-void ReachabilityProber::LogStateChange(base::TimePoint aNow)
+void ReachabilityProber::UpdateState(base::TimePoint aNow)
 {
   const routing::Reachability state = m_core.m_reachability.State(aNow);
   if (state == m_lastState) {
@@ -119,8 +129,14 @@
     .Add("failed_connects", m_core.m_reachability.FailedConnects())
     .Add("probes", m_probes);
   m_lastState = state;
+  if (state == routing::Reachability::Returning) {
+    m_core.m_endpointTracker.ForgetFailures();
+  }
   const bool reachable = state != routing::Reachability::Unreachable;
   m_core.m_metrics.Set("endpoints_reachable", reachable ? 1 : 0);
+  if (m_onStateChange) {
+    m_onStateChange(state);
+  }
 }
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -63,6 +63,7 @@
       [this] { return m_peerExchange.ReachableHosts(base::MonotonicNow()); },
       std::string(peers::PeerExchange::kForwardPath))
   , m_forwardReceiver(m_core)
+  , m_crashReporter(m_core)
   , m_upkeep(m_core, aPorts.m_freer)
   , m_rollout(aLoop,
               m_log,
@@ -91,6 +92,9 @@
   m_core.m_dispatcher = &m_dispatcher;
   m_core.m_permitClient = &m_permitClient;
   m_core.m_forwarder = &m_forwarder;
+  m_core.m_crashReporter = &m_crashReporter;
+  m_prober.OnStateChange(
+    [this](routing::Reachability) { m_rollout.SetPaused(!m_core.m_reachability.CanConnect()); });
   m_peerExchange.OnForwarded(
     [this](const net::HttpRequest& aRequest, std::shared_ptr<net::HttpReply> aReply) {
       m_forwardReceiver.Handle(aRequest, std::move(aReply));
--- a/src/ferrytray/routing/endpoint_tracker.cpp
+++ b/src/ferrytray/routing/endpoint_tracker.cpp
@@ -66,6 +66,14 @@
   m_entries.erase(aEndpoint);
 }
 
+void EndpointTracker::ForgetFailures()
+{
+  for (auto& [endpoint, entry] : m_entries) {
+    entry.m_consecutiveFailures = 0;
+    entry.m_backoffUntil.reset();
+  }
+}
+
 std::uint32_t EndpointTracker::OpenRequests(const std::string& aEndpoint) const
 {
   const auto found = m_entries.find(aEndpoint);
--- a/src/ferrytray/routing/reachability.cpp
+++ b/src/ferrytray/routing/reachability.cpp
@@ -36,6 +36,7 @@
 void ReachabilityMonitor::OnConnected(base::TimePoint aNow)
 {
   m_failures.clear();
+  m_brokenAt.reset();
   // The endpoint has accepted a connection, but need not have answered the open requests.
   if (m_unansweredSince) {
     m_unansweredSince = aNow;
@@ -79,7 +80,7 @@
 
 bool ReachabilityMonitor::IsSuspect(base::TimePoint aNow) const
 {
-  return m_connectsFail || !m_failures.empty() || IsSilent(aNow);
+  return m_connectsFail || !m_failures.empty() || m_brokenAt || IsSilent(aNow);
 }
 
 double ReachabilityMonitor::DirectFraction(base::TimePoint aNow) const
