Relay: failures of a partitioned host do not count against endpoints

Cause: two partitioned hosts together reported all engines as unreachable, and the dispatcher then assigned none to any host; a partitioned dispatcher avoided them all by itself; engines counted as restarted and cold.

Change: while no connection can be opened, a host reports no engine as unreachable, its dispatcher ignores its own failures, and no cold start is suspected. Tests red without: PartitionedHostReportsNoEngineAsUnreachable, PartitionedHostAssignsEnginesThatOthersReach.

--- a/src/ferrytray/relay/candidates.cpp
+++ b/src/ferrytray/relay/candidates.cpp
@@ -119,8 +119,9 @@
   const routing::Work work =
     aCore.m_endpointTracker.WorkOfOpenRequests(incarnation) + aCore.m_peerLoads.RemoteLoad(tag);
   const bool reloading = isPrompt && aCore.m_reloads.IsReloading(tag, aQuery.m_now);
-  const bool avoided = reloading || aCore.m_endpointTracker.IsAvoided(incarnation, aQuery.m_now) ||
-                       HasCrashed(aCore, incarnation, aQuery.m_now) ||
+  const bool failed = aCore.m_reachability.CanConnect() &&
+                      aCore.m_endpointTracker.IsAvoided(incarnation, aQuery.m_now);
+  const bool avoided = reloading || failed || HasCrashed(aCore, incarnation, aQuery.m_now) ||
                        IsWindowFull(aCore, incarnation, aQuery.m_now) ||
                        IsInReportedBackoff(aCore, incarnation, aQuery.m_now);
   aCandidates.m_endpoints.push_back(&aEndpoint);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -285,7 +285,9 @@
         m_core.m_reachability.OnConnectFailed(
           endpoint->m_incarnation, endpoint->m_zone, CountListed(m_core.m_directory), aNow);
       }
-      SuspectColdStart(m_core, *endpoint, aNow);
+      if (m_core.m_reachability.CanConnect()) {
+        SuspectColdStart(m_core, *endpoint, aNow);
+      }
     }
   } else if (aOutcome == AttemptOutcome::NotRun) {
     if (aAttempt.m_head->m_misdirected) {
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -156,6 +156,9 @@
                                                                      base::TimePoint aNow) const
 {
   std::vector<peers::EndpointTag> unreachable;
+  if (!m_core.m_reachability.CanConnect()) {
+    return unreachable; // this host is partitioned, so its failures tell nothing about the engines
+  }
   for (const fleet::Endpoint* endpoint :
        m_core.m_directory.UsableOf(aService).Group(GroupKeyOf(aKey))) {
     if (m_core.m_endpointTracker.IsAvoided(endpoint->m_incarnation, aNow) ||
--- a/src/ferrytray/relay/prompt_dispatcher_test.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher_test.cpp
@@ -125,6 +125,37 @@
   CHECK(m_dispatcher->AssignEngine(request).m_engine.empty());
 }
 
+// Two hosts that reached no engine reported all of them, and no host got one assigned.
+TEST(PromptDispatcher, PartitionedHostReportsNoEngineAsUnreachable)
+{
+  StartDispatcher(1);
+  const base::TimePoint now = base::MonotonicNow();
+  const auto reported = [&] {
+    SendRequest("/stream/x", "k", "long");
+    const auto request =
+      peers::DecodePlacementRequest(m_client.m_calls.back().m_request.m_body).value();
+    return request.m_unreachable.size();
+  };
+  m_core.m_endpointTracker.OnUnreachable("a", now);
+  m_core.m_endpointTracker.OnUnreachable("b", now);
+  LONGS_EQUAL(2, reported());
+  m_core.m_reachability.OnConnectFailed("a", "", { 2, 1 }, now);
+  m_core.m_reachability.OnConnectFailed("b", "", { 2, 1 }, now);
+  LONGS_EQUAL(0, reported());
+}
+
+TEST(PromptDispatcher, PartitionedHostAssignsEnginesThatOthersReach)
+{
+  StartDispatcher(9);
+  const base::TimePoint now = base::MonotonicNow();
+  m_core.m_endpointTracker.OnUnreachable("a", now);
+  m_core.m_endpointTracker.OnUnreachable("b", now);
+  CHECK(m_dispatcher->AssignEngine(PlacementRequestFor("k")).m_engine.empty());
+  m_core.m_reachability.OnConnectFailed("a", "", { 2, 1 }, now);
+  m_core.m_reachability.OnConnectFailed("b", "", { 2, 1 }, now);
+  CHECK_FALSE(m_dispatcher->AssignEngine(PlacementRequestFor("k")).m_engine.empty());
+}
+
 TEST(PromptDispatcher, UsesAssignmentOfHigherCapacityHost)
 {
   StartDispatcher(1);
