Net: an endpoint that is silent for a second keeps its connections

Cause: Linux applies TCP_USER_TIMEOUT to keep-alive probes too, whatever their count. With 1.5 s a connection ended at the first unanswered probe, two seconds after the last byte, so a sound endpoint that was silent for a little over a second lost its requests.

--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -16,20 +16,25 @@
 
 int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
 {
-  const auto& call = *static_cast<const CurlCall*>(aCall);
+  SetPeerTimeout(aSocket, static_cast<const CurlCall*>(aCall)->m_peerTimeoutMillis);
+  return CURL_SOCKOPT_OK;
+}
+
+} // namespace
+
+void SetPeerTimeout(int aSocket, long aMillis)
+{
   const auto set = [aSocket](int aLevel, int aName, int aValue) {
     setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
   };
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(call.m_peerTimeoutMillis));
+  // Linux also applies this timeout to keep-alive probes, whatever their count.
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aMillis));
   set(SOL_SOCKET, SO_KEEPALIVE, 1);
   set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
   set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  return CURL_SOCKOPT_OK;
 }
 
-} // namespace
-
 void SetOptions(CurlCall& aCall, const ClientRequest& aRequest)
 {
   CURL* easy = aCall.m_easy;
--- a/src/ferrytray/net/curl_call.hpp
+++ b/src/ferrytray/net/curl_call.hpp
@@ -30,6 +30,12 @@
 /// @brief Sets the options of a call's handle that do not refer to the client.
 void SetOptions(CurlCall& aCall, const ClientRequest& aRequest);
 
+/// @brief Makes a connection fail whose peer acknowledges nothing for this long (ms).
+///
+/// The peer may be silent for a shorter time without losing the connection only if the timeout is
+/// longer than two intervals between keep-alive probes (2 s).
+void SetPeerTimeout(int aSocket, long aMillis);
+
 /// @brief Describes how a finished call ended.
 [[nodiscard]] ClientOutcome OutcomeOf(const CurlCall& aCall, CURLcode aResult);
 
--- a/src/ferrytray/relay/exchange_forward_test.cpp
+++ b/src/ferrytray/relay/exchange_forward_test.cpp
@@ -167,6 +167,12 @@
   CHECK(LastCallIsForwarded());
 }
 
+TEST(ExchangeForward, EndpointMayBeSilentForASecond)
+{
+  SendRequest("/once/x");
+  CHECK(LastCall().m_peerTimeout > 2s); // two keep-alive probes
+}
+
 TEST(ExchangeForward, RequestOfAnotherHostIsSentToAnEndpoint)
 {
   const auto reply = ReceiveForwarded(MakeForwarded());
