Relay, routing: linter; release of an attempt in one place; peer timeout of two probes

The peer timeout is 2.1 s instead of 2.5 s: more than two probe intervals, so that one unanswered probe does not end a connection, and not more than that.

--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -62,7 +62,7 @@
   void Send();
   void SendTo(const Target& aTarget);
 
-  // exchange_slot.cpp
+  // Slots of brittle endpoints (exchange_slot.cpp)
   /// Sends after obtaining a slot if the endpoint is brittle.
   void SendWithSlot(const Target& aTarget);
   /// Waits for the next time at which a slot may be requested. @return whether the request may wait
@@ -85,7 +85,7 @@
   void FailRefused();
   void StartAttempt(net::ClientRequest aCall);
 
-  // exchange_forward.cpp
+  // Forwarding to other hosts, and for them (exchange_forward.cpp)
   /// Whether the next send should go through another host.
   [[nodiscard]] bool ShouldForward();
   /// Forwards the request if a host can be selected. @return whether it was
@@ -118,6 +118,9 @@
   /// Updates what is known of the endpoint after an unsuccessful attempt.
   void RecordFailedAttempt(AttemptOutcome aOutcome, const Attempt& aAttempt, base::TimePoint aNow);
   void HandleFailure(AttemptOutcome aOutcome, Attempt aAttempt, std::string_view aDetail);
+  /// Ends the count of an attempt as open.
+  /// @param aRejected the endpoint had no room for the request
+  void ReleaseAttempt(const Attempt& aAttempt, bool aRejected);
   void CancelAttempt();
   void OnDeadline();
   void OnCallerDisconnected();
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -62,10 +62,10 @@
   /// The same while connects fail: a connect that is given up too early costs a hop through another
   /// host, a late one delays the caller.
   base::Duration m_suspectConnectTimeout = std::chrono::milliseconds(60);
-  /// An endpoint that acknowledges nothing for this long is cut off or gone. With less than 2 s,
-  /// one unanswered keep-alive probe would end the connection of an endpoint that is silent for a
-  /// second.
-  base::Duration m_peerTimeout = std::chrono::milliseconds(2500);
+  /// An endpoint that acknowledges nothing for this long is cut off or gone. More than two
+  /// intervals between keep-alive probes (1 s): one unanswered probe must not end the connection of
+  /// an endpoint that is silent for a second.
+  base::Duration m_peerTimeout = std::chrono::milliseconds(2100);
   /// Number of hosts that share an endpoint's connection limit equally.
   std::uint32_t m_hostsSharing = 10;
   /// How long after a new weight version was named requests may still start on an older one. This
--- a/src/ferrytray/limits/brittle_services.cpp
+++ b/src/ferrytray/limits/brittle_services.cpp
@@ -48,10 +48,11 @@
 BrittleReports BrittleServices::Reports(base::TimePoint aNow) const
 {
   BrittleReports reports;
-  for (const auto& [service, entry] : m_entries) {
+  for (const auto& pair : m_entries) {
+    const Entry& entry = pair.second;
     const base::Duration age = std::max(aNow - entry.m_namedAt, base::Duration::zero());
     if (age < m_options.m_maxReportAge && !entry.m_endedAt) {
-      reports.push_back({ service, static_cast<std::int32_t>(base::ToMillis(age)) });
+      reports.push_back({ pair.first, static_cast<std::int32_t>(base::ToMillis(age)) });
     }
   }
   return reports;
--- a/src/ferrytray/net/curl_call_test.cpp
+++ b/src/ferrytray/net/curl_call_test.cpp
@@ -30,7 +30,7 @@
 // connection at the first unanswered probe after TCP_USER_TIMEOUT, whatever the count of probes.
 TEST(CurlCall, PeerMayBeSilentForTwoProbesWithinItsTimeout)
 {
-  constexpr long kMillis = 2500;
+  constexpr long kMillis = 2100;
   net::SetPeerTimeout(m_socket, kMillis);
   LONGS_EQUAL(kMillis, Option(IPPROTO_TCP, TCP_USER_TIMEOUT));
   LONGS_EQUAL(1, Option(SOL_SOCKET, SO_KEEPALIVE));
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -223,16 +223,8 @@
   }
   Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
-  if (attempt.m_host.empty()) {
-    m_core.m_endpointTracker.OnEnded(attempt.m_incarnation, m_work);
-    if (m_core.m_slotClient != nullptr) {
-      m_core.m_slotClient->OnEnded(attempt.m_incarnation,
-                                   attempt.m_head && attempt.m_head->m_notRun &&
-                                     !attempt.m_head->m_misdirected);
-    }
-  } else {
-    m_core.m_forwarder->Targets().OnEnded(attempt.m_host);
-  }
+  ReleaseAttempt(attempt,
+                 attempt.m_head && attempt.m_head->m_notRun && !attempt.m_head->m_misdirected);
   if (IsSuccess(attempt) && aOutcome.m_end == net::WireEnd::Complete) {
     RecordSuccess();
     Deliver(std::move(attempt));
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -19,18 +19,23 @@
 
 } // namespace
 
+void Exchange::ReleaseAttempt(const Attempt& aAttempt, bool aRejected)
+{
+  if (!aAttempt.m_host.empty()) {
+    m_core.m_forwarder->Targets().OnEnded(aAttempt.m_host);
+    return;
+  }
+  m_core.m_endpointTracker.OnEnded(aAttempt.m_incarnation, m_work);
+  if (m_core.m_slotClient != nullptr) {
+    m_core.m_slotClient->OnEnded(aAttempt.m_incarnation, aRejected);
+  }
+}
+
 void Exchange::CancelAttempt()
 {
   if (m_attempt) {
     m_core.m_client.Cancel(m_attempt->m_callId);
-    if (m_attempt->m_host.empty()) {
-      m_core.m_endpointTracker.OnEnded(m_attempt->m_incarnation, m_work);
-      if (m_core.m_slotClient != nullptr) {
-        m_core.m_slotClient->OnEnded(m_attempt->m_incarnation, false);
-      }
-    } else {
-      m_core.m_forwarder->Targets().OnEnded(m_attempt->m_host);
-    }
+    ReleaseAttempt(*m_attempt, false);
     m_mayHaveRun = true;
     m_attempt.reset();
   }
--- a/src/ferrytray/relay/exchange_forward.cpp
+++ b/src/ferrytray/relay/exchange_forward.cpp
@@ -90,10 +90,11 @@
   ++m_forwards;
   ++m_sends;
   m_lastHost = aHost.m_name;
-  m_attempt.emplace();
-  m_attempt->m_host = aHost.m_name;
-  m_attempt->m_sentAt = base::MonotonicNow();
-  m_attempt->m_eventSplitter = EventSplitter(m_lastEventId);
+  Attempt attempt;
+  attempt.m_host = aHost.m_name;
+  attempt.m_sentAt = base::MonotonicNow();
+  attempt.m_eventSplitter = EventSplitter(m_lastEventId);
+  m_attempt = std::move(attempt);
   m_core.m_forwarder->Targets().OnSent(aHost);
   StartAttempt(m_core.m_forwarder->BuildCall(aHost, forwarded));
 }
--- a/src/ferrytray/relay/forward_targets.cpp
+++ b/src/ferrytray/relay/forward_targets.cpp
@@ -6,6 +6,16 @@
 
 namespace ferrytray::relay {
 
+namespace {
+
+// Groups of hosts, the preferred one first.
+constexpr std::size_t kOwnZone = 0;
+constexpr std::size_t kOtherZone = 1;
+constexpr std::size_t kZoneInBackoff = 2;
+constexpr std::size_t kPreferences = 3;
+
+} // namespace
+
 bool ForwardTargets::IsHostInBackoff(const std::string& aHost, base::TimePoint aNow) const
 {
   const auto found = m_states.find(aHost);
@@ -30,21 +40,14 @@
                                                 std::mt19937_64& aRandom,
                                                 base::TimePoint aNow) const
 {
-  enum Preference : std::size_t
-  {
-    OwnZone,
-    OtherZone,
-    ZoneInBackoff,
-    kPreferences
-  };
   std::array<std::vector<const peers::Peer*>, kPreferences> hosts;
   for (const peers::Peer& host : aHosts) {
     if (aExcluded.contains(host.m_name) || IsHostInBackoff(host.m_name, aNow)) {
       continue;
     }
-    const Preference preference = IsZoneInBackoff(host.m_zone, aNow) ? ZoneInBackoff
-                                  : host.m_zone == aZone             ? OwnZone
-                                                                     : OtherZone;
+    const std::size_t preference = IsZoneInBackoff(host.m_zone, aNow) ? kZoneInBackoff
+                                   : host.m_zone == aZone             ? kOwnZone
+                                                                      : kOtherZone;
     hosts.at(preference).push_back(&host);
   }
   const auto candidates = std::find_if(
--- a/src/ferrytray/rollout/rollout_driver_test.cpp
+++ b/src/ferrytray/rollout/rollout_driver_test.cpp
@@ -279,7 +279,7 @@
   for (auto& [name, state] : m_engines.m_states) {
     state->m_busy = false;
   }
-  m_loop.RunFor(300ms);
+  m_loop.RunFor(m_options.m_lease.m_duration + 500ms); // past the end of the lease
   LONGS_EQUAL(orders, m_engines.m_orders.size());
   LONGS_EQUAL(records, m_log.m_records.size()); // the lease is not renewed
   driver.SetPaused(false);
--- a/src/ferrytray/routing/reachability.cpp
+++ b/src/ferrytray/routing/reachability.cpp
@@ -91,7 +91,7 @@
     case Reachability::Returning: {
       constexpr double kInitialFraction = 0.1;
       const double passed =
-        base::Seconds(aNow - *m_returnedAt) / base::Seconds(m_options.m_returnTime);
+        base::Seconds(aNow - m_returnedAt.value_or(aNow)) / base::Seconds(m_options.m_returnTime);
       return std::clamp(passed, kInitialFraction, 1.0);
     }
     case Reachability::Reachable:
