--- a/include/ferrytray/limits/brittle_services.hpp
+++ b/include/ferrytray/limits/brittle_services.hpp
@@ -12,8 +12,8 @@
 /// @brief Hash of a service's name.
 using ServiceKey = std::uint64_t;
 
-/// @brief What one host tells another of a brittle service. Hosts have no common clock, so the time
-/// is an age.
+/// @brief A report of a brittle service to another host. Hosts have no common clock, so it has an
+/// age.
 struct BrittleReport
 {
   ServiceKey m_service = 0;
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -115,7 +115,7 @@
   void Deliver(Attempt aAttempt);
   void ForwardEvents(std::string aEvents);
   [[nodiscard]] RetryContext RetryContextOf(AttemptOutcome aOutcome, const Attempt& aAttempt) const;
-  /// Updates what is known of the endpoint after an unsuccessful attempt.
+  /// Updates the endpoint's state after an unsuccessful attempt.
   void RecordFailedAttempt(AttemptOutcome aOutcome, const Attempt& aAttempt, base::TimePoint aNow);
   void HandleFailure(AttemptOutcome aOutcome, Attempt aAttempt, std::string_view aDetail);
   /// Ends the count of an attempt as open.
--- a/include/ferrytray/relay/forward_messages.hpp
+++ b/include/ferrytray/relay/forward_messages.hpp
@@ -40,7 +40,7 @@
   bool m_declined = false;
 };
 
-/// @brief What the headers of the other host's reply say besides the headers of the endpoint.
+/// @brief Contents of the headers between hosts in the reply to a forwarded request.
 struct ForwardReply
 {
   std::string m_endpoint;                  ///< incarnation that replied; empty: none
--- a/include/ferrytray/relay/slot_client.hpp
+++ b/include/ferrytray/relay/slot_client.hpp
@@ -46,7 +46,8 @@
   /// @brief A request to a brittle endpoint has ended.
   /// @param aRejected the endpoint had no room for it
   void OnEnded(const std::string& aIncarnation, bool aRejected);
-  /// @brief Drops what is out of date and renews reports. Call every second or more often.
+  /// @brief Drops what is out of date and renews reports. Must be called once a second or
+  /// more often.
   void Expire(base::TimePoint aNow);
 
 private:
--- a/include/ferrytray/routing/reachability.hpp
+++ b/include/ferrytray/routing/reachability.hpp
@@ -75,11 +75,11 @@
   {
     return State(aNow) == Reachability::Unreachable;
   }
-  /// @brief Whether new connections can be opened, so that a failed connect tells something about
-  /// its endpoint.
+  /// @brief Whether new connections can be opened. While they cannot, a failed connect is no
+  /// evidence against its endpoint.
   [[nodiscard]] bool CanConnect() const { return !m_connectsFail; }
   /// @brief Whether connects failed, connections broke or endpoints are silent, so that a probe is
-  /// needed to tell whether this host or the endpoints are at fault.
+  /// needed to distinguish a partition from failed endpoints.
   [[nodiscard]] bool IsSuspect(base::TimePoint aNow) const;
   /// @brief Fraction of the requests that this host should send to endpoints itself (0 to 1).
   [[nodiscard]] double DirectFraction(base::TimePoint aNow) const;
--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -27,7 +27,7 @@
   const auto set = [aSocket](int aLevel, int aName, int aValue) {
     setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
   };
-  // Linux also applies this timeout to keep-alive probes, whatever their count.
+  // Linux also applies this timeout to keep-alive probes, regardless of their count.
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aMillis));
   set(SOL_SOCKET, SO_KEEPALIVE, 1);
   set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
--- a/src/ferrytray/net/curl_call_test.cpp
+++ b/src/ferrytray/net/curl_call_test.cpp
@@ -27,7 +27,7 @@
 };
 
 // An endpoint that was silent for a little over a second lost its connections: Linux ends a
-// connection at the first unanswered probe after TCP_USER_TIMEOUT, whatever the count of probes.
+// connection at the first unanswered probe after TCP_USER_TIMEOUT, regardless of their count.
 TEST(CurlCall, PeerMayBeSilentForTwoProbesWithinItsTimeout)
 {
   constexpr long kMillis = 2100;
--- a/src/ferrytray/relay/exchange_slot.cpp
+++ b/src/ferrytray/relay/exchange_slot.cpp
@@ -15,7 +15,8 @@
 /// endpoint.
 constexpr int kMaxWaitDivisor = 2;
 
-/// Requests that may wait whatever the estimate: without any, no further slot would be granted.
+/// Requests that may wait regardless of the estimate: if none waits, no slot is granted, and the
+/// estimate cannot improve.
 constexpr std::size_t kMinWaiting = 2;
 
 constexpr base::Duration kMinWait = std::chrono::milliseconds(2);
--- a/src/ferrytray/relay/prompt_dispatcher.cpp
+++ b/src/ferrytray/relay/prompt_dispatcher.cpp
@@ -157,7 +157,7 @@
 {
   std::vector<peers::EndpointTag> unreachable;
   if (!m_core.m_reachability.CanConnect()) {
-    return unreachable; // this host is partitioned, so its failures tell nothing about the engines
+    return unreachable; // a partitioned host's failures are no evidence against engines
   }
   for (const fleet::Endpoint* endpoint :
        m_core.m_directory.UsableOf(aService).Group(GroupKeyOf(aKey))) {
