--- a/src/ferrytray/relay/forward_messages_test.cpp
+++ b/src/ferrytray/relay/forward_messages_test.cpp
@@ -45,13 +45,13 @@
   const ForwardedRequest valid = support::ForwardFixture::MakeForwarded();
   CHECK(IsAccepted(valid));
   ForwardedRequest request = valid;
-  request.m_request.m_target = "/x HTTP/1.1\r\nTenant-Id: other";
+  request.m_request.m_target = "/x HTTP/1.1\r\nX-Account: other";
   CHECK_FALSE(IsAccepted(request));
   request = valid;
   request.m_request.m_method = "GET /";
   CHECK_FALSE(IsAccepted(request));
   request = valid;
-  request.m_request.m_forwardedHeaders = { { "A", "b\r\nTenant-Id: other" } };
+  request.m_request.m_forwardedHeaders = { { "A", "b\r\nX-Account: other" } };
   CHECK_FALSE(IsAccepted(request));
   request = valid;
   request.m_request.m_forwardedHeaders = { { "A: b\r\nC", "d" } };
