Net, relay: how the end of a reply was found is logged

ClientOutcome now names the framing of the reply; the lines request and attempt_failed have it with the bytes after the last complete event, and replies_total counts replies by framing. No request is handled differently.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -44,9 +44,22 @@
   BrokenReply, ///< failed or timed out within the reply
 };
 
+/// @brief How the end of a reply's body is determined.
+/// @see RFC 9112, section 6.3
+enum class ReplyFraming : std::uint8_t
+{
+  Length, ///< by Content-Length, or by a status that has no body
+  Chunks, ///< by the last chunk
+  Close,  ///< by the end of the connection, which does not show whether the body is complete
+};
+
+/// @brief The value of the "framing" key in log lines.
+std::string_view ToString(ReplyFraming aFraming);
+
 struct ClientOutcome
 {
   WireEnd m_end = WireEnd::NotSent;
+  ReplyFraming m_framing = ReplyFraming::Length; ///< valid if the reply's head arrived
   int m_status = 0;
   bool m_timedOut = false;
   std::string m_detail;
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -111,6 +111,8 @@
   [[nodiscard]] bool IsSuccess(const Attempt& aAttempt) const;
   [[nodiscard]] AttemptOutcome ClassifyOutcome(const Attempt& aAttempt,
                                                const net::ClientOutcome& aOutcome) const;
+  /// Records how the end of a reply was determined, for the log and the metrics.
+  void RecordFraming(const Attempt& aAttempt, const net::ClientOutcome& aOutcome);
   void RecordAnswerStarted();
   void Deliver(Attempt aAttempt);
   void ForwardEvents(std::string aEvents);
@@ -184,7 +186,9 @@
   bool m_replyStarted = false;
   std::optional<std::uint64_t> m_lastEventId; ///< last event forwarded to the caller
   std::string m_lastEndpoint;
-  routing::Work m_lastOpenWork = 0; ///< of the last send, for the log
+  std::optional<net::ReplyFraming> m_lastFraming; ///< of the last reply whose head arrived
+  std::size_t m_lastPartialEventBytes = 0;        ///< after the last complete event, for the log
+  routing::Work m_lastOpenWork = 0;               ///< of the last send, for the log
   bool m_lastAtHome = true;
   std::array<std::uint64_t, cache::kPartOutcomes>
     m_lastTokensByOutcome{};                     ///< by cache::PartOutcome
--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -1,7 +1,10 @@
 #include "ferrytray/net/curl_call.hpp"
 
+#include <algorithm>     // for any_of
 #include <netinet/in.h>  // for IPPROTO_TCP
 #include <netinet/tcp.h> // for TCP_USER_TIMEOUT
+#include <string.h>      // for strcasestr
+#include <strings.h>     // for strcasecmp
 #include <sys/socket.h>  // for setsockopt
 
 namespace ferrytray::net {
@@ -14,6 +17,31 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+bool HasChunks(const Headers& aHeaders)
+{
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [](const auto& aHeader) {
+    const auto& [name, value] = aHeader;
+    return strcasecmp(name.c_str(), "transfer-encoding") == 0 &&
+           strcasestr(value.c_str(), "chunked") != nullptr;
+  });
+}
+
+ReplyFraming FramingOf(const CurlCall& aCall, int aStatus)
+{
+  if (aStatus == kNoContent || aStatus == kNotModified) {
+    return ReplyFraming::Length;
+  }
+  if (HasChunks(aCall.m_headers)) {
+    return ReplyFraming::Chunks;
+  }
+  curl_off_t length = -1;
+  curl_easy_getinfo(aCall.m_easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  return length >= 0 ? ReplyFraming::Length : ReplyFraming::Close;
+}
+
 int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
 {
   SetPeerTimeout(aSocket, static_cast<const CurlCall*>(aCall)->m_peerTimeoutMillis);
@@ -87,6 +115,7 @@
   long status = 0;
   curl_easy_getinfo(aCall.m_easy, CURLINFO_RESPONSE_CODE, &status);
   outcome.m_status = static_cast<int>(status);
+  outcome.m_framing = FramingOf(aCall, outcome.m_status);
   outcome.m_timedOut = aResult == CURLE_OPERATION_TIMEDOUT;
   outcome.m_detail = curl_easy_strerror(aResult);
   outcome.m_etag = aCall.m_etag;
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -272,6 +272,19 @@
 
 } // namespace
 
+std::string_view ToString(ReplyFraming aFraming)
+{
+  switch (aFraming) {
+    case ReplyFraming::Length:
+      return "length";
+    case ReplyFraming::Chunks:
+      return "chunks";
+    case ReplyFraming::Close:
+      break;
+  }
+  return "close";
+}
+
 std::unique_ptr<HttpClient> HttpClient::Create(Loop& aLoop)
 {
   static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -223,6 +223,7 @@
   }
   Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
+  RecordFraming(attempt, aOutcome);
   ReleaseAttempt(attempt,
                  attempt.m_head && attempt.m_head->m_notRun && !attempt.m_head->m_misdirected);
   if (IsSuccess(attempt) && aOutcome.m_end == net::WireEnd::Complete) {
@@ -340,6 +341,8 @@
     .Add("end", ToString(aOutcome))
     .Add("status", status)
     .Add("detail", aDetail)
+    .Add("framing", m_lastFraming ? net::ToString(*m_lastFraming) : "-")
+    .Add("partial_event_bytes", m_lastPartialEventBytes)
     .Add("weights_named", aAttempt.m_weights.value_or(0))
     .Add("weights_told", aAttempt.m_head ? aAttempt.m_head->m_weights.value_or(0) : 0)
     .Add("sends", m_sends)
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -104,6 +104,17 @@
   m_attempt->m_body.append(aPiece);
 }
 
+void Exchange::RecordFraming(const Attempt& aAttempt, const net::ClientOutcome& aOutcome)
+{
+  m_lastPartialEventBytes = aAttempt.m_eventSplitter.Remainder().size();
+  m_lastFraming.reset();
+  if (aAttempt.m_head) {
+    m_lastFraming = aOutcome.m_framing;
+    m_core.m_metrics.Count("replies_total{framing=\"" +
+                           std::string(net::ToString(aOutcome.m_framing)) + "\"}");
+  }
+}
+
 void Exchange::ForwardEvents(std::string aEvents)
 {
   if (aEvents.empty()) {
