Soak: workers whose replies end with the connection, and that break streams off

A server for tests whose handler chooses how a reply ends, LF, CR LF and CR in events, and a proxy that can reset connections.

--- a/standins/proxy_main.cpp
+++ b/standins/proxy_main.cpp
@@ -25,6 +25,7 @@
   bool m_mute = false;       ///< forward requests but no replies
   int m_dropReplies = 0;     ///< how many connections to close at the first reply bytes
   long m_cutReplyAfter = -1; ///< reply bytes after which to close one connection; -1: never
+  bool m_reset = false; ///< reset connections instead of closing them, except after an orderly end
 };
 
 /// A proxied TCP connection.
@@ -54,9 +55,13 @@
     });
   }
 
-  void Close()
+  /// @param aOrderly the peer closed its side after a complete transfer
+  void Close(bool aOrderly = false)
   {
     asio::error_code ignored;
+    if (m_faults.m_reset && !aOrderly) {
+      m_client.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_client.close(ignored);
     m_server.close(ignored);
   }
@@ -70,7 +75,7 @@
                           [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aIsReply](
                             const asio::error_code& aError, std::size_t aSize) {
                             if (aError) {
-                              self->Close();
+                              self->Close(aError == asio::error::eof);
                               return;
                             }
                             self->OnBytes(aFrom, aTo, aBuffer, aSize, aIsReply);
@@ -159,6 +164,7 @@
     m_faults.m_halfOpen = aBody.value("half_open", m_faults.m_halfOpen);
     m_faults.m_mute = aBody.value("mute", m_faults.m_mute);
     m_faults.m_dropReplies = aBody.value("drop_replies", m_faults.m_dropReplies);
+    m_faults.m_reset = aBody.value("reset", m_faults.m_reset);
     m_faults.m_cutReplyAfter = aBody.value("cut_reply_after", m_faults.m_cutReplyAfter);
     if (m_faults.m_cut) {
       for (const auto& weak : m_connections) {
--- /dev/null
+++ b/tests/support/raw_http_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>    // for uint64_t
+#include <functional> // for function
+#include <map>        // for map
+#include <memory>     // for shared_ptr, unique_ptr
+
+#include <asio/ip/tcp.hpp> // for tcp
+
+#include "ferrytray/net/http_server.hpp" // for HttpServer
+#include "ferrytray/net/loop.hpp"        // for Loop
+
+namespace support {
+
+class RawConnection;
+
+/// An HTTP/1.1 server on loopback whose handler decides how the end of a reply's body is found:
+///
+/// - by the length, if the headers of the reply include Content-Length;
+/// - by the last chunk, if they include Transfer-Encoding: chunked;
+/// - by the end of the connection, if they include neither.
+///
+/// Send() and StartStream() add no headers. Finish() closes the connection of a reply of the third
+/// kind with a FIN, and Abort() always resets it.
+class RawHttpServer final : public ferrytray::net::HttpServer
+{
+public:
+  RawHttpServer(ferrytray::net::Loop& aLoop, ferrytray::net::HttpHandler aHandler);
+  ~RawHttpServer() override;
+  RawHttpServer(const RawHttpServer&) = delete;
+  RawHttpServer& operator=(const RawHttpServer&) = delete;
+
+  /// Whether Abort() resets the connection of a reply with a length or chunks (default) or closes
+  /// it with a FIN. Called for each such reply.
+  void SetResetOnAbort(std::function<bool()> aReset) { m_resetOnAbort = std::move(aReset); }
+
+  [[nodiscard]] ferrytray::net::Address ListenAddress() const override;
+  [[nodiscard]] ferrytray::net::HttpServerCounters Counters() const override { return m_counters; }
+  [[nodiscard]] std::size_t PendingRequests() const override;
+  void CloseIdle() override;
+
+private:
+  friend class RawConnection;
+  void Accept();
+
+  ferrytray::net::HttpHandler m_handler;
+  std::function<bool()> m_resetOnAbort = [] { return true; };
+  ferrytray::net::HttpServerCounters m_counters;
+  std::uint64_t m_lastConnection = 0;
+  std::map<std::uint64_t, std::shared_ptr<RawConnection>> m_connections;
+  asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace support
