--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -177,7 +177,7 @@
   m_attempt->m_endpointId = endpoint->m_id;
   m_attempt->m_sentAt = base::MonotonicNow();
   m_attempt->m_weights = call.m_weights;
-  m_attempt->m_eventSplitter = EventSplitter(m_lastEventId);
+  m_attempt->m_eventSplitter = net::EventSplitter(m_lastEventId);
   m_triedEndpoints.insert(endpoint->m_incarnation);
   m_lastEndpoint = endpoint->m_incarnation;
   m_lastOpenWork = aTarget.m_openWork;
--- a/src/ferrytray/relay/exchange_forward.cpp
+++ b/src/ferrytray/relay/exchange_forward.cpp
@@ -93,7 +93,7 @@
   Attempt attempt;
   attempt.m_host = aHost.m_name;
   attempt.m_sentAt = base::MonotonicNow();
-  attempt.m_eventSplitter = EventSplitter(m_lastEventId);
+  attempt.m_eventSplitter = net::EventSplitter(m_lastEventId);
   m_attempt = std::move(attempt);
   m_core.m_forwarder->Targets().OnSent(aHost);
   StartAttempt(m_core.m_forwarder->BuildCall(aHost, forwarded));
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -92,7 +92,7 @@
     return;
   }
   if (m_routeMatch.m_route->m_streaming && IsSuccess(*m_attempt)) {
-    EventSplitter::CompleteEvents events = m_attempt->m_eventSplitter.Feed(aPiece);
+    net::EventSplitter::CompleteEvents events = m_attempt->m_eventSplitter.Feed(aPiece);
     m_lastEventId = events.m_lastId ? events.m_lastId : m_lastEventId;
     ForwardEvents(std::move(events.m_bytes));
     return;
