Relay: a stream that ends within an event is never forwarded as complete

Callers got streams as complete that their endpoint had broken off. A reply that declares neither a length nor chunks ends with its connection, so a truncated one ends with the same FIN. The HTTP client reported both as complete, as a reply whose last chunk arrived, and the exchange forwarded what was left of an event and ended the reply with a last chunk.

The client now reports such an end as WireEnd::Closed. A reader that only accepts Complete rejects it; one that can judge the content has to say so. ReplyBody does for endpoints' replies: an event stream must end between two events, whatever its framing, JSON must parse, a stream without any event is truncated. A resumable stream goes on after its last event; any other is broken off visibly and at once. A closed connection no longer clears a request of the suspicion that it crashes endpoints. An event larger than the reply limit ends its request at once instead of filling memory.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -38,7 +38,9 @@
 /// @brief How far the transfer of a request and its reply got.
 enum class WireEnd : std::uint8_t
 {
-  Complete,    ///< the whole reply arrived
+  Complete,    ///< the whole reply arrived, as its length, its last chunk or its status shows
+  Closed,      ///< the peer closed the connection of a reply without a length and chunks: only the
+               ///< content can show whether it is complete
   NotSent,     ///< no byte of the request was sent
   NoReply,     ///< sent, then failed or timed out before the first reply byte
   BrokenReply, ///< failed or timed out within the reply
@@ -67,6 +69,11 @@
   std::string m_retryAfter; ///< value of the reply's Retry-After header; empty if absent
 };
 
+/// @brief Whether no failure of the connection truncated the reply: Complete or Closed. Suffices
+/// for readers that need only the status, or whose parser rejects truncated content, as that of
+/// JSON does.
+[[nodiscard]] bool EndedWithoutFailure(const ClientOutcome& aOutcome);
+
 /// @brief Callbacks of a request. They run on the loop.
 struct ClientEvents
 {
--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -121,7 +121,9 @@
   outcome.m_etag = aCall.m_etag;
   outcome.m_retryAfter = aCall.m_retryAfter;
   if (aResult == CURLE_OK) {
-    outcome.m_end = WireEnd::Complete;
+    const bool hasReply = outcome.m_status != 0; // calls that only connect have none
+    const bool closed = hasReply && outcome.m_framing == ReplyFraming::Close;
+    outcome.m_end = closed ? WireEnd::Closed : WireEnd::Complete;
   } else if (aCall.m_receivedBytes) {
     outcome.m_end = WireEnd::BrokenReply;
   } else if (aCall.m_sends > 0) {
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -285,6 +285,11 @@
   return "close";
 }
 
+bool EndedWithoutFailure(const ClientOutcome& aOutcome)
+{
+  return aOutcome.m_end == WireEnd::Complete || aOutcome.m_end == WireEnd::Closed;
+}
+
 std::unique_ptr<HttpClient> HttpClient::Create(Loop& aLoop)
 {
   static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -177,7 +177,6 @@
   m_attempt->m_endpointId = endpoint->m_id;
   m_attempt->m_sentAt = base::MonotonicNow();
   m_attempt->m_weights = call.m_weights;
-  m_attempt->m_eventSplitter = net::EventSplitter(m_lastEventId);
   m_triedEndpoints.insert(endpoint->m_incarnation);
   m_lastEndpoint = endpoint->m_incarnation;
   m_lastOpenWork = aTarget.m_openWork;
@@ -226,8 +225,10 @@
   RecordFraming(attempt, aOutcome);
   ReleaseAttempt(attempt,
                  attempt.m_head && attempt.m_head->m_notRun && !attempt.m_head->m_misdirected);
-  if (IsSuccess(attempt) && aOutcome.m_end == net::WireEnd::Complete) {
-    RecordSuccess();
+  if (IsSuccess(attempt) && IsComplete(attempt, aOutcome)) {
+    if (aOutcome.m_end == net::WireEnd::Complete) {
+      RecordSuccess(); // a closed connection does not show that the endpoint has not crashed
+    }
     Deliver(std::move(attempt));
     return;
   }
@@ -256,19 +257,19 @@
 
 void Exchange::Deliver(Attempt aAttempt)
 {
-  if (m_routeMatch.m_route->m_streaming) {
-    const std::string rest = aAttempt.m_eventSplitter.Remainder();
+  std::string rest = aAttempt.m_body.Held();
+  if (aAttempt.m_body.IsEventStream()) {
     if (!m_replyStarted) {
       m_reply->StartStream(aAttempt.m_head->m_status, ReplyHeaders(aAttempt));
     }
-    m_reply->Write(rest);
+    m_reply->Write(std::move(rest));
     m_reply->Finish();
   } else {
     RecordAnswerStarted();
     if (m_core.m_stopping) {
       m_reply->CloseAfterReply();
     }
-    m_reply->Send(aAttempt.m_head->m_status, ReplyHeaders(aAttempt), std::move(aAttempt.m_body));
+    m_reply->Send(aAttempt.m_head->m_status, ReplyHeaders(aAttempt), std::move(rest));
   }
   Finish("delivered");
 }
@@ -360,7 +361,7 @@
       if (m_core.m_stopping) {
         m_reply->CloseAfterReply();
       }
-      m_reply->Send(status, ReplyHeaders(aAttempt), std::move(aAttempt.m_body));
+      m_reply->Send(status, ReplyHeaders(aAttempt), aAttempt.m_body.Held());
       Finish("endpoint_failed");
       break;
     case NextStep::Refuse:
--- a/src/ferrytray/relay/exchange_forward.cpp
+++ b/src/ferrytray/relay/exchange_forward.cpp
@@ -93,7 +93,6 @@
   Attempt attempt;
   attempt.m_host = aHost.m_name;
   attempt.m_sentAt = base::MonotonicNow();
-  attempt.m_eventSplitter = net::EventSplitter(m_lastEventId);
   m_attempt = std::move(attempt);
   m_core.m_forwarder->Targets().OnSent(aHost);
   StartAttempt(m_core.m_forwarder->BuildCall(aHost, forwarded));
@@ -113,6 +112,7 @@
   ReplyHead head = m_core.m_format.ReadHead(aStatus, aHeaders);
   m_attempt->m_invalidReply = head.m_requestId != m_request.m_id;
   m_attempt->m_head = std::move(head);
+  BeginBody();
 }
 
 void Exchange::HandleForwardFailure(const Attempt& aAttempt)
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -34,6 +34,21 @@
     UpdateEndpointState(head);
   }
   m_attempt->m_head = std::move(head);
+  BeginBody();
+}
+
+void Exchange::BeginBody()
+{
+  const net::Headers& headers = m_attempt->m_head->m_forwardedHeaders;
+  const std::size_t maxBytes = m_core.m_options.m_maxReplyBytes;
+  if (m_routeMatch.m_route->m_streaming && IsSuccess(*m_attempt) && MayBeEventStream(headers)) {
+    m_attempt->m_body = ReplyBody::EventStream(m_lastEventId, maxBytes);
+    return;
+  }
+  m_attempt->m_body = ReplyBody::Plain(headers, maxBytes);
+  if (IsSuccess(*m_attempt) && m_replyStarted) {
+    m_attempt->m_invalidReply = true; // does not continue the events that the caller has
+  }
 }
 
 void Exchange::UpdateEndpointState(const ReplyHead& aHead)
@@ -91,22 +106,28 @@
   if (!m_attempt || m_attempt->m_invalidReply) {
     return;
   }
-  if (m_routeMatch.m_route->m_streaming && IsSuccess(*m_attempt)) {
-    net::EventSplitter::CompleteEvents events = m_attempt->m_eventSplitter.Feed(aPiece);
-    m_lastEventId = events.m_lastId ? events.m_lastId : m_lastEventId;
-    ForwardEvents(std::move(events.m_bytes));
-    return;
-  }
-  if (m_attempt->m_body.size() + aPiece.size() > m_core.m_options.m_maxReplyBytes) {
-    m_attempt->m_invalidReply = true;
-    return;
+  net::EventSplitter::CompleteEvents events = m_attempt->m_body.Append(aPiece);
+  m_lastEventId = events.m_lastId ? events.m_lastId : m_lastEventId;
+  ForwardEvents(std::move(events.m_bytes));
+  if (m_attempt->m_body.IsTooLarge()) {
+    AbandonReply();
   }
-  m_attempt->m_body.append(aPiece);
+}
+
+void Exchange::AbandonReply()
+{
+  m_core.m_client.Cancel(m_attempt->m_callId);
+  Attempt attempt = std::move(*m_attempt);
+  m_attempt.reset();
+  attempt.m_invalidReply = true;
+  m_lastFraming.reset();
+  ReleaseAttempt(attempt, false);
+  HandleFailure(AttemptOutcome::Broken, std::move(attempt), "the reply exceeds its size limit");
 }
 
 void Exchange::RecordFraming(const Attempt& aAttempt, const net::ClientOutcome& aOutcome)
 {
-  m_lastPartialEventBytes = aAttempt.m_eventSplitter.Remainder().size();
+  m_lastPartialEventBytes = aAttempt.m_body.IsEventStream() ? aAttempt.m_body.Held().size() : 0;
   m_lastFraming.reset();
   if (aAttempt.m_head) {
     m_lastFraming = aOutcome.m_framing;
@@ -139,6 +160,13 @@
   m_reply->Write(std::move(aEvents));
 }
 
+bool Exchange::IsComplete(const Attempt& aAttempt, const net::ClientOutcome& aOutcome)
+{
+  // Hosts send a length or chunks.
+  const bool closedByHost = !aAttempt.m_host.empty() && aOutcome.m_end == net::WireEnd::Closed;
+  return !closedByHost && aAttempt.m_body.IsComplete(aOutcome.m_end);
+}
+
 AttemptOutcome Exchange::ClassifyOutcome(const Attempt& aAttempt,
                                          const net::ClientOutcome& aOutcome) const
 {
@@ -149,7 +177,7 @@
   if (ours && aAttempt.m_head->m_notRun) {
     return AttemptOutcome::NotRun;
   }
-  const bool complete = ours && aOutcome.m_end == net::WireEnd::Complete;
+  const bool complete = ours && IsComplete(aAttempt, aOutcome);
   return complete && !aAttempt.m_head->Succeeds() ? AttemptOutcome::ErrorReply
                                                   : AttemptOutcome::Broken;
 }
