Readers of replies that end with their connection accept them only if whole

Readers of JSON and of a status accept it again: what is truncated does not parse. A batch of the record log that was cut after its header parsed as one without records and was taken for the end of its topic; it is an error now. Calls between hosts still accept declared ends only.

In the gate, a service's response without a declared end must parse before it is answered or stored for its key, and does not clear a request of the suspicion that it crashes endpoints. A forwarded response that breaks off is aborted: so far an error event was appended, also within an event or to JSON, and the response ended as complete. The command line reports a truncated reply instead of parsing it.

--- a/include/ferrytray/gate/service_exchange.hpp
+++ b/include/ferrytray/gate/service_exchange.hpp
@@ -43,7 +43,7 @@
             base::Duration aRetryAfter = kRetryAfter);
   void EndWork();
   /// Reports to crash detection how the call ended.
-  void RecordCrashOutcome(const net::ClientOutcome& aOutcome);
+  void RecordCrashOutcome(const net::ClientOutcome& aOutcome, bool aComplete);
   [[nodiscard]] bool Idempotent() const;
 
   GateCore& m_core;
--- a/src/ferrytray/gate/engine_attempt.cpp
+++ b/src/ferrytray/gate/engine_attempt.cpp
@@ -114,7 +114,7 @@
     End(AttemptNotStarted{ aOutcome.m_detail, false, {} });
     return;
   }
-  const bool rejected = aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status != kOk;
+  const bool rejected = net::EndedWithoutFailure(aOutcome) && aOutcome.m_status != kOk;
   if (rejected && firstTransfer) {
     const EngineError error = ParseEngineError(m_errorBody);
     if (error.m_started) {
--- a/src/ferrytray/gate/request_forwarding.cpp
+++ b/src/ferrytray/gate/request_forwarding.cpp
@@ -52,11 +52,10 @@
                                "the gate that holds the state of this request did not respond",
                                base::RunState::Unknown,
                                {} };
-  if (aForwarded.m_streaming) {
-    if (!complete) {
-      aForwarded.m_reply->Write(FormatErrorEvent(failure, aForwarded.m_requestId));
-    }
+  if (aForwarded.m_streaming && complete) {
     aForwarded.m_reply->Finish();
+  } else if (aForwarded.m_streaming) {
+    aForwarded.m_reply->Abort(); // the response may have broken off anywhere, also within an event
   } else if (complete) {
     aForwarded.m_reply->Send(aForwarded.m_status, {}, "");
   } else {
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm> // for min
 
+#include <nlohmann/json.hpp> // for json
+
 #include "ferrytray/gate/answer_format.hpp"      // for SendError
 #include "ferrytray/gate/request_forwarding.hpp" // for ForwardRequest
 #include "ferrytray/net/retry_after.hpp"         // for ParseRetryAfter
@@ -19,6 +21,13 @@
 constexpr base::Duration kExpectedCallTime = std::chrono::milliseconds(50);
 constexpr base::Duration kConnectTimeout = std::chrono::seconds(1);
 
+/// Whether the whole response arrived. Services respond with JSON.
+bool IsComplete(const net::ClientOutcome& aOutcome, const std::string& aBody)
+{
+  return aOutcome.m_end == net::WireEnd::Complete ||
+         (aOutcome.m_end == net::WireEnd::Closed && nlohmann::json::accept(aBody));
+}
+
 /// Whether the service states explicitly that it did not start the request.
 bool ReportsNotStarted(const net::ClientOutcome& aOutcome, const std::string& aBody)
 {
@@ -86,11 +95,12 @@
   return m_call.m_requestOptions.m_idempotent.value_or(m_call.m_service.m_idempotent && !guarded);
 }
 
-void ServiceExchange::RecordCrashOutcome(const net::ClientOutcome& aOutcome)
+void ServiceExchange::RecordCrashOutcome(const net::ClientOutcome& aOutcome, bool aComplete)
 {
-  if (aOutcome.m_end == net::WireEnd::Complete) {
+  if (aComplete) {
     m_core.m_crashes.OnReply(m_endpointIncarnation, m_sentAt);
-    if (aOutcome.m_status < kFirstServerError) {
+    // A closed connection does not show that the endpoint has not crashed.
+    if (aOutcome.m_status < kFirstServerError && aOutcome.m_end == net::WireEnd::Complete) {
       m_core.m_crashes.OnCompleteResponse(m_requestKey);
     }
   } else if (aOutcome.m_end != net::WireEnd::NotSent && !aOutcome.m_timedOut) {
@@ -151,8 +161,8 @@
                               const std::string& aBody)
 {
   m_core.m_view.EndService(aEndpoint);
-  RecordCrashOutcome(aOutcome);
-  const bool complete = aOutcome.m_end == net::WireEnd::Complete;
+  const bool complete = IsComplete(aOutcome, aBody);
+  RecordCrashOutcome(aOutcome, complete);
   const bool refused = complete && ReportsNotStarted(aOutcome, aBody);
   if (complete && !refused) {
     Answer(aOutcome, aBody);
--- a/src/ferrytray/keeper/endpoint_watch.cpp
+++ b/src/ferrytray/keeper/endpoint_watch.cpp
@@ -51,10 +51,10 @@
   m_http.Fetch(std::move(request),
                [this](const net::ClientOutcome& aOutcome, const std::string& aBody) {
                  m_hostListPending = false;
-                 const bool complete = aOutcome.m_end == net::WireEnd::Complete;
+                 const bool ended = net::EndedWithoutFailure(aOutcome);
                  // Keep the ETag only of an accepted list: the platform replies "not modified" to
                  // it and does not send that list again.
-                 if (complete && aOutcome.m_status == kOk && OnHostList(aBody)) {
+                 if (ended && aOutcome.m_status == kOk && OnHostList(aBody)) {
                    m_hostListEtag = aOutcome.m_etag;
                  }
                });
@@ -110,7 +110,7 @@
           return;
         }
         found->second.m_loadPending = false;
-        if (aOutcome.m_status == kOk) {
+        if (net::EndedWithoutFailure(aOutcome) && aOutcome.m_status == kOk) {
           OnLoad(endpoint, aBody);
         }
       });
--- a/src/ferrytray/wire/log_client.cpp
+++ b/src/ferrytray/wire/log_client.cpp
@@ -45,7 +45,7 @@
 bool Succeeded(const net::ClientOutcome& aOutcome)
 {
   constexpr int kOk = 200;
-  return aOutcome.m_end == net::WireEnd::Complete && aOutcome.m_status == kOk;
+  return net::EndedWithoutFailure(aOutcome) && aOutcome.m_status == kOk;
 }
 
 } // namespace
--- a/tools/cli_status.cpp
+++ b/tools/cli_status.cpp
@@ -54,9 +54,12 @@
   request.m_url = aUrl;
   HttpResult result = SendAndWait(std::move(request));
   aBody = std::move(result.m_body);
+  if (!net::EndedWithoutFailure(result.m_outcome)) {
+    std::cerr << "error: " << aUrl << ": " << result.m_outcome.m_detail << "\n";
+    return false;
+  }
   if (result.m_outcome.m_status != 200) {
-    std::cerr << "error: " << aUrl << ": "
-              << (result.m_outcome.m_status == 0 ? result.m_outcome.m_detail : aBody) << "\n";
+    std::cerr << "error: " << aUrl << ": " << aBody << "\n";
     return false;
   }
   return true;
