Soak: connections of stand-ins are inherited by no host, and dropped bytes end in a reset

The host had inherited the sockets of the test server, so closing them there sent no FIN. Both are faults of the stand-ins: sockets close on exec now, and a proxied connection that lost bytes is reset.

--- a/standins/proxy_main.cpp
+++ b/standins/proxy_main.cpp
@@ -59,7 +59,8 @@
   void Close(bool aOrderly = false)
   {
     asio::error_code ignored;
-    if (m_faults.m_reset && !aOrderly) {
+    // A FIN after bytes that were dropped would pass a truncated reply off as complete.
+    if (m_faults.m_reset && (!aOrderly || m_droppedBytes)) {
       m_client.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     m_client.close(ignored);
@@ -89,6 +90,7 @@
                bool aIsReply)
   {
     if (m_faults.m_halfOpen || (aIsReply && m_faults.m_mute)) {
+      m_droppedBytes = true;
       Relay(aFrom, aTo, aBuffer, aIsReply);
       return;
     }
@@ -136,6 +138,7 @@
   Buffer m_requestBuffer{};
   Buffer m_replyBuffer{};
   long m_replyBytes = 0;
+  bool m_droppedBytes = false;
 };
 
 /// Forwards TCP connections and UDP datagrams, with injected faults.
--- a/tests/support/raw_http_server.cpp
+++ b/tests/support/raw_http_server.cpp
@@ -3,6 +3,7 @@
 #include <array>     // for array
 #include <charconv>  // for from_chars
 #include <deque>     // for deque
+#include <fcntl.h>   // for fcntl
 #include <optional>  // for optional
 #include <strings.h> // for strcasecmp
 #include <utility>   // for move
@@ -58,6 +59,12 @@
   return std::string(size.data(), end) + "\r\n" + aPiece + "\r\n";
 }
 
+/// A process started meanwhile would inherit the socket, and closing it here would end nothing.
+void CloseOnExec(int aSocket)
+{
+  ::fcntl(aSocket, F_SETFD, FD_CLOEXEC);
+}
+
 HttpRequest ParseHead(std::string_view aHead)
 {
   HttpRequest request;
@@ -105,6 +112,7 @@
   {
     asio::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    CloseOnExec(m_socket.native_handle());
   }
 
   void Read()
@@ -311,6 +319,7 @@
   : m_handler(std::move(aHandler))
   , m_acceptor(aLoop.Impl().m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
 {
+  CloseOnExec(m_acceptor.native_handle());
   Accept();
 }
 
