Relay: a stream is not resumed after an event without an id

Callers of a resumable stream would have got events twice: resumption names the last id, so events without one that were forwarded after it come again. Such a stream is broken off visibly. Test: exchange_reply_end_test StreamIsNotResumedAfterEventWithoutId.

--- a/include/ferrytray/net/event_splitter.hpp
+++ b/include/ferrytray/net/event_splitter.hpp
@@ -19,8 +19,9 @@
   /// @brief The events completed by a call of Feed().
   struct CompleteEvents
   {
-    std::string m_bytes; ///< complete events, unchanged
-    std::optional<std::uint64_t> m_lastId;
+    std::string m_bytes;                   ///< complete events, unchanged
+    std::optional<std::uint64_t> m_lastId; ///< of the last event with an id
+    bool m_endsWithoutId = false;          ///< an event without an id follows that one
   };
 
   /// @param aSkipThrough events with ids up to this one are dropped because the caller has them
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -190,6 +190,7 @@
   bool m_mayHaveRun = false;
   bool m_replyStarted = false;
   std::optional<std::uint64_t> m_lastEventId; ///< last event forwarded to the caller
+  bool m_forwardedWithoutId = false; ///< events after that one, which resuming would repeat
   std::string m_lastEndpoint;
   std::optional<net::ReplyFraming> m_lastFraming; ///< of the last reply whose head arrived
   std::size_t m_lastPartialEventBytes = 0;        ///< after the last complete event, for the log
--- a/src/ferrytray/net/event_splitter.cpp
+++ b/src/ferrytray/net/event_splitter.cpp
@@ -94,6 +94,7 @@
   if (!m_skippedLastEvent) {
     aComplete.m_bytes.append(m_buffer, aStart, m_lineStart - aStart);
     aComplete.m_lastId = m_eventId ? m_eventId : aComplete.m_lastId;
+    aComplete.m_endsWithoutId = !m_eventId && (m_hasFields || aComplete.m_endsWithoutId);
   }
   m_eventId.reset();
   m_hasFields = false;
--- a/src/ferrytray/net/event_splitter_test.cpp
+++ b/src/ferrytray/net/event_splitter_test.cpp
@@ -126,6 +126,14 @@
   STRCMP_EQUAL("data: x\n\n", splitter.Feed("data: x\n\n").m_bytes.c_str());
 }
 
+TEST(EventSplitter, ReportsEventsWithoutIdAfterLastId)
+{
+  EventSplitter splitter;
+  CHECK_FALSE(splitter.Feed("data: a\n\nid: 1\n\n").m_endsWithoutId);
+  CHECK_FALSE(splitter.Feed(": comment\n\n").m_endsWithoutId);
+  CHECK(splitter.Feed("id: 2\n\ndata: b\n\n: comment\n\n").m_endsWithoutId);
+}
+
 TEST(EventSplitter, IgnoresByteOrderMarkBeforeFirstLine)
 {
   EventSplitter splitter;
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -278,7 +278,7 @@
 {
   RetryContext context;
   context.m_outcome = aOutcome;
-  context.m_repeatable = m_routeMatch.m_route->IsRepeatable();
+  context.m_repeatable = m_routeMatch.m_route->IsRepeatable() && !m_forwardedWithoutId;
   context.m_replyStarted = m_replyStarted;
   context.m_mayHaveRun = m_mayHaveRun;
   context.m_forwardable =
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -107,6 +107,7 @@
     return;
   }
   net::EventSplitter::CompleteEvents events = m_attempt->m_body.Append(aPiece);
+  m_forwardedWithoutId = events.m_endsWithoutId || (m_forwardedWithoutId && !events.m_lastId);
   m_lastEventId = events.m_lastId ? events.m_lastId : m_lastEventId;
   ForwardEvents(std::move(events.m_bytes));
   if (m_attempt->m_body.IsTooLarge()) {
--- a/src/ferrytray/relay/exchange_reply_end_test.cpp
+++ b/src/ferrytray/relay/exchange_reply_end_test.cpp
@@ -58,6 +58,15 @@
   STRCMP_EQUAL((std::string(kFirstEvent) + kSecondEvent).c_str(), reply->m_body.c_str());
 }
 
+// The second endpoint would have sent the event without an id again.
+TEST(ExchangeReplyEnd, StreamIsNotResumedAfterEventWithoutId)
+{
+  const auto reply =
+    StreamThenClose("/resume/", std::string(kFirstEvent) + "data: without id\n\nid: 2\nda");
+  LONGS_EQUAL(1, m_client.m_calls.size());
+  CHECK(reply->m_aborted);
+}
+
 TEST(ExchangeReplyEnd, LastChunkWithinEventAbortsReply)
 {
   const auto reply = SendRequest("/stream/");
