--- a/include/ferrytray/net/loop.hpp
+++ b/include/ferrytray/net/loop.hpp
@@ -41,6 +41,9 @@
   [[nodiscard]] TimerHandle After(base::Duration aDelay, std::function<void()> aCall);
   /// @brief Schedules a periodic call, first after one period.
   [[nodiscard]] TimerHandle Every(base::Duration aPeriod, std::function<void()> aCall);
+  /// @brief Keeps SIGTERM, SIGINT and SIGHUP that arrive from now on for the callbacks below, so
+  /// that they do not end a process that is starting.
+  void QueueSignals();
   /// @brief Sets a callback for the first SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> aCall);
   /// @brief Sets a callback for every SIGHUP.
--- a/src/ferrytray/net/loop.cpp
+++ b/src/ferrytray/net/loop.cpp
@@ -122,6 +122,13 @@
   return StartTimer(m_impl->m_context, aPeriod, true, std::move(aCall));
 }
 
+void Loop::QueueSignals()
+{
+  m_impl->m_terminationSignals.add(SIGTERM);
+  m_impl->m_terminationSignals.add(SIGINT);
+  m_impl->m_hangupSignals.add(SIGHUP);
+}
+
 void Loop::OnTerminate(std::function<void()> aCall)
 {
   m_impl->m_terminationSignals.add(SIGTERM);
