Relay: overloaded hosts of the own zone are not preferred for forwarded requests

Callers of partitioned hosts were refused far more often than others under overload: a partitioned host preferred the hosts of its own zone at any load. Where most of the zone was partitioned, the one host left got nearly all of its requests, its queue for slots was full, and its refusal was final, although other zones had room.

A refusal for lack of slots (3008) now suspends the preference, and the request goes to one more host.

Tests: forward_targets_test OverloadSpreadsOverAllZones (9, 99 and 999 hosts: no refusal, the longest queue at most twice the mean capacity, a quarter more messages at most), exchange_forward_test.

--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -174,9 +174,10 @@
   routing::Work m_work;                           ///< per send
   Assignment m_assigned;                          ///< for a long prompt
   std::set<std::string> m_triedEndpoints;
-  std::set<std::string> m_triedHosts;  ///< that declined or failed
-  std::uint32_t m_failedConnects = 0;  ///< to endpoints
-  std::uint32_t m_forwards = 0;        ///< to other hosts
+  std::set<std::string> m_triedHosts; ///< that declined or failed
+  std::uint32_t m_failedConnects = 0; ///< to endpoints
+  std::uint32_t m_forwards = 0;       ///< to other hosts
+  bool m_refusedByOverloadedHost = false;
   std::optional<bool> m_sendsDirectly; ///< drawn while the load returns after a partition
   std::string m_lastHost;              ///< that the request was forwarded to
   net::TimerHandle m_slotTimer;        ///< set while the request waits for a slot
--- a/src/ferrytray/relay/exchange_forward.cpp
+++ b/src/ferrytray/relay/exchange_forward.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm> // for max
 #include <random>    // for uniform_real_distribution
-#include <utility>   // for move
+#include <utility>   // for exchange, move
 
 #include "ferrytray/relay/forwarder.hpp"    // for Forwarder
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
@@ -139,6 +139,14 @@
     Send();
     return;
   }
+  if (failure.m_failure.m_code == base::ErrorCode::EndpointsLimited) {
+    m_core.m_forwarder->Targets().OnOverloaded(aAttempt.m_host, now);
+    m_triedHosts.insert(aAttempt.m_host);
+    // The queue of another host may be shorter.
+    if (!std::exchange(m_refusedByOverloadedHost, true) && TryForward()) {
+      return;
+    }
+  }
   const char* why = "refused at the host that it was forwarded to";
   if (m_replyStarted) {
     AbortReply(why);
--- a/src/ferrytray/relay/exchange_forward_test.cpp
+++ b/src/ferrytray/relay/exchange_forward_test.cpp
@@ -97,6 +97,37 @@
   LONGS_EQUAL(1, m_client.m_calls.size());
 }
 
+TEST(ExchangeForward, RequestGoesToOneMoreHostIfOneIsOverloaded)
+{
+  m_hosts = { { "h2", "z1", "h2:9", 1 }, { "h3", "z2", "h3:9", 1 }, { "h4", "z2", "h4:9", 1 } };
+  const base::Failure overloaded{
+    base::ErrorCode::EndpointsLimited, "", base::RunState::NotRun, 3s
+  };
+  LoseEndpoints();
+  const auto served = SendRequest("/once/x");
+  STRCMP_EQUAL("http://h2:9/forward", LastCall().m_url.c_str()); // own zone first
+  AnswerWithFailure(overloaded, false);
+  LONGS_EQUAL(2, m_client.m_calls.size());
+  AnswerThroughHost(200, "answer");
+  LONGS_EQUAL(200, served->m_status);
+
+  const auto refused = SendRequest("/once/x");
+  AnswerWithFailure(overloaded, false);
+  AnswerWithFailure(overloaded, false);
+  LONGS_EQUAL(4, m_client.m_calls.size());
+  LONGS_EQUAL(503, refused->m_status);
+  DOUBLES_EQUAL(3, std::stod(refused->Header("retry-after")), 0.01);
+}
+
+TEST(ExchangeForward, RefusalOfTheOnlyOtherHostIsPassedOn)
+{
+  LoseEndpoints();
+  const auto reply = SendRequest("/once/x");
+  AnswerWithFailure({ base::ErrorCode::EndpointsLimited, "", base::RunState::NotRun, 3s }, false);
+  LONGS_EQUAL(503, reply->m_status);
+  DOUBLES_EQUAL(3, std::stod(reply->Header("retry-after")), 0.01);
+}
+
 TEST(ExchangeForward, LostReplyOfTheOtherHostMayHaveRun)
 {
   m_hosts.push_back({ "h3", "z2", "h3:9", 1 });
--- a/src/ferrytray/relay/forward_targets.cpp
+++ b/src/ferrytray/relay/forward_targets.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 // Groups of hosts, the preferred one first.
-constexpr std::size_t kOwnZone = 0;
-constexpr std::size_t kOtherZone = 1;
+constexpr std::size_t kPreferredZone = 0;
+constexpr std::size_t kAnyZone = 1;
 constexpr std::size_t kZoneInBackoff = 2;
 constexpr std::size_t kPreferences = 3;
 
@@ -28,6 +28,15 @@
   return found != m_zones.end() && aNow < found->second.m_until;
 }
 
+bool ForwardTargets::IsPreferred(const std::string& aZone,
+                                 const std::string& aOwnZone,
+                                 base::TimePoint aNow) const
+{
+  const auto overload = m_overloadedZones.find(aZone);
+  return aZone == aOwnZone &&
+         (overload == m_overloadedZones.end() || aNow >= overload->second.m_until);
+}
+
 std::uint32_t ForwardTargets::OpenRequests(const std::string& aHost) const
 {
   const auto found = m_states.find(aHost);
@@ -45,9 +54,9 @@
     if (aExcluded.contains(host.m_name) || IsHostInBackoff(host.m_name, aNow)) {
       continue;
     }
-    const std::size_t preference = IsZoneInBackoff(host.m_zone, aNow) ? kZoneInBackoff
-                                   : host.m_zone == aZone             ? kOwnZone
-                                                                      : kOtherZone;
+    const std::size_t preference = IsZoneInBackoff(host.m_zone, aNow)      ? kZoneInBackoff
+                                   : IsPreferred(host.m_zone, aZone, aNow) ? kPreferredZone
+                                                                           : kAnyZone;
     hosts.at(preference).push_back(&host);
   }
   const auto candidates = std::find_if(
@@ -73,18 +82,27 @@
   state.m_open -= std::min(state.m_open, 1U);
 }
 
-void ForwardTargets::Extend(Backoff& aBackoff, std::uint32_t aFree, base::TimePoint aNow) const
+void ForwardTargets::Extend(Backoff& aBackoff, const BackoffLimits& aLimits, base::TimePoint aNow)
 {
   if (aNow < aBackoff.m_until) {
     return; // requests that were sent together fail together
   }
   ++aBackoff.m_failures;
-  if (aBackoff.m_failures > aFree) {
+  if (aBackoff.m_failures > aLimits.m_free) {
     constexpr std::uint32_t kMaxDoublings = 8;
     const auto factor = std::int64_t{ 1 }
-                        << std::min(aBackoff.m_failures - aFree - 1, kMaxDoublings);
-    aBackoff.m_until = aNow + std::min(m_options.m_backoffMin * factor, m_options.m_backoffMax);
+                        << std::min(aBackoff.m_failures - aLimits.m_free - 1, kMaxDoublings);
+    aBackoff.m_until = aNow + std::min(aLimits.m_min * factor, aLimits.m_max);
+  }
+}
+
+void ForwardTargets::OnOverloaded(const std::string& aHost, base::TimePoint aNow)
+{
+  Backoff& overload = m_overloadedZones[m_states[aHost].m_zone];
+  if (aNow >= overload.m_until + m_options.m_noPreferenceMax) {
+    overload = {}; // an earlier overload is over
   }
+  Extend(overload, { 0, m_options.m_noPreferenceMin, m_options.m_noPreferenceMax }, aNow);
 }
 
 void ForwardTargets::OnFailed(const std::string& aHost, base::TimePoint aNow)
@@ -93,8 +111,10 @@
   if (IsHostInBackoff(aHost, aNow)) {
     return;
   }
-  Extend(state.m_backoff, 0, aNow);
-  Extend(m_zones[state.m_zone], m_options.m_zoneFailures - 1, aNow);
+  Extend(state.m_backoff, { 0, m_options.m_backoffMin, m_options.m_backoffMax }, aNow);
+  Extend(m_zones[state.m_zone],
+         { m_options.m_zoneFailures - 1, m_options.m_backoffMin, m_options.m_backoffMax },
+         aNow);
 }
 
 void ForwardTargets::OnServed(const std::string& aHost)
--- a/src/ferrytray/relay/forward_targets_test.cpp
+++ b/src/ferrytray/relay/forward_targets_test.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/relay/forward_targets.hpp"
 
 #include <algorithm> // for max
+#include <map>       // for map
 
 #include <CppUTest/TestHarness.h> // for TEST
 
@@ -141,3 +142,76 @@
     CHECK(declined <= served);
   }
 }
+
+TEST(ForwardTargets, OverloadedOwnZoneIsNotPreferredForSomeTime)
+{
+  const std::vector<peers::Peer> hosts = MakeHosts(9);
+  m_targets.OnSent(hosts[0]);
+  m_targets.OnOverloaded("h0", kStart);
+  const auto ownZoneOf = [&](base::TimePoint aNow) {
+    int own = 0;
+    for (int i = 0; i < 300; ++i) {
+      own += hosts[std::stoul(Pick(hosts, aNow).substr(1))].m_zone == "z0" ? 1 : 0;
+    }
+    return own;
+  };
+  const int own = ownZoneOf(kStart + 999ms);
+  CHECK(own > 50 && own < 150); // a third of the hosts
+  LONGS_EQUAL(300, ownZoneOf(kStart + 1s));
+  m_targets.OnOverloaded("h0", kStart + 1s);
+  CHECK(ownZoneOf(kStart + 2999ms) < 150);
+  LONGS_EQUAL(300, ownZoneOf(kStart + 3s));
+}
+
+// Regression: the only host of a zone that was not partitioned got nearly all requests of the
+// zone's other hosts and refused most of them, while hosts of other zones had capacity.
+TEST(ForwardTargets, OverloadSpreadsOverAllZones)
+{
+  constexpr std::size_t kRequestsPerSender = 40; // in 10 s
+  for (const std::size_t count : { 9U, 99U, 999U }) {
+    std::vector<peers::Peer> helpers;
+    std::size_t senders = 0;
+    for (const peers::Peer& host : MakeHosts(count)) {
+      const bool partitioned = host.m_zone == "z0" && host.m_name != "h0";
+      senders += partitioned ? 1 : 0;
+      if (!partitioned) {
+        helpers.push_back(host);
+      }
+    }
+    const std::size_t capacity = senders * kRequestsPerSender / helpers.size() + 1;
+    std::vector<ForwardTargets> targets(senders);
+    std::map<std::string, std::size_t> accepted;
+    std::size_t messages = 0;
+    std::size_t refused = 0;
+    for (std::size_t request = 0; request < kRequestsPerSender; ++request) {
+      const base::TimePoint now = kStart + request * 250ms;
+      for (ForwardTargets& sender : targets) {
+        std::set<std::string> tried;
+        bool served = false;
+        for (int attempt = 0; attempt < 2 && !served; ++attempt) {
+          const auto host = sender.Pick(helpers, "z0", tried, m_random, now);
+          ++messages;
+          sender.OnSent(*host);
+          sender.OnEnded(host->m_name);
+          served = accepted[host->m_name] < 2 * capacity;
+          if (served) {
+            ++accepted[host->m_name];
+          } else {
+            tried.insert(host->m_name);
+            sender.OnOverloaded(host->m_name, now);
+          }
+        }
+        refused += served ? 0 : 1;
+      }
+    }
+    LONGS_EQUAL(0, refused);
+    const std::size_t all = senders * kRequestsPerSender;
+    CHECK(messages <= all + all / 4);
+    std::size_t longest = 0;
+    for (const auto& [host, requests] : accepted) {
+      longest = std::max(longest, requests);
+    }
+    CHECK(longest <= 2 * capacity);
+    CHECK(accepted.size() == helpers.size());
+  }
+}
