Quarantine: that an endpoint is alive revokes only the connections broken before

Callers' requests that crash endpoints were sent to further ones although they were quarantined. When an endpoint answers after it closed connections, hosts tell each other that it is alive. The notice named the endpoint only. Later the same incarnation crashed under another request; a host that was then started read that crash from its record, got the older notice and dropped it, wrote the record without it, and the other hosts ended the quarantine.

The notice now names the request whose broken connection it revokes, one for each.

Test: crash_board_test ReplyBeforeACrashDoesNotRevokeItAtARestartedHost, red before.

--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -123,7 +123,6 @@
   void AddCrash(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow);
   void MarkKnownGood(const RequestKey& aRequest);
   void MarkProbed(const RequestKey& aRequest);
-  void MarkAlive(EndpointKey aEndpoint);
   void RemoveCrash(const RequestKey& aRequest, EndpointKey aEndpoint);
   void ClearSuspect(const RequestKey& aRequest);
   void EvictSuspects();
--- a/include/ferrytray/quarantine/crash_notice.hpp
+++ b/include/ferrytray/quarantine/crash_notice.hpp
@@ -17,7 +17,8 @@
   CompleteAnswer,   ///< an endpoint answered the request completely
   KnownGood,        ///< the request was answered completely before its first crash
   ProbeStarted,     ///< a host sends the quarantined request once more
-  EndpointAlive,    ///< an endpoint answered a request sent after it closed a connection early
+  EndpointAlive,    ///< an endpoint that had closed the connection of this request answered a later
+                    ///< one, so it has not crashed
 };
 
 /// @brief One observation, exchanged between hosts.
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -51,9 +51,15 @@
 void CrashTracker::OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt)
 {
   const auto found = m_crashes.find(aEndpoint);
-  if (found != m_crashes.end() && aSentAt > found->second.m_lastSeenAt) {
-    m_notices.Add({ NoticeKind::EndpointAlive, {}, aEndpoint, ++m_lastSequence });
-    MarkAlive(aEndpoint);
+  if (found == m_crashes.end() || aSentAt <= found->second.m_lastSeenAt) {
+    return;
+  }
+  // One notice for each request: the endpoint may crash later while it runs another one, and a host
+  // that starts then gets these notices, too.
+  const std::vector<RequestKey> requests = found->second.m_requests;
+  for (const RequestKey& request : requests) {
+    m_notices.Add({ NoticeKind::EndpointAlive, request, aEndpoint, ++m_lastSequence });
+    RemoveCrash(request, aEndpoint);
   }
 }
 
@@ -74,7 +80,7 @@
       MarkKnownGood(aNotice.m_request);
       break;
     case NoticeKind::EndpointAlive:
-      MarkAlive(aNotice.m_endpoint);
+      RemoveCrash(aNotice.m_request, aNotice.m_endpoint);
       break;
     case NoticeKind::ProbeStarted:
       MarkProbed(aNotice.m_request);
@@ -210,18 +216,6 @@
   }
 }
 
-void CrashTracker::MarkAlive(EndpointKey aEndpoint)
-{
-  const auto found = m_crashes.find(aEndpoint);
-  if (found == m_crashes.end()) {
-    return;
-  }
-  const std::vector<RequestKey> requests = found->second.m_requests;
-  for (const RequestKey& request : requests) {
-    RemoveCrash(request, aEndpoint);
-  }
-}
-
 void CrashTracker::RemoveCrash(const RequestKey& aRequest, EndpointKey aEndpoint)
 {
   if (const auto suspect = m_suspects.find(aRequest); suspect != m_suspects.end()) {
--- a/src/ferrytray/quarantine/crash_board_test.cpp
+++ b/src/ferrytray/quarantine/crash_board_test.cpp
@@ -140,6 +140,22 @@
   CHECK(m_tracker.IsQuarantined(m_crashing));
 }
 
+// Regression: a restarted host read the crashes from their record, then got the older notice that
+// an endpoint had replied after a broken connection of another request, and lifted the quarantine.
+TEST(CrashTracker, ReplyBeforeACrashDoesNotRevokeItAtARestartedHost)
+{
+  BreakConnection(m_good, 1);
+  m_tracker.OnEndpointReply(1, kStart + 1ms);
+  BreakConnection(m_crashing, 1);
+  BreakConnection(m_crashing, 2);
+  BreakConnection(m_crashing, 3);
+  CHECK(m_tracker.IsQuarantined(m_crashing));
+  CrashTracker restarted;
+  restarted.OnRecord(m_crashing, *m_tracker.Find(m_crashing), kStart);
+  ForwardNotices(m_tracker, restarted);
+  CHECK(restarted.IsQuarantined(m_crashing));
+}
+
 // A frequent request with a long answer may run at every endpoint that another request crashes, and
 // so never be answered completely.
 TEST(CrashTracker, ProbesAQuarantinedRequestOnceAcrossAllHosts)
