Quarantine: an answer that ends with its connection counts once its endpoint replies

Such an answer is kept as unconfirmed. A reply of the same endpoint to a later request confirms it; an endpoint that crashed sends none.

Tests: crash_board_test AClosedAnswerCountsOnceItsEndpointReplies, AClosedAnswerOfACrashedEndpointDoesNotLiftTheQuarantine.

--- a/include/ferrytray/gate/crash_log_client.hpp
+++ b/include/ferrytray/gate/crash_log_client.hpp
@@ -31,6 +31,9 @@
                         base::TimePoint aSentAt);
   /// @brief An endpoint returned a complete response to the request.
   void OnCompleteResponse(const quarantine::RequestKey& aRequest);
+  /// @brief An endpoint's response seems complete but ended with its connection.
+  void OnClosedResponse(const quarantine::RequestKey& aRequest,
+                        const std::string& aEndpointIncarnation);
   /// @brief An endpoint replied to a request that this gate sent at aSentAt.
   void OnReply(const std::string& aEndpointIncarnation, base::TimePoint aSentAt);
 
--- a/include/ferrytray/net/event_splitter.hpp
+++ b/include/ferrytray/net/event_splitter.hpp
@@ -21,7 +21,7 @@
   {
     std::string m_bytes;                   ///< complete events, unchanged
     std::optional<std::uint64_t> m_lastId; ///< of the last event with an id
-    bool m_endsWithoutId = false;          ///< an event without an id follows that one
+    bool m_endsWithoutId = false;          ///< the last event has no id
   };
 
   /// @param aSkipThrough events with ids up to this one are dropped because the caller has them
--- a/include/ferrytray/quarantine/crash_board.hpp
+++ b/include/ferrytray/quarantine/crash_board.hpp
@@ -6,11 +6,12 @@
 #include <unordered_map> // for unordered_map
 #include <vector>        // for vector
 
-#include "ferrytray/base/digest.hpp"             // for DigestHash
-#include "ferrytray/base/time.hpp"               // for TimePoint
-#include "ferrytray/quarantine/crash_notice.hpp" // for CrashNotice, EndpointKey
-#include "ferrytray/quarantine/notice_log.hpp"   // for NoticeLog
-#include "ferrytray/quarantine/served_table.hpp" // for ServedTable
+#include "ferrytray/base/digest.hpp"                    // for DigestHash
+#include "ferrytray/base/time.hpp"                      // for TimePoint
+#include "ferrytray/quarantine/crash_notice.hpp"        // for CrashNotice, EndpointKey
+#include "ferrytray/quarantine/notice_log.hpp"          // for NoticeLog
+#include "ferrytray/quarantine/served_table.hpp"        // for ServedTable
+#include "ferrytray/quarantine/unconfirmed_answers.hpp" // for UnconfirmedAnswers
 
 namespace ferrytray::quarantine {
 
@@ -36,6 +37,7 @@
   std::size_t m_maxSuspects = 4096;
   std::size_t m_maxNotices = 4096;
   std::size_t m_servedSlots = 8192;
+  std::size_t m_maxUnconfirmedAnswers = 512;
 };
 
 /// @brief Evidence against a request: the endpoints that closed its connection early.
@@ -73,6 +75,12 @@
                           base::TimePoint aNow);
   /// @brief An endpoint answered the request completely.
   void OnCompleteAnswer(const RequestKey& aRequest);
+  /// @brief An endpoint's answer seems complete but ended with its connection. Counts as complete
+  /// once the endpoint replies to a later request.
+  void OnClosedAnswer(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aNow)
+  {
+    m_unconfirmed.Add(aRequest, aEndpoint, aNow);
+  }
   /// @brief An endpoint answered a request that this host sent at aSentAt.
   void OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt);
   /// @brief Merges another host's observation. @return whether it was new
@@ -136,6 +144,7 @@
   std::unordered_map<EndpointKey, EndpointCrash> m_crashes;
   NoticeLog m_notices;
   ServedTable m_served;
+  UnconfirmedAnswers m_unconfirmed;
   std::uint64_t m_lastSequence; ///< of this host's own notices
 };
 
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -143,7 +143,7 @@
   /// Records a crash, since the endpoint broke the connection during the request. Does nothing if
   /// the endpoint is leaving.
   void RecordCrash(const Attempt& aAttempt);
-  void RecordSuccess();
+  void RecordSuccess(const Attempt& aAttempt, net::WireEnd aEnd);
   /// Answers without sending, because requests with the same key crashed the endpoints that ran
   /// them.
   void RefuseQuarantined();
@@ -174,13 +174,13 @@
   routing::Work m_work;                           ///< per send
   Assignment m_assigned;                          ///< for a long prompt
   std::set<std::string> m_triedEndpoints;
-  std::set<std::string> m_triedHosts; ///< that declined or failed
-  std::uint32_t m_failedConnects = 0; ///< to endpoints
-  std::uint32_t m_forwards = 0;       ///< to other hosts
-  bool m_refusedByOverloadedHost = false;
-  std::optional<bool> m_sendsDirectly; ///< drawn while the load returns after a partition
-  std::string m_lastHost;              ///< that the request was forwarded to
-  net::TimerHandle m_slotTimer;        ///< set while the request waits for a slot
+  std::set<std::string> m_triedHosts;     ///< that declined or failed
+  std::uint32_t m_failedConnects = 0;     ///< to endpoints
+  std::uint32_t m_forwards = 0;           ///< to other hosts
+  bool m_refusedByOverloadedHost = false; ///< that it was forwarded to
+  std::optional<bool> m_sendsDirectly;    ///< drawn while the load returns after a partition
+  std::string m_lastHost;                 ///< that the request was forwarded to
+  net::TimerHandle m_slotTimer;           ///< set while the request waits for a slot
   bool m_slotWaitBegun = false;
   std::optional<base::TimePoint> m_nextSlotAt; ///< for Retry-After
   std::uint32_t m_permitsDenied = 0;
@@ -191,7 +191,8 @@
   bool m_mayHaveRun = false;
   bool m_replyStarted = false;
   std::optional<std::uint64_t> m_lastEventId; ///< last event forwarded to the caller
-  bool m_forwardedWithoutId = false; ///< events after that one, which resuming would repeat
+  /// Events without an id were forwarded after that one; a resumed stream would repeat them.
+  bool m_forwardedWithoutId = false;
   std::string m_lastEndpoint;
   std::optional<net::ReplyFraming> m_lastFraming; ///< of the last reply whose head arrived
   std::size_t m_lastPartialEventBytes = 0;        ///< after the last complete event, for the log
--- a/src/ferrytray/gate/crash_log_client.cpp
+++ b/src/ferrytray/gate/crash_log_client.cpp
@@ -118,6 +118,12 @@
   QueueNoticesSince(before);
 }
 
+void CrashLogClient::OnClosedResponse(const quarantine::RequestKey& aRequest,
+                                      const std::string& aEndpointIncarnation)
+{
+  m_tracker.OnClosedAnswer(aRequest, EndpointKeyOf(aEndpointIncarnation), base::MonotonicNow());
+}
+
 void CrashLogClient::OnReply(const std::string& aEndpointIncarnation, base::TimePoint aSentAt)
 {
   const quarantine::NoticeOffset before = m_tracker.Notices().End();
--- a/src/ferrytray/gate/service_exchange.cpp
+++ b/src/ferrytray/gate/service_exchange.cpp
@@ -99,8 +99,9 @@
 {
   if (aComplete) {
     m_core.m_crashes.OnReply(m_endpointIncarnation, m_sentAt);
-    // A closed connection does not show that the endpoint has not crashed.
-    if (aOutcome.m_status < kFirstServerError && aOutcome.m_end == net::WireEnd::Complete) {
+    if (aOutcome.m_status < kFirstServerError && aOutcome.m_end == net::WireEnd::Closed) {
+      m_core.m_crashes.OnClosedResponse(m_requestKey, m_endpointIncarnation);
+    } else if (aOutcome.m_status < kFirstServerError) {
       m_core.m_crashes.OnCompleteResponse(m_requestKey);
     }
   } else if (aOutcome.m_end != net::WireEnd::NotSent && !aOutcome.m_timedOut) {
--- a/src/ferrytray/quarantine/crash_board.cpp
+++ b/src/ferrytray/quarantine/crash_board.cpp
@@ -22,6 +22,7 @@
   : m_options(aOptions)
   , m_notices(m_options.m_maxNotices)
   , m_served(m_options.m_servedSlots)
+  , m_unconfirmed(m_options.m_maxUnconfirmedAnswers)
   , m_lastSequence(RandomSequenceBase())
 {
 }
@@ -50,6 +51,9 @@
 
 void CrashTracker::OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt)
 {
+  for (const RequestKey& request : m_unconfirmed.OnEndpointReply(aEndpoint, aSentAt)) {
+    OnCompleteAnswer(request);
+  }
   const auto found = m_crashes.find(aEndpoint);
   if (found == m_crashes.end() || aSentAt <= found->second.m_lastSeenAt) {
     return;
--- a/src/ferrytray/quarantine/crash_board_test.cpp
+++ b/src/ferrytray/quarantine/crash_board_test.cpp
@@ -222,6 +222,30 @@
   LONGS_EQUAL(512, m_tracker.Notices().Since(0, 10'000).size());
 }
 
+// Regression: an answer that ended with its connection lifted no quarantine, so that the only probe
+// of a harmless request was lost.
+TEST(CrashTracker, AClosedAnswerCountsOnceItsEndpointReplies)
+{
+  for (EndpointKey endpoint = 1; endpoint <= 3; ++endpoint) {
+    BreakConnection(m_good, endpoint);
+  }
+  m_tracker.OnClosedAnswer(m_good, 4, kStart + 2ms);
+  m_tracker.OnEndpointReply(5, kStart + 3ms);
+  m_tracker.OnEndpointReply(4, kStart + 1ms); // to a request sent before
+  CHECK(m_tracker.IsQuarantined(m_good));
+  m_tracker.OnEndpointReply(4, kStart + 3ms);
+  CHECK_FALSE(m_tracker.IsQuarantined(m_good));
+}
+
+TEST(CrashTracker, AClosedAnswerOfACrashedEndpointDoesNotLiftTheQuarantine)
+{
+  for (EndpointKey endpoint = 1; endpoint <= 3; ++endpoint) {
+    m_tracker.OnClosedAnswer(m_crashing, endpoint, kStart);
+    BreakConnection(m_crashing, endpoint);
+  }
+  CHECK(m_tracker.IsQuarantined(m_crashing));
+}
+
 TEST_GROUP(NoticeLog){};
 
 TEST(NoticeLog, StoresEachNoticeOnceAndDropsTheOldest)
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -226,9 +226,7 @@
   ReleaseAttempt(attempt,
                  attempt.m_head && attempt.m_head->m_notRun && !attempt.m_head->m_misdirected);
   if (IsSuccess(attempt) && IsComplete(attempt, aOutcome)) {
-    if (aOutcome.m_end == net::WireEnd::Complete) {
-      RecordSuccess(); // a closed connection does not show that the endpoint has not crashed
-    }
+    RecordSuccess(attempt, aOutcome.m_end);
     Deliver(std::move(attempt));
     return;
   }
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -60,8 +60,13 @@
   }
 }
 
-void Exchange::RecordSuccess()
+void Exchange::RecordSuccess(const Attempt& aAttempt, net::WireEnd aEnd)
 {
+  if (aEnd == net::WireEnd::Closed) {
+    m_core.m_crashes.OnClosedAnswer(
+      m_requestKey, peers::KeyOf(aAttempt.m_incarnation), base::MonotonicNow());
+    return;
+  }
   const bool suspected = m_core.m_crashes.Find(m_requestKey).has_value();
   m_core.m_crashes.OnCompleteAnswer(m_requestKey);
   if (suspected && m_core.m_onCrashesChanged) {
