--- a/review/1/second_answer.cpp
+++ b/review/1/second_answer.cpp
@@ -139,7 +139,8 @@
       std::make_unique<Host>("host-" + std::to_string(i + 1), i % 2 == 0 ? "z1" : "z2", folder));
     if (!hosts.back()->Start(store.Address(), "cpu_share = 0.25\nmemory_mb = 260\n")) {
       std::printf("host %d does not become ready\n", i + 1);
-      return kCouldNotRun;
+      hosts.clear();
+      Exit(kCouldNotRun);
     }
   }
   if (WithTrouble()) {
@@ -202,7 +203,5 @@
              ", refused and ran: " + std::to_string(refused));
   std::printf(
     "answers by status:%s ran twice: %d, refused and ran: %d\n", counts.c_str(), twice, refused);
-  const int code = twice + refused > 0 ? kBroken : kHeld;
-  std::fflush(stdout);
-  _exit(code); // the stand-ins' threads still wait for connections
+  Exit(twice + refused > 0 ? kBroken : kHeld);
 }
--- a/review/2/late_leave.cpp
+++ b/review/2/late_leave.cpp
@@ -269,7 +269,8 @@
     if (!hosts.back()->m_host.Start(hosts.back()->m_address->Address(),
                                     "cpu_share = 0.25\nmemory_mb = 260\n")) {
       std::printf("host %d does not become ready\n", i + 1);
-      return kCouldNotRun;
+      hosts.clear();
+      Exit(kCouldNotRun);
     }
   }
   Sleep(4);
@@ -300,7 +301,10 @@
     }
     if (readers.empty()) {
       std::printf("no host follows the store through another one\n");
-      return kCouldNotRun;
+      for (const auto& host : hosts) {
+        host->m_host.Kill();
+      }
+      Exit(kCouldNotRun);
     }
     App& leaving = *workers[oldest++];
     LinkedHost& reader = *readers[static_cast<std::size_t>(trial) % readers.size()];
@@ -357,6 +361,5 @@
   record.Add(summary);
   std::printf("%s\n", summary.c_str());
   hosts.clear();
-  std::fflush(stdout);
-  _exit(late > 0 ? kBroken : kHeld);
+  Exit(late > 0 ? kBroken : kHeld);
 }
--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -371,4 +371,11 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
+/// Ends the program at once: the stand-ins' threads still wait for connections.
+[[noreturn]] inline void Exit(int aCode)
+{
+  std::fflush(stdout);
+  _exit(aCode);
+}
+
 } // namespace review
