--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review
+builds=()
 for source in review/[0-9]/*.cpp; do
   program="build/review/$(basename "$source" .cpp)"
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "$program" "$source"
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "$program" "$source" &
+  builds+=($!)
 done
+for build in "${builds[@]}"; do wait "$build"; done
