Relay: the log names service, verdict and allowance of failed attempts

Change: attempt_failed has service, retry and retries_left; counters of sends and failed attempts by service. CheckRetry() returns the reason instead of a bool. No request is handled differently.

Measured: limits_test and relay_test pass.

--- a/include/ferrytray/limits/retry_window.hpp
+++ b/include/ferrytray/limits/retry_window.hpp
@@ -34,6 +34,8 @@
   void OnFirstSend(const std::string& aService, base::TimePoint aNow);
   /// @brief Counts and allows one retry if the window's bound permits it.
   bool TryRetry(const std::string& aService, base::TimePoint aNow);
+  /// @brief Returns how many retries the window's bound permits now.
+  [[nodiscard]] double Remaining(const std::string& aService, base::TimePoint aNow);
 
 private:
   static constexpr std::size_t kSlots = 10;
--- a/include/ferrytray/relay/attempt_policy.hpp
+++ b/include/ferrytray/relay/attempt_policy.hpp
@@ -53,11 +53,26 @@
   base::Duration m_minRemaining = std::chrono::milliseconds(60);
 };
 
-/// @brief Whether another send is allowed; does not check the shared retry budget.
-[[nodiscard]] bool MayRetry(const RetryContext& aContext, const AttemptLimits& aLimits);
+/// @brief Whether a failed attempt is retried, and if not, why.
+enum class RetryVerdict : std::uint8_t
+{
+  Allowed,
+  SendLimit,       ///< the maximum number of sends per request is reached
+  TooLittleTime,   ///< another send could not be answered before the deadline
+  EndpointLimit,   ///< the route's maximum number of endpoints is reached
+  MayHaveRun,      ///< the request may be executed only once, and it may have been
+  Quarantined,     ///< identical requests crashed the endpoints that ran them
+  BudgetExhausted, ///< the retry budget of the service does not allow it
+};
+
+/// @brief The value of the "retry" key in log lines and of the "reason" label of metrics.
+std::string_view ToString(RetryVerdict aVerdict);
+
+/// @brief Whether the request itself allows another send; checks neither quarantine nor budget.
+[[nodiscard]] RetryVerdict CheckRetry(const RetryContext& aContext, const AttemptLimits& aLimits);
 
 /// @brief Decides what happens after an unsuccessful attempt.
-/// @param aRetryGranted MayRetry() returned true and the shared budget granted the retry
+/// @param aRetryGranted the final verdict is RetryVerdict::Allowed
 [[nodiscard]] NextStep DecideNextStep(const RetryContext& aContext, bool aRetryGranted);
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/limits/retry_window.cpp
+++ b/src/ferrytray/limits/retry_window.cpp
@@ -24,9 +24,18 @@
 }
 
 bool RetryWindow::TryRetry(const std::string& aService, base::TimePoint aNow)
+{
+  if (Remaining(aService, aNow) < 1) {
+    return false;
+  }
+  SlotAt(m_services[aService], aNow).m_retries += 1;
+  return true;
+}
+
+double RetryWindow::Remaining(const std::string& aService, base::TimePoint aNow)
 {
   Slots& slots = m_services[aService];
-  Slot& current = SlotAt(slots, aNow);
+  const Slot& current = SlotAt(slots, aNow);
   double firstSends = 0;
   double retries = 0;
   for (const Slot& slot : slots) {
@@ -37,11 +46,7 @@
   }
   const double allowed =
     m_options.m_minRetries + m_options.m_ratio * m_options.m_hostRatioFraction * firstSends;
-  if (retries + 1 > allowed) {
-    return false;
-  }
-  current.m_retries += 1;
-  return true;
+  return allowed - retries;
 }
 
 } // namespace ferrytray::limits
--- a/src/ferrytray/relay/attempt_policy.cpp
+++ b/src/ferrytray/relay/attempt_policy.cpp
@@ -17,15 +17,40 @@
   return "broken";
 }
 
-bool MayRetry(const RetryContext& aContext, const AttemptLimits& aLimits)
+std::string_view ToString(RetryVerdict aVerdict)
 {
-  if (aContext.m_sends >= aLimits.m_maxSends || aContext.m_remaining < aLimits.m_minRemaining) {
-    return false;
+  switch (aVerdict) {
+    case RetryVerdict::Allowed:
+      return "allowed";
+    case RetryVerdict::SendLimit:
+      return "send_limit";
+    case RetryVerdict::TooLittleTime:
+      return "too_little_time";
+    case RetryVerdict::EndpointLimit:
+      return "endpoint_limit";
+    case RetryVerdict::MayHaveRun:
+      return "may_have_run";
+    case RetryVerdict::Quarantined:
+      return "quarantined";
+    case RetryVerdict::BudgetExhausted:
+      break;
+  }
+  return "budget_exhausted";
+}
+
+RetryVerdict CheckRetry(const RetryContext& aContext, const AttemptLimits& aLimits)
+{
+  if (aContext.m_sends >= aLimits.m_maxSends) {
+    return RetryVerdict::SendLimit;
+  }
+  if (aContext.m_remaining < aLimits.m_minRemaining) {
+    return RetryVerdict::TooLittleTime;
   }
   if (aContext.m_endpointsUsed >= aContext.m_maxEndpoints) {
-    return false;
+    return RetryVerdict::EndpointLimit;
   }
-  return aContext.m_repeatable || !aContext.m_mayHaveRun;
+  return aContext.m_repeatable || !aContext.m_mayHaveRun ? RetryVerdict::Allowed
+                                                         : RetryVerdict::MayHaveRun;
 }
 
 NextStep DecideNextStep(const RetryContext& aContext, bool aRetryGranted)
--- a/src/ferrytray/relay/attempt_policy_test.cpp
+++ b/src/ferrytray/relay/attempt_policy_test.cpp
@@ -1,5 +1,7 @@
 #include "ferrytray/relay/attempt_policy.hpp"
 
+#include <string> // for string
+
 #include <CppUTest/TestHarness.h> // for TEST
 
 using namespace ferrytray;
@@ -8,6 +10,7 @@
 using relay::DecideNextStep;
 using relay::NextStep;
 using relay::RetryContext;
+using relay::RetryVerdict;
 
 namespace {
 
@@ -24,6 +27,12 @@
   return context;
 }
 
+void CheckVerdict(RetryVerdict aExpected, const RetryContext& aContext)
+{
+  STRCMP_EQUAL(std::string(ToString(aExpected)).c_str(),
+               std::string(ToString(relay::CheckRetry(aContext, {}))).c_str());
+}
+
 void CheckStep(NextStep aExpected, NextStep aStep)
 {
   LONGS_EQUAL(static_cast<int>(aExpected), static_cast<int>(aStep));
@@ -35,10 +44,10 @@
 
 TEST(AttemptPolicy, PossiblyExecutedRequestIsRetriedOnlyIfRepeatable)
 {
-  CHECK_FALSE(relay::MayRetry(ContextFor(AttemptOutcome::Broken, false), {}));
-  CHECK(relay::MayRetry(ContextFor(AttemptOutcome::Broken, true), {}));
-  CHECK(relay::MayRetry(ContextFor(AttemptOutcome::NotRun, false), {}));
-  CHECK(relay::MayRetry(ContextFor(AttemptOutcome::NotSent, false), {}));
+  CheckVerdict(RetryVerdict::MayHaveRun, ContextFor(AttemptOutcome::Broken, false));
+  CheckVerdict(RetryVerdict::Allowed, ContextFor(AttemptOutcome::Broken, true));
+  CheckVerdict(RetryVerdict::Allowed, ContextFor(AttemptOutcome::NotRun, false));
+  CheckVerdict(RetryVerdict::Allowed, ContextFor(AttemptOutcome::NotSent, false));
 }
 
 TEST(AttemptPolicy, RefusalAfterPossibleExecutionIsReportedAsUnknown)
@@ -52,14 +61,14 @@
 {
   RetryContext context = ContextFor(AttemptOutcome::ErrorReply, true);
   context.m_endpointsUsed = 2;
-  CHECK_FALSE(relay::MayRetry(context, {}));
+  CheckVerdict(RetryVerdict::EndpointLimit, context);
 }
 
 TEST(AttemptPolicy, DoesNotRetryBelowMinimumRemainingTime)
 {
   RetryContext context = ContextFor(AttemptOutcome::NotSent, true);
   context.m_remaining = 59ms;
-  CHECK_FALSE(relay::MayRetry(context, {}));
+  CheckVerdict(RetryVerdict::TooLittleTime, context);
 }
 
 TEST(AttemptPolicy, FinalStepReflectsExecutionState)
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -183,6 +183,8 @@
   m_lastAtHome = aTarget.m_partSource.empty();
   m_lastTokensByOutcome = call.m_tokensByOutcome;
   ++m_sends;
+  m_core.m_metrics.Count("sends_total{service=\"" + m_service +
+                         (m_sends == 1 ? "\",kind=\"first\"}" : "\",kind=\"repeat\"}"));
   m_core.m_endpointTracker.OnSent(endpoint->m_incarnation, m_work);
   m_core.m_reachability.OnSent(m_attempt->m_sentAt);
   if (endpoint->m_incarnation != m_assigned.m_engine) {
@@ -329,12 +331,22 @@
   // The shared retry budget limits the load on endpoints beyond first sends; an unsent attempt adds
   // none.
   const bool arrived = aOutcome != AttemptOutcome::NotSent;
-  const bool retry = MayRetry(context, m_core.m_options.m_attempts) &&
-                     !m_core.m_crashes.IsQuarantined(m_requestKey) &&
-                     (!arrived || m_core.m_retryWindow.TryRetry(m_service, now));
+  const double retriesLeft = m_core.m_retryWindow.Remaining(m_service, now);
+  RetryVerdict verdict = CheckRetry(context, m_core.m_options.m_attempts);
+  if (verdict == RetryVerdict::Allowed && m_core.m_crashes.IsQuarantined(m_requestKey)) {
+    verdict = RetryVerdict::Quarantined;
+  }
+  if (verdict == RetryVerdict::Allowed && arrived &&
+      !m_core.m_retryWindow.TryRetry(m_service, now)) {
+    verdict = RetryVerdict::BudgetExhausted;
+  }
+  const bool retry = verdict == RetryVerdict::Allowed;
+  m_core.m_metrics.Count("failed_attempts_total{service=\"" + m_service + "\",retry=\"" +
+                         std::string(ToString(verdict)) + "\"}");
   telemetry::LogLine("attempt_failed")
     .Add("request", m_request.m_id)
     .Add("request_key", base::ToHex(m_requestKey))
+    .Add("service", m_service)
     .Add("endpoint", aAttempt.m_incarnation)
     .Add("host", aAttempt.m_host)
     .Add("end", ToString(aOutcome))
@@ -347,7 +359,8 @@
     .Add("sends", m_sends)
     .Add("took_ms", base::ToMillis(now - aAttempt.m_sentAt))
     .Add("left_ms", base::ToMillis(context.m_remaining))
-    .Add("again", retry ? "yes" : "no");
+    .Add("retry", ToString(verdict))
+    .Add("retries_left", retriesLeft);
   switch (DecideNextStep(context, retry)) {
     case NextStep::Retry:
       Send();
