Limits: the retry budget holds over all hosts, any window and restarts

Callers saw: endpoints that rejected requests got up to a third more retries than the operators allow while hosts restarted.

Cause: each host added up ten slots of a second and dropped a slot as a whole, so a retry counted for 9 to 10 s of a window of 10 s; and a process that started again spent its budget anew, while the window still held what the process before it had spent. Neither is seen by a host alone, since the bound is a sum over hosts.

Change: a host's retries in a window are at most the ratio times the mean of its requests in that window and the one before, plus one per host. The bound is a sum over requests, so it adds up over hosts and over processes; a process that has started within the window gets neither earlier requests nor the one. Slots count until their last moment has left the window. One per host comes from the slack of the settings, and is less if the slack is less than one per known host. The first send counts when a request arrives.

Why it works: in any window the sum over all hosts is at most the ratio times the mean of the requests of two windows, which is at most the larger one, plus the number of hosts.

Tests: with the old logic under the new names retry_bound_test was red in four of five tests and KeepsTheBoundInAnyWindow in retry_window_test; all pass now. Tests of the old shape (all first sends at one instant, a property over nine tenths of a window) are replaced by tests of the whole window.

--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -93,7 +93,7 @@
     return;
   }
   if (!IsForwarded()) {
-    m_core.m_retryWindow.OnFirstSend(m_service, m_arrivedAt); // counted by one of the hosts
+    m_core.m_retryWindow.OnRequest(m_service, m_arrivedAt); // counted by one of the hosts
   }
   if (m_core.m_dispatcher == nullptr || !m_planner.IsLongPrompt(m_service) || ShouldForward()) {
     Send();
--- a/src/ferrytray/relay/relay_host.cpp
+++ b/src/ferrytray/relay/relay_host.cpp
@@ -136,6 +136,7 @@
     m_permitClient.Expire(now);
     m_slotClient.Expire(now);
     m_core.m_endpointBackoffs.Expire(now);
+    m_core.m_retryWindow.SetHostCount(m_peerExchange.HostCount());
   });
   telemetry::LogLine("start")
     .Add("callers", net::ToString(CallerAddress()))
