Relay: every send that may be a repeat needs a retry from the budget

Cause: the retry budget was asked where a failed attempt was handled. A request that another host had declined or refused went on without asking, up to six times, although an endpoint may have rejected it there; the reply between hosts did not say whether one had.

Change: Exchange::SendTo() is the one place that sends to endpoints, and ReserveRetry() guards it and the hop to other hosts: once an endpoint may have received the request, a send needs a retry, which is kept until a send arrives. A host reports whether an endpoint received a forwarded request. Requests count when they arrive, so that refused, limited and waiting ones earn retries too. Log and metrics of failed attempts move to exchange_retry.cpp.

--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -84,6 +84,24 @@
   void FailRefused();
   void StartAttempt(net::ClientRequest aCall);
 
+  // Retry budget: each arrival at an endpoint beyond the first needs a retry (exchange_retry.cpp)
+  /// Takes a retry from the budget of the service if an endpoint may have received the request
+  /// before. A retry that is taken is kept until a send arrives. @return whether a send is allowed
+  bool ReserveRetry();
+  /// An endpoint may have received the request, from this host or from one that it was forwarded
+  /// to.
+  void OnArrived();
+  /// Called if the budget allows no further send.
+  void FailWithoutRetry();
+  /// Decides whether a failed attempt is retried, and takes the retry.
+  [[nodiscard]] RetryVerdict DecideRetry(const RetryContext& aContext);
+  /// Logs and counts a failed attempt.
+  void LogFailedAttempt(AttemptOutcome aOutcome,
+                        const Attempt& aAttempt,
+                        const RetryContext& aContext,
+                        RetryVerdict aVerdict,
+                        std::string_view aDetail);
+
   // Forwarding to other hosts, and for them (exchange_forward.cpp)
   /// Whether the next send should go through another host.
   [[nodiscard]] bool ShouldForward();
@@ -187,6 +205,8 @@
   /// Earliest time at which a permit that was denied may be requested again.
   std::optional<base::TimePoint> m_nextPermitAt;
   std::uint32_t m_sends = 0;
+  bool m_mayHaveArrived = false; ///< at an endpoint
+  bool m_retryReserved = false;  ///< for the next send that arrives
   std::uint32_t m_endpointsUsed = 0;
   bool m_mayHaveRun = false;
   bool m_replyStarted = false;
--- a/include/ferrytray/relay/forward_messages.hpp
+++ b/include/ferrytray/relay/forward_messages.hpp
@@ -38,6 +38,8 @@
   base::Failure m_failure; ///< without its message
   /// The host did not try, and a different host may be able to.
   bool m_declined = false;
+  /// An endpoint may have received the request, even if it rejected it.
+  bool m_arrived = false;
 };
 
 /// @brief Contents of the headers between hosts in the reply to a forwarded request.
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -9,7 +9,6 @@
 #include "ferrytray/relay/reachability_prober.hpp" // for CountListed
 #include "ferrytray/relay/request_limits.hpp"      // for NeedsPermit
 #include "ferrytray/relay/slot_client.hpp"         // for SlotClient
-#include "ferrytray/telemetry/log_line.hpp"        // for LogLine
 
 namespace ferrytray::relay {
 
@@ -57,6 +56,10 @@
 
 void Exchange::Start()
 {
+  if (!IsForwarded()) {
+    m_service = m_planner.PickService();
+    m_core.m_retryWindow.OnRequest(m_service, m_arrivedAt); // the forwarding host counts it
+  }
   m_deadlineTimer = m_core.m_loop.After(Remaining(), [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnDeadline();
@@ -76,9 +79,6 @@
 
 void Exchange::Admit()
 {
-  if (m_service.empty()) {
-    m_service = m_planner.PickService();
-  }
   // Requests to a brittle service wait for slots on purpose; their number has a bound of its own.
   const bool waitsForSlots = NeedsSlot(m_core, m_service, m_arrivedAt);
   if (!waitsForSlots) {
@@ -92,9 +92,6 @@
              " open, limit " + std::to_string(limit.Limit().value_or(0)));
     return;
   }
-  if (!IsForwarded()) {
-    m_core.m_retryWindow.OnRequest(m_service, m_arrivedAt); // counted by one of the hosts
-  }
   if (m_core.m_dispatcher == nullptr || !m_planner.IsLongPrompt(m_service) || ShouldForward()) {
     Send();
     return;
@@ -131,6 +128,10 @@
     RefuseQuarantined();
     return;
   }
+  if (!ReserveRetry()) {
+    FailWithoutRetry();
+    return;
+  }
   if (ShouldForward()) {
     if (TryForward()) {
       return;
@@ -163,6 +164,10 @@
 
 void Exchange::SendTo(const Target& aTarget)
 {
+  if (!ReserveRetry()) {
+    FailWithoutRetry();
+    return;
+  }
   const fleet::Endpoint* endpoint = aTarget.m_endpoint;
   const EndpointCall call = m_planner.BuildCall(aTarget, Remaining(), m_lastEventId);
   net::ClientRequest request = m_core.m_format.WriteCall(m_request, call);
@@ -184,7 +189,7 @@
   m_lastTokensByOutcome = call.m_tokensByOutcome;
   ++m_sends;
   m_core.m_metrics.Count("sends_total{service=\"" + m_service +
-                         (m_sends == 1 ? "\",kind=\"first\"}" : "\",kind=\"repeat\"}"));
+                         (m_mayHaveArrived ? "\",kind=\"retry\"}" : "\",kind=\"first\"}"));
   m_core.m_endpointTracker.OnSent(endpoint->m_incarnation, m_work);
   m_core.m_reachability.OnSent(m_attempt->m_sentAt);
   if (endpoint->m_incarnation != m_assigned.m_engine) {
@@ -326,42 +331,13 @@
   if (aAttempt.m_host.empty()) {
     RecordFailedAttempt(aOutcome, aAttempt, now);
   }
-  const int status = aAttempt.m_head ? aAttempt.m_head->m_status : 0;
-  const RetryContext context = RetryContextOf(aOutcome, aAttempt);
-  // The shared retry budget limits the load on endpoints beyond first sends; an unsent attempt adds
-  // none.
-  const bool arrived = aOutcome != AttemptOutcome::NotSent;
-  const double retriesLeft = m_core.m_retryWindow.Remaining(m_service, now);
-  RetryVerdict verdict = CheckRetry(context, m_core.m_options.m_attempts);
-  if (verdict == RetryVerdict::Allowed && m_core.m_crashes.IsQuarantined(m_requestKey)) {
-    verdict = RetryVerdict::Quarantined;
-  }
-  if (verdict == RetryVerdict::Allowed && arrived &&
-      !m_core.m_retryWindow.TryRetry(m_service, now)) {
-    verdict = RetryVerdict::BudgetExhausted;
+  if (aOutcome != AttemptOutcome::NotSent) {
+    OnArrived();
   }
-  const bool retry = verdict == RetryVerdict::Allowed;
-  m_core.m_metrics.Count("failed_attempts_total{service=\"" + m_service + "\",retry=\"" +
-                         std::string(ToString(verdict)) + "\"}");
-  telemetry::LogLine("attempt_failed")
-    .Add("request", m_request.m_id)
-    .Add("request_key", base::ToHex(m_requestKey))
-    .Add("service", m_service)
-    .Add("endpoint", aAttempt.m_incarnation)
-    .Add("host", aAttempt.m_host)
-    .Add("end", ToString(aOutcome))
-    .Add("status", status)
-    .Add("detail", aDetail)
-    .Add("framing", m_lastFraming ? net::ToString(*m_lastFraming) : "-")
-    .Add("partial_event_bytes", m_lastPartialEventBytes)
-    .Add("weights_named", aAttempt.m_weights.value_or(0))
-    .Add("weights_told", aAttempt.m_head ? aAttempt.m_head->m_weights.value_or(0) : 0)
-    .Add("sends", m_sends)
-    .Add("took_ms", base::ToMillis(now - aAttempt.m_sentAt))
-    .Add("left_ms", base::ToMillis(context.m_remaining))
-    .Add("retry", ToString(verdict))
-    .Add("retries_left", retriesLeft);
-  switch (DecideNextStep(context, retry)) {
+  const RetryContext context = RetryContextOf(aOutcome, aAttempt);
+  const RetryVerdict verdict = DecideRetry(context);
+  LogFailedAttempt(aOutcome, aAttempt, context, verdict, aDetail);
+  switch (DecideNextStep(context, verdict == RetryVerdict::Allowed)) {
     case NextStep::Retry:
       Send();
       break;
@@ -372,7 +348,7 @@
       if (m_core.m_stopping) {
         m_reply->CloseAfterReply();
       }
-      m_reply->Send(status, ReplyHeaders(aAttempt), aAttempt.m_body.Held());
+      m_reply->Send(aAttempt.m_head->m_status, ReplyHeaders(aAttempt), aAttempt.m_body.Held());
       Finish("endpoint_failed");
       break;
     case NextStep::Refuse:
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -76,7 +76,6 @@
 
 bool Exchange::PrepareProbe()
 {
-  m_service = m_planner.PickService();
   const bool anywhere = m_core.m_crashes.MayProbeAnyEndpoint(m_requestKey, m_arrivedAt);
   for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(m_service)) {
     const std::string& incarnation = endpoint->m_incarnation;
--- a/src/ferrytray/relay/exchange_forward.cpp
+++ b/src/ferrytray/relay/exchange_forward.cpp
@@ -62,7 +62,7 @@
 
 bool Exchange::TryForward()
 {
-  if (m_forwards >= kMaxForwards) {
+  if (m_forwards >= kMaxForwards || !ReserveRetry()) {
     return false;
   }
   const std::optional<peers::Peer> host = m_core.m_forwarder->PickHost(m_triedHosts);
@@ -119,7 +119,7 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   const ForwardFailure failure = aAttempt.m_forwardFailure.value_or(ForwardFailure{
-    { base::ErrorCode::EndpointUnreachable, "", base::RunState::NotRun, {} }, true });
+    { base::ErrorCode::EndpointUnreachable, "", base::RunState::NotRun, {} }, true, false });
   m_core.m_metrics.Count("forwards_total{outcome=\"failed\"}");
   telemetry::LogLine("forward_failed")
     .Add("request", m_request.m_id)
@@ -127,12 +127,17 @@
     .Add("code", static_cast<int>(failure.m_failure.m_code))
     .Add("run", base::ToString(failure.m_failure.m_run))
     .Add("declined", failure.m_declined ? "yes" : "no")
+    .Add("arrived", failure.m_arrived ? "yes" : "no")
     .Add("took_ms", base::ToMillis(now - aAttempt.m_sentAt));
   if (failure.m_failure.m_run == base::RunState::Unknown) {
     HandleFailure(AttemptOutcome::Broken, aAttempt, "the host that it was forwarded to failed");
     return;
   }
-  --m_sends; // it reached no endpoint
+  if (failure.m_arrived) {
+    OnArrived();
+  } else {
+    --m_sends;
+  }
   if (failure.m_declined) {
     m_triedHosts.insert(aAttempt.m_host);
     m_core.m_forwarder->Targets().OnFailed(aAttempt.m_host, now);
@@ -187,7 +192,9 @@
   constexpr int kUnavailable = 503;
   const bool declined =
     aFailure.m_run == base::RunState::NotRun && MayHelpElsewhere(aFailure.m_code, m_failedConnects);
-  return { kUnavailable, WriteForwardFailure({ aFailure, declined }), aFailure.m_message };
+  return { kUnavailable,
+           WriteForwardFailure({ aFailure, declined, m_mayHaveArrived }),
+           aFailure.m_message };
 }
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/relay/forward_messages.cpp
+++ b/src/ferrytray/relay/forward_messages.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/relay/forward_messages.hpp"
 
 #include <algorithm> // for all_of, any_of
+#include <array>     // for array
 #include <charconv>  // for from_chars
 #include <strings.h> // for strncasecmp
 #include <utility>   // for move
@@ -17,7 +18,7 @@
 
 constexpr std::string_view kPrefix = "Ferrytray-";
 constexpr const char* kEndpointHeader = "Ferrytray-Endpoint";
-/// CODE RUN RETRY_AFTER_MS DECLINED, where RUN and DECLINED are 0 or 1.
+/// CODE RUN RETRY_AFTER_MS DECLINED ARRIVED, where all but the first and third are 0 or 1.
 constexpr const char* kFailureHeader = "Ferrytray-Failure";
 
 bool IsReserved(const std::string& aName)
@@ -56,11 +57,16 @@
 
 std::optional<ForwardFailure> ParseFailure(std::string_view aValue)
 {
-  long numbers[4] = {};
-  for (long& number : numbers) {
-    const auto read = std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
+  constexpr std::size_t kRequired = 4;
+  // Hosts of earlier versions do not report whether an endpoint received the request.
+  std::array<long, kRequired + 1> numbers{ 0, 0, 0, 0, 1 };
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    const auto read = std::from_chars(aValue.data(), aValue.data() + aValue.size(), numbers.at(i));
     if (read.ec != std::errc()) {
-      return std::nullopt;
+      if (i < kRequired) {
+        return std::nullopt;
+      }
+      break;
     }
     aValue.remove_prefix(static_cast<std::size_t>(read.ptr - aValue.data()));
     aValue.remove_prefix(aValue.empty() ? 0 : 1);
@@ -70,6 +76,7 @@
   failure.m_failure.m_run = numbers[1] == 0 ? base::RunState::NotRun : base::RunState::Unknown;
   failure.m_failure.m_retryAfter = std::chrono::milliseconds(numbers[2]);
   failure.m_declined = numbers[3] != 0;
+  failure.m_arrived = numbers[4] != 0;
   return failure;
 }
 
@@ -151,7 +158,7 @@
              std::to_string(static_cast<int>(failure.m_code)) +
                (failure.m_run == base::RunState::NotRun ? " 0 " : " 1 ") +
                std::to_string(base::ToMillis(failure.m_retryAfter)) +
-               (aFailure.m_declined ? " 1" : " 0") } };
+               (aFailure.m_declined ? " 1" : " 0") + (aFailure.m_arrived ? " 1" : " 0") } };
 }
 
 net::Headers WriteForwardReply(const net::Headers& aHeaders, const std::string& aEndpoint)
@@ -177,7 +184,8 @@
   }
   std::erase_if(aHeaders, [](const auto& aHeader) { return IsReserved(aHeader.first); });
   if (!known) {
-    reply.m_failure = ForwardFailure{ { base::ErrorCode::EndpointUnreachable, "", {}, {} }, true };
+    reply.m_failure =
+      ForwardFailure{ { base::ErrorCode::EndpointUnreachable, "", {}, {} }, true, false };
   }
   return reply;
 }
--- a/src/ferrytray/relay/forward_messages_test.cpp
+++ b/src/ferrytray/relay/forward_messages_test.cpp
@@ -73,13 +73,14 @@
 TEST(ForwardMessages, FailureIsDecodedUnchanged)
 {
   net::Headers headers = WriteForwardFailure(
-    { { base::ErrorCode::EnginesFull, "", base::RunState::Unknown, 1250ms }, true });
+    { { base::ErrorCode::EnginesFull, "", base::RunState::Unknown, 1250ms }, true, true });
   headers.emplace_back("X", "y");
   const ForwardReply reply = TakeForwardReply(headers);
   CHECK(reply.m_failure->m_failure.m_code == base::ErrorCode::EnginesFull);
   CHECK(reply.m_failure->m_failure.m_run == base::RunState::Unknown);
   CHECK(reply.m_failure->m_failure.m_retryAfter == 1250ms);
   CHECK(reply.m_failure->m_declined);
+  CHECK(reply.m_failure->m_arrived);
   LONGS_EQUAL(1, headers.size());
 }
 
--- a/src/ferrytray/relay/forward_receiver.cpp
+++ b/src/ferrytray/relay/forward_receiver.cpp
@@ -64,7 +64,7 @@
   m_core.m_metrics.Count("forwarded_requests_total{outcome=\"declined\"}");
   telemetry::LogLine("forward_declined").Add("why", aWhy);
   const base::Failure failure{ base::ErrorCode::NotReady, aWhy, base::RunState::NotRun, {} };
-  aReply->Send(kUnavailable, WriteForwardFailure({ failure, true }), aWhy);
+  aReply->Send(kUnavailable, WriteForwardFailure({ failure, true, false }), aWhy);
 }
 
 } // namespace ferrytray::relay
--- a/tests/support/forward_fixture.hpp
+++ b/tests/support/forward_fixture.hpp
@@ -46,9 +46,10 @@
     return relay::DecodeForwardedRequest(LastCall().m_body).value(); // throws if malformed
   }
   /// The other host refuses the last call without an endpoint.
-  void AnswerWithFailure(const base::Failure& aFailure, bool aDeclined)
+  /// @param aArrived an endpoint rejected it there
+  void AnswerWithFailure(const base::Failure& aFailure, bool aDeclined, bool aArrived = false)
   {
-    m_client.Head(503, relay::WriteForwardFailure({ aFailure, aDeclined }));
+    m_client.Head(503, relay::WriteForwardFailure({ aFailure, aDeclined, aArrived }));
     m_client.End(net::WireEnd::Complete);
   }
   /// The other host passes an endpoint's answer back.
