Net, relay: a reply is attributed to the right request and the right send

Cause: a connection on which something was received after a complete reply stayed in use, so each later request got the reply to the one before it; and a second 421 to the first send of a request was taken for the reply to its second send on the same connection, since both have the same request id.

Change: before a request is sent, the HTTP client checks its connection for input; if there is any, the request goes to a new connection and the old one is closed. A reply of another request is abandoned: the call ends as broken, and the connection is closed. A request that goes to the same endpoint again uses a new connection, which can hold no earlier reply.

ConnectionWithUnexpectedInputIsNotReused is red without the check.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -87,6 +87,9 @@
 using CallId = std::uint64_t;
 
 /// @brief Sends HTTP requests on one event loop (libcurl's multi interface).
+///
+/// A reply belongs to the last request on its connection. So a connection is not used again if
+/// anything was received on it after a complete reply.
 class HttpClient
 {
 public:
@@ -95,6 +98,10 @@
   virtual CallId Start(ClientRequest aRequest, ClientEvents aEvents) = 0;
   /// @brief Cancels a request. None of its callbacks runs afterwards.
   virtual void Cancel(CallId aCall) = 0;
+  /// @brief Rejects a reply that does not belong to its request. Call within m_onHead: the call
+  /// ends as BrokenReply, and its connection is closed, since further replies on it would be
+  /// attributed to the wrong requests, too.
+  virtual void Abandon(CallId aCall) = 0;
   /// @brief Bytes of all finished requests and their replies, headers included.
   [[nodiscard]] virtual std::uint64_t BytesTransferred() const = 0;
   /// @brief Sends a request and collects the body of the reply.
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -192,6 +192,7 @@
   routing::Work m_work;                           ///< per send
   Assignment m_assigned;                          ///< for a long prompt
   std::set<std::string> m_triedEndpoints;
+  std::set<std::string> m_sentTo;         ///< endpoints, including those that may be tried again
   std::set<std::string> m_triedHosts;     ///< that declined or failed
   std::uint32_t m_failedConnects = 0;     ///< to endpoints
   std::uint32_t m_forwards = 0;           ///< to other hosts
--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -42,12 +42,6 @@
   return length >= 0 ? ReplyFraming::Length : ReplyFraming::Close;
 }
 
-int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
-{
-  SetPeerTimeout(aSocket, static_cast<const CurlCall*>(aCall)->m_peerTimeoutMillis);
-  return CURL_SOCKOPT_OK;
-}
-
 } // namespace
 
 void SetPeerTimeout(int aSocket, long aMillis)
@@ -90,10 +84,6 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(idle.count()));
   }
   aCall.m_peerTimeoutMillis = base::ToMillis(aRequest.m_peerTimeout);
-  if (aCall.m_peerTimeoutMillis > 0) {
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &aCall);
-  }
   if (aRequest.m_freshConnection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/ferrytray/net/curl_call.hpp
+++ b/src/ferrytray/net/curl_call.hpp
@@ -4,7 +4,8 @@
 
 #include <curl/curl.h> // for CURL, curl_slist
 
-#include "ferrytray/net/http_client.hpp" // for CallId, ClientEvents, ClientOutcome, ClientRequest
+#include "ferrytray/net/http_client.hpp"  // for CallId, ClientEvents, ClientOutcome, ClientRequest
+#include "ferrytray/net/open_sockets.hpp" // for OpenSockets
 
 namespace ferrytray::net {
 
@@ -16,11 +17,15 @@
   curl_slist* m_headerList = nullptr;
   std::string m_body;
   ClientEvents m_events;
+  OpenSockets* m_openSockets = nullptr; ///< of the client
   bool m_statusReported = false;
   bool m_receivedBytes = false;
   bool m_headReported = false;
   bool m_sendOnce = false;
   int m_sends = 0;
+  bool m_abandoned = false;       ///< the reply belongs to another request
+  bool m_unexpectedInput = false; ///< on the connection, before the request was sent
+  bool m_restarted = false;       ///< on a new connection, because of that
   long m_peerTimeoutMillis = 0;
   std::string m_etag;
   std::string m_retryAfter;
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // for min
 #include <map>       // for map
 #include <strings.h> // for strcasecmp
+#include <unistd.h>  // for close
 #include <utility>   // for move
 
 #include <asio/post.hpp>         // for post
@@ -12,6 +13,7 @@
 #include "ferrytray/net/curl_call.hpp"    // for CurlCall, SetOptions
 #include "ferrytray/net/curl_sockets.hpp" // for CurlSockets
 #include "ferrytray/net/loop_impl.hpp"    // for LoopImpl
+#include "ferrytray/net/open_sockets.hpp" // for OpenSockets
 
 namespace ferrytray::net {
 
@@ -54,6 +56,7 @@
     call->m_easy = curl_easy_init();
     call->m_body = std::move(aRequest.m_body);
     call->m_events = std::move(aEvents);
+    call->m_openSockets = &m_openSockets;
     SetOptions(*call, aRequest);
     SetCallbacks(*call);
     const CallId id = call->m_id;
@@ -84,6 +87,14 @@
     Release(*call);
   }
 
+  void Abandon(CallId aCall) override
+  {
+    const auto found = m_calls.find(aCall);
+    if (found != m_calls.end()) {
+      found->second->m_abandoned = true;
+    }
+  }
+
   [[nodiscard]] std::uint64_t BytesTransferred() const override { return m_bytes; }
 
 private:
@@ -95,9 +106,14 @@
     }
   }
 
-  static void SetCallbacks(CurlCall& aCall)
+  void SetCallbacks(CurlCall& aCall)
   {
     CURL* easy = aCall.m_easy;
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlClient::OnSocketCreated);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &aCall);
+    // The connection may outlive the call.
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlClient::OnSocketClosed);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlClient::OnHeader);
@@ -137,6 +153,9 @@
       call.m_headReported = false;
     } else if (line.empty()) {
       s_current->ReportHead(call);
+      if (call.m_abandoned) {
+        return 0; // makes libcurl close the connection
+      }
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
       std::string_view value = line.substr(colon + 1);
       value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
@@ -170,10 +189,32 @@
     m_inCallback = false;
   }
 
+  static int OnSocketCreated(void* aCall, curl_socket_t aSocket, curlsocktype)
+  {
+    const auto& call = *static_cast<const CurlCall*>(aCall);
+    if (call.m_peerTimeoutMillis > 0) {
+      SetPeerTimeout(aSocket, call.m_peerTimeoutMillis);
+    }
+    call.m_openSockets->Add(aSocket);
+    return CURL_SOCKOPT_OK;
+  }
+
+  static int OnSocketClosed(void* aClient, curl_socket_t aSocket)
+  {
+    static_cast<CurlClient*>(aClient)->m_openSockets.Remove(aSocket);
+    return ::close(aSocket);
+  }
+
   /// Called before every send, including a resend by libcurl itself.
-  static int OnSend(void* aCall, char*, char*, int, int)
+  static int OnSend(void* aCall, char* aPeerIp, char* aLocalIp, int aPeerPort, int aLocalPort)
   {
     auto& call = *static_cast<CurlCall*>(aCall);
+    // Only a request that was never sent may start again.
+    if (call.m_sends == 0 && !call.m_restarted &&
+        call.m_openSockets->IsReadable({ aLocalIp, aLocalPort, aPeerIp, aPeerPort })) {
+      call.m_unexpectedInput = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     ++call.m_sends;
     return call.m_sendOnce && call.m_sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   }
@@ -239,9 +280,23 @@
     }
   }
 
+  /// Sends a request that was not sent on a new connection instead.
+  void Restart(CurlCall& aCall)
+  {
+    aCall.m_unexpectedInput = false;
+    aCall.m_restarted = true;
+    curl_multi_remove_handle(m_multi, aCall.m_easy);
+    curl_easy_setopt(aCall.m_easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(m_multi, aCall.m_easy);
+  }
+
   void Finish(CallId aId, CURLcode aResult)
   {
     const auto found = m_calls.find(aId);
+    if (found->second->m_unexpectedInput) {
+      Restart(*found->second);
+      return;
+    }
     const std::unique_ptr<CurlCall> call = std::move(found->second);
     m_calls.erase(found);
     const ClientOutcome outcome = OutcomeOf(*call, aResult);
@@ -264,6 +319,7 @@
   CallId m_lastCallId = 0;
   std::uint64_t m_bytes = 0;
   bool m_inCallback = false;
+  OpenSockets m_openSockets;
   std::map<CallId, std::unique_ptr<CurlCall>> m_calls;
   CurlSockets m_sockets;
 };
--- a/src/ferrytray/net/http_client_test.cpp
+++ b/src/ferrytray/net/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "ferrytray/net/http_client.hpp"
 
 #include <optional> // for optional
+#include <vector>   // for vector
 
 #include "tests/support/raw_http_server.hpp" // for RawHttpServer
 
@@ -151,3 +152,85 @@
   RunUntilOutcome();
   CHECK(m_outcome->m_end == WireEnd::Complete);
 }
+
+// A peer may send a second reply after a complete one. Regression: the next request on that
+// connection got it as its own, and so did each later one with the reply before it.
+TEST(HttpClient, ConnectionWithUnexpectedInputIsNotReused)
+{
+  const std::string stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+  std::vector<std::shared_ptr<net::HttpReply>> replies;
+  m_handler = [&](const net::HttpRequest&, std::shared_ptr<net::HttpReply> aReply) {
+    aReply->StartStream(200, Length(4));
+    aReply->Write("body");
+    replies.push_back(std::move(aReply));
+  };
+  for (const std::size_t bytes : { std::size_t{ 1 }, stale.size() }) {
+    m_client = net::HttpClient::Create(m_loop);
+    Fetch();
+    const std::size_t accepted = m_server.Counters().m_accepted;
+    replies.back()->Write(stale.substr(0, bytes));
+    m_loop.RunFor(20ms);
+    Fetch();
+    STRCMP_EQUAL("body", m_body.c_str());
+    CHECK(m_outcome->m_end == WireEnd::Complete);
+    LONGS_EQUAL(accepted + 1, m_server.Counters().m_accepted);
+  }
+}
+
+TEST(HttpClient, ConnectionOfAbandonedReplyIsNotReused)
+{
+  for (const char* body : { "", "body" }) {
+    m_outcome.reset();
+    m_handler = [=](const net::HttpRequest&, const std::shared_ptr<net::HttpReply>& aReply) {
+      aReply->Send(200, Length(std::string(body).size()), body);
+    };
+    net::ClientRequest request;
+    request.m_url = net::HttpBaseUrl(m_server.ListenAddress()) + "/";
+    net::CallId call = 0;
+    net::ClientEvents events;
+    events.m_onHead = [&](int, const net::Headers&) { m_client->Abandon(call); };
+    events.m_onEnd = [&](const net::ClientOutcome& aOutcome) { m_outcome = aOutcome; };
+    call = m_client->Start(std::move(request), std::move(events));
+    RunUntilOutcome();
+    CHECK(m_outcome->m_end == WireEnd::BrokenReply);
+    LONGS_EQUAL(200, m_outcome->m_status);
+    const std::size_t accepted = m_server.Counters().m_accepted;
+    Fetch();
+    CHECK(m_outcome->m_end == WireEnd::Complete);
+    LONGS_EQUAL(accepted + 1, m_server.Counters().m_accepted);
+  }
+}
+
+TEST(HttpClient, SentRequestIsNotSentAgainBecauseOfUnexpectedInput)
+{
+  std::vector<std::shared_ptr<net::HttpReply>> replies;
+  m_handler = [&](const net::HttpRequest&, std::shared_ptr<net::HttpReply> aReply) {
+    replies.push_back(std::move(aReply));
+  };
+  const auto start = [&] {
+    net::ClientRequest request;
+    request.m_url = net::HttpBaseUrl(m_server.ListenAddress()) + "/";
+    request.m_sendOnce = true;
+    m_client->Fetch(std::move(request), [this](const net::ClientOutcome& aOutcome, std::string) {
+      m_outcome = aOutcome;
+    });
+  };
+  start();
+  start();
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(2, m_server.Counters().m_accepted); // both connections are idle from now on
+  replies.at(0)->Send(200, Length(0), "");
+  replies.at(1)->Send(200, Length(0), "");
+  m_loop.RunFor(50ms);
+  m_outcome.reset();
+  start();
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(3, replies.size());
+  m_server.WriteToIdle("x");
+  m_loop.RunFor(50ms);
+  replies.at(2)->Abort();
+  RunUntilOutcome();
+  CHECK(m_outcome->m_end == WireEnd::NoReply);
+  m_loop.RunFor(50ms);
+  LONGS_EQUAL(3, replies.size());
+}
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -177,6 +177,8 @@
   request.m_peerTimeout = m_core.m_options.m_peerTimeout;
   request.m_maxIdle = call.m_maxIdle;
   request.m_sendOnce = true;
+  // A late second reply to the earlier send has the same request id.
+  request.m_freshConnection = !m_sentTo.insert(endpoint->m_incarnation).second;
   m_attempt.emplace();
   m_attempt->m_incarnation = endpoint->m_incarnation;
   m_attempt->m_endpointId = endpoint->m_id;
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -30,7 +30,9 @@
   }
   ReplyHead head = m_core.m_format.ReadHead(aStatus, aHeaders);
   m_attempt->m_invalidReply = head.m_requestId != m_request.m_id;
-  if (!m_attempt->m_invalidReply) {
+  if (m_attempt->m_invalidReply) {
+    m_core.m_client.Abandon(m_attempt->m_callId);
+  } else {
     UpdateEndpointState(head);
   }
   m_attempt->m_head = std::move(head);
--- a/tests/support/fake_http.hpp
+++ b/tests/support/fake_http.hpp
@@ -19,6 +19,7 @@
     ferrytray::net::ClientRequest m_request;
     ferrytray::net::ClientEvents m_events;
     bool m_cancelled = false;
+    bool m_abandoned = false;
     int m_status = 0; ///< of the reply
   };
 
@@ -29,6 +30,7 @@
     return m_calls.size();
   }
   void Cancel(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_cancelled = true; }
+  void Abandon(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_abandoned = true; }
   [[nodiscard]] std::uint64_t BytesTransferred() const override { return 0; }
 
   /// Replies to the newest call. Copies the events, as their owner may start the next call
--- a/tests/support/raw_http_server.cpp
+++ b/tests/support/raw_http_server.cpp
@@ -346,6 +346,15 @@
   return pending;
 }
 
+void RawHttpServer::WriteToIdle(const std::string& aBytes)
+{
+  for (const auto& [id, connection] : m_connections) {
+    if (!connection->IsBusy()) {
+      connection->Write(aBytes);
+    }
+  }
+}
+
 void RawHttpServer::CloseIdle()
 {
   const auto connections = m_connections;
--- a/tests/support/raw_http_server.hpp
+++ b/tests/support/raw_http_server.hpp
@@ -4,6 +4,7 @@
 #include <functional> // for function
 #include <map>        // for map
 #include <memory>     // for shared_ptr, unique_ptr
+#include <string>     // for string
 
 #include <asio/ip/tcp.hpp> // for tcp
 
@@ -34,6 +35,9 @@
   /// it with a FIN. Called for each such reply.
   void SetResetOnAbort(std::function<bool()> aReset) { m_resetOnAbort = std::move(aReset); }
 
+  /// Writes bytes that belong to no reply to all connections without a request.
+  void WriteToIdle(const std::string& aBytes);
+
   [[nodiscard]] ferrytray::net::Address ListenAddress() const override;
   [[nodiscard]] ferrytray::net::HttpServerCounters Counters() const override { return m_counters; }
   [[nodiscard]] std::size_t PendingRequests() const override;
