--- a/include/ferrytray/limits/retry_window.hpp
+++ b/include/ferrytray/limits/retry_window.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <array>    // for array
-#include <cstddef>  // for size_t
-#include <cstdint>  // for int64_t
-#include <map>      // for map
-#include <optional> // for optional
-#include <string>   // for string
+#include <array>   // for array
+#include <cstddef> // for size_t
+#include <cstdint> // for int64_t
+#include <map>     // for map
+#include <string>  // for string
 
 #include "ferrytray/base/time.hpp" // for Duration, TimePoint
 
@@ -33,11 +32,11 @@
 ///
 ///     ratio * (requests in the window + requests in the window before) / 2 + allowance.
 ///
-/// A host that has started within the window has neither earlier requests nor the allowance. The
-/// bound is a sum over requests, so the bounds of all hosts, and of all processes that were one of
-/// them, add up: the ratio times the mean of the requests in two consecutive windows, plus one
-/// allowance per host. Restarts only reduce it. Half of the budget of the last window can be spent
-/// at once, the other half as requests arrive.
+/// A process that starts within the window has no earlier requests and gets no allowance. As the
+/// bound is linear in the requests, the bounds of all hosts, and of all processes that ran on a
+/// host, add up to the ratio times the mean of the requests in two consecutive windows plus one
+/// allowance per host. Half of the budget of the last window can be spent at once, the other half
+/// as requests arrive.
 class RetryWindow
 {
 public:
--- a/include/ferrytray/relay/attempt_policy.hpp
+++ b/include/ferrytray/relay/attempt_policy.hpp
@@ -65,7 +65,7 @@
   BudgetExhausted, ///< the retry budget of the service does not allow it
 };
 
-/// @brief The value of the "retry" key in log lines and of the "reason" label of metrics.
+/// @brief The value of the "retry" key in log lines and of the "retry" label of metrics.
 std::string_view ToString(RetryVerdict aVerdict);
 
 /// @brief Whether the request itself allows another send; checks neither quarantine nor budget.
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -280,7 +280,7 @@
     }
   }
 
-  /// Sends a request that was not sent on a new connection instead.
+  /// Starts a call again, on a new connection. Its request must not have been sent.
   void Restart(CurlCall& aCall)
   {
     aCall.m_unexpectedInput = false;
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -56,9 +56,9 @@
 
 void Exchange::Start()
 {
-  if (!IsForwarded()) {
+  if (!IsForwarded()) { // a forwarded request is counted by the host that forwards it
     m_service = m_planner.PickService();
-    m_core.m_retryWindow.OnRequest(m_service, m_arrivedAt); // the forwarding host counts it
+    m_core.m_retryWindow.OnRequest(m_service, m_arrivedAt);
   }
   m_deadlineTimer = m_core.m_loop.After(Remaining(), [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
