--- a/src/ferrytray/limits/retry_window_test.cpp
+++ b/src/ferrytray/limits/retry_window_test.cpp
@@ -77,6 +77,20 @@
   CHECK(taken >= kHalf - 2);
 }
 
+// Regression: a process that started anew had an allowance of its own, so that hosts which restart
+// often added up to any number of retries.
+TEST(RetryWindow, NewHostHasNoAllowanceDuringItsFirstWindow)
+{
+  limits::RetryWindow window(kOptions);
+  for (int i = 0; i < 4; ++i) {
+    window.OnRequest("s", kStart + i * 300ms);
+  }
+  for (base::TimePoint now = kStart; now < kStart + 10s; now += 100ms) {
+    CHECK_FALSE(window.TryRetry("s", now));
+  }
+  CHECK(window.TryRetry("s", kStart + 11s));
+}
+
 TEST(RetryWindow, AllowanceOfAHostLetsRareRequestsBeRetried)
 {
   limits::RetryWindow window(kOptions);
