Relay: the log names the source of a recovery and how long a removed entry is kept

The log could not tell three explanations apart: a follower that takes failed reads of another host for an outage, a reader that takes its own failed read for one, and a removal that is relayed too late. dependency_back now says whether the contact came from the log or from another host, endpoint_removed says which of them delivered the removal, at which offset, and for how long the entry is still used.

--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -72,7 +72,8 @@
   void Upsert(Endpoint aEndpoint, base::TimePoint aNow);
   /// @brief Removes an id whose entry was removed at the source. Within m_returnWindow after an
   /// outage, an entry that is not leaving is kept until the window ends.
-  void Remove(const std::string& aId, base::TimePoint aNow);
+  /// @return how long the entry is kept; zero if it was dropped or is unknown
+  base::Duration Remove(const std::string& aId, base::TimePoint aNow);
   /// @brief Removes all ids that are not in the complete list that was read, as Remove() does.
   void RemoveUnlisted(const std::set<std::string>& aListed, base::TimePoint aNow);
   /// @brief The source answers again after an outage.
@@ -146,7 +147,7 @@
   /// Marks the former endpoint at a new endpoint's address as gone if it is of the same service and
   /// was listed at least m_replacementDelay earlier.
   void MarkReplaced(const Endpoint& aNew, base::TimePoint aNow);
-  void RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow);
+  base::Duration RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow);
   void Erase(const std::string& aIncarnation);
 
   DirectoryOptions m_options;
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -65,32 +65,32 @@
   listedIncarnation = aNew.m_incarnation;
 }
 
-void Directory::Remove(const std::string& aId, base::TimePoint aNow)
+base::Duration Directory::Remove(const std::string& aId, base::TimePoint aNow)
 {
   const auto current = m_currentById.find(aId);
-  if (current != m_currentById.end()) {
-    RemoveIncarnation(current->second, aNow);
-  }
+  return current == m_currentById.end() ? base::Duration::zero()
+                                        : RemoveIncarnation(current->second, aNow);
 }
 
-void Directory::RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow)
+base::Duration Directory::RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow)
 {
   const auto found = m_entries.find(aIncarnation);
   if (found == m_entries.end()) {
-    return;
+    return {};
   }
   if (found->second.m_endpoint.m_leaving) {
     MarkGone(aIncarnation);
-    return;
+    return {};
   }
   const bool mayReturn =
     m_sourceRecoveredAt && aNow < *m_sourceRecoveredAt + m_options.m_returnWindow;
   if (mayReturn) {
     found->second.m_removeAt = *m_sourceRecoveredAt + m_options.m_returnWindow;
     m_missing.insert(aIncarnation);
-    return;
+    return *found->second.m_removeAt - aNow;
   }
   Erase(aIncarnation);
+  return {};
 }
 
 void Directory::Erase(const std::string& aIncarnation)
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -87,7 +87,11 @@
       m_core.m_directory.OnSourceRecovered(now);
       m_operators->RestartRead();
     }
-    telemetry::LogLine("dependency_back").Add("dependency", "record_log").Add("topic", aTopic);
+    const auto& topic = isDirectory ? m_endpoints : m_operators;
+    telemetry::LogLine("dependency_back")
+      .Add("dependency", "record_log")
+      .Add("topic", aTopic)
+      .Add("via", topic->IsRelayed() ? "host" : "log");
   };
   if (isDirectory) {
     events.m_onSlow = [this](base::Duration) { m_operators->RestartRead(); };
@@ -257,13 +261,17 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   if (aRecord.m_removed) {
-    if (AdmitEndpointLine(now)) {
-      telemetry::LogLine("endpoint_removed").Add("endpoint", aRecord.m_key);
-    }
     if (const fleet::Endpoint* removed = m_core.m_directory.FindById(aRecord.m_key)) {
       ForgetEndpoint(removed->m_incarnation);
     }
-    m_core.m_directory.Remove(aRecord.m_key, now);
+    const base::Duration kept = m_core.m_directory.Remove(aRecord.m_key, now);
+    if (AdmitEndpointLine(now)) {
+      telemetry::LogLine("endpoint_removed")
+        .Add("endpoint", aRecord.m_key)
+        .Add("offset", aRecord.m_offset)
+        .Add("via", m_endpoints->IsRelayed() ? "host" : "log")
+        .Add("kept_ms", base::ToMillis(kept));
+    }
     m_lastRecords.erase(aRecord.m_key);
     return true;
   }
