Store, fleet: only an outage of the log for all hosts keeps removed endpoints usable

Cause: a removed entry is kept for 2 s after an outage of the record log, since entries that expired in it return. Each failed read of a host counted as such an outage, at that host and, through a counter in the relayed updates, at every host that follows it; a change between two hosts with different counters counted again. Removals arrived in time.

Change: hosts exchange the period in which the log has answered without a gap instead of a counter. ContactHistory unites the periods of all hosts that are known; an outage is what is left between two of them, at least as long as an entry needs to expire (FeedOptions::m_minEndpointOutage, from the heartbeat interval and the time a change of source takes). It is identified by its time, so no source, restart or second report starts it again, another host's contact can shorten or refute it, and a follower detects it without a report. The directory never extends the time of a removed entry, and drops one at once that has returned since the outage. m_operators->RestartRead() stays on the host's own failed reads. The message format version changes.

Tests: StateFeeds FailedReadOfSourceKeepsNoRemovedEndpoint and OwnFailedReadKeepsNoRemovedEndpoint failed on (2 usable endpoints, 1 expected). SwitchingToAnotherHostIsNoOutage holds for sources of any age now.

--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -46,7 +46,7 @@
 struct DirectoryOptions
 {
   /// On the users' platform, entries that expired during an outage of the directory's source return
-  /// within about 2 s of its recovery. An entry that is missing for longer is dropped.
+  /// within about 2 s of its end. An entry that is missing for longer is dropped.
   base::Duration m_returnWindow = std::chrono::milliseconds(2000);
   /// An entry that is first listed at least this long after another one of the same service and
   /// address replaces it. Of two entries that are read together it is unknown which one is newer.
@@ -71,13 +71,16 @@
   /// known one, and one of an incarnation that is marked as gone.
   void Upsert(Endpoint aEndpoint, base::TimePoint aNow);
   /// @brief Removes an id whose entry was removed at the source. Within m_returnWindow after an
-  /// outage, an entry that is not leaving is kept until the window ends.
+  /// outage, an entry that may have expired in it is kept until the window ends; one that is
+  /// leaving or has returned since the outage is dropped at once.
   /// @return how long the entry is kept; zero if it was dropped or is unknown
   base::Duration Remove(const std::string& aId, base::TimePoint aNow);
   /// @brief Removes all ids that are not in the complete list that was read, as Remove() does.
   void RemoveUnlisted(const std::set<std::string>& aListed, base::TimePoint aNow);
-  /// @brief The source answers again after an outage.
-  void OnSourceRecovered(base::TimePoint aNow) { m_sourceRecoveredAt = aNow; }
+  /// @brief Sets when the source's last outage ended. A removed entry that is kept already is never
+  /// kept for longer because of a later call.
+  /// @param aAt none: there was no outage, so Expire() drops all removed entries
+  void SetOutageEnd(std::optional<base::TimePoint> aAt);
   /// @brief Marks an incarnation as leaving, since it has announced its shutdown itself. One that
   /// is not listed is ignored when it is listed later.
   /// @return whether a listed endpoint became leaving
@@ -135,7 +138,8 @@
   {
     Endpoint m_endpoint;
     base::TimePoint m_listedSince;             ///< when it was first listed
-    std::optional<base::TimePoint> m_removeAt; ///< missing; dropped then unless it returns
+    std::optional<base::TimePoint> m_removeAt;   ///< missing; dropped then unless it returns
+    std::optional<base::TimePoint> m_returnedAt; ///< last time that it returned
     /// By model: guesses that the endpoint has refused since its weights were last known.
     std::map<std::string, std::set<WeightVersion>> m_refusedGuesses;
   };
@@ -148,10 +152,12 @@
   /// was listed at least m_replacementDelay earlier.
   void MarkReplaced(const Endpoint& aNew, base::TimePoint aNow);
   base::Duration RemoveIncarnation(const std::string& aIncarnation, base::TimePoint aNow);
+  /// Whether a removed entry may return, since it may have expired during the source's last outage.
+  [[nodiscard]] bool MayReturn(const Entry& aEntry, base::TimePoint aNow) const;
   void Erase(const std::string& aIncarnation);
 
   DirectoryOptions m_options;
-  std::optional<base::TimePoint> m_sourceRecoveredAt;
+  std::optional<base::TimePoint> m_outageEnd; ///< of the source's last outage
   std::map<std::string, Entry> m_entries; ///< by incarnation
   std::set<std::string> m_missing;        ///< incarnations that are dropped unless they return
   /// By service; computed on demand and dropped with each change of the entries.
--- a/include/ferrytray/peers/fallback_reader.hpp
+++ b/include/ferrytray/peers/fallback_reader.hpp
@@ -24,9 +24,7 @@
 /// @brief Chooses a reader to fetch the log's records from when neither this host nor the reader
 /// that it follows can reach the log: a log that rejects some hosts may serve others. Does no I/O.
 ///
-/// Uses one reader at a time: a changed number of outages in an update means that the log was down
-/// meanwhile, and each host counts the outages on its own, so that counts of two readers cannot be
-/// compared.
+/// Uses one reader at a time, since each further one would send the same records.
 class FallbackReader
 {
 public:
--- a/include/ferrytray/relay/feed_options.hpp
+++ b/include/ferrytray/relay/feed_options.hpp
@@ -12,6 +12,8 @@
   base::Duration m_revocationDue{};    ///< after the account's key was revoked
   base::Duration m_quarantineDue{};    ///< after the third endpoint crash of one request
   base::Duration m_drain{};            ///< how long a leaving endpoint may still receive requests
+  /// Interval at which endpoints renew their directory entries. Three missed heartbeats remove one.
+  base::Duration m_heartbeat = std::chrono::milliseconds(1200);
 };
 
 /// @brief How a host follows the topics of the record log.
@@ -39,6 +41,9 @@
   base::Duration m_endpointPeerMaxAge = std::chrono::milliseconds(1300);
   /// The same as m_operatorTakeoverDelay for the directory.
   base::Duration m_endpointTakeoverDelay{};
+  /// Shortest time without an answer of the log that counts as an outage in which entries of the
+  /// directory may have expired.
+  base::Duration m_minEndpointOutage = std::chrono::milliseconds(2500);
   /// Long-poll time of reads of the quarantine topic. Long because every read is charged; an
   /// unanswered read does no harm, as hosts also send each other the contents.
   base::Duration m_quarantineWait = std::chrono::seconds(10);
--- a/include/ferrytray/relay/state_feeds.hpp
+++ b/include/ferrytray/relay/state_feeds.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>    // for function
 #include <memory>        // for shared_ptr
+#include <optional>      // for optional
 #include <set>           // for set
 #include <string>        // for string
 #include <unordered_map> // for unordered_map
@@ -57,6 +58,8 @@
   /// Counts a log line on an endpoint. @return whether it is to be written
   bool AdmitEndpointLine(base::TimePoint aNow);
   store::FollowEvents MakeFollowEvents(const std::string& aTopic);
+  /// The log answers again after an outage, or the last outage turns out to be none.
+  void OnOutageEnd(const std::string& aTopic, const std::optional<store::LogOutage>& aOutage);
 
   RelayCore& m_core;
   const RecordFormat& m_format;
@@ -64,6 +67,7 @@
   std::shared_ptr<store::TopicFollower> m_endpoints;
   std::function<void()> m_onConfigured;
   std::unordered_map<std::string, fleet::Endpoint> m_lastRecords; ///< by key; readable records only
+  std::optional<base::TimePoint> m_outageEnd; ///< of the endpoints' topic, as reported last
   base::TimePoint m_endpointLinesSince{};
   std::size_t m_endpointLines = 0; ///< since then, with those not written
   bool m_operatorsLoaded = false;
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -11,11 +11,12 @@
 #include <string>     // for string
 #include <vector>     // for vector
 
-#include "ferrytray/base/time.hpp"          // for Duration
-#include "ferrytray/net/loop.hpp"           // for Loop
-#include "ferrytray/store/record_log.hpp"   // for RecordLog
-#include "ferrytray/store/record_tail.hpp"  // for RecordTail
-#include "ferrytray/store/topic_update.hpp" // for TopicCursor, TopicUpdate
+#include "ferrytray/base/time.hpp"             // for Duration
+#include "ferrytray/net/loop.hpp"              // for Loop
+#include "ferrytray/store/contact_history.hpp" // for ContactHistory, ContactPeriod, LogOutage
+#include "ferrytray/store/record_log.hpp"      // for RecordLog
+#include "ferrytray/store/record_tail.hpp"     // for RecordTail
+#include "ferrytray/store/topic_update.hpp"    // for TopicCursor, TopicUpdate
 
 namespace ferrytray::store {
 
@@ -59,6 +60,8 @@
   /// Relayed updates are used while the log answered the relaying host no longer ago than this;
   /// after that this host reads the log itself.
   base::Duration m_maxUpdateAge = std::chrono::milliseconds(1000);
+  /// Shortest time without an answer of the log to any known host that counts as an outage.
+  base::Duration m_minOutage = std::chrono::milliseconds(2500);
 };
 
 /// @brief Callbacks of a TopicFollower. All calls are made on the loop, records in order.
@@ -68,9 +71,13 @@
   std::function<bool(const Record&)> m_onRecord;
   /// The whole topic was read; keys that are not listed have been removed.
   std::function<void(const std::set<std::string>& aKeys)> m_onSnapshot;
-  /// A read succeeded, after failures if aRecovered. Called before the records of that read. At aAt
-  /// the log answered this host or the one that relays its records.
+  /// A read succeeded, after failures of this host's reads if aRecovered. Called before the records
+  /// of that read. At aAt the log answered this host or the one that relays its records.
   std::function<void(bool aRecovered, base::TimePoint aAt)> m_onContact;
+  /// The log answers again after it answered no known host for m_minOutage. Called before the
+  /// records of the first read after the outage, and again if another host shows that the outage
+  /// was shorter, or (no value) that there was none.
+  std::function<void(const std::optional<LogOutage>&)> m_onOutageEnd;
   std::function<void(const base::Failure&)> m_onUnreachable;
   /// A held read failed. A read that is not held open follows; m_onUnreachable is called only if
   /// that fails too.
@@ -113,6 +120,9 @@
   /// the log.
   /// @param aAskedAt when that host was sent the request
   void OnUpdate(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
+  /// @brief Uses only what another host's update says of the log's answers, not its records.
+  /// @param aAskedAt when that host was sent the request
+  void OnContactReport(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
   /// @brief Sets whether this host may read the log when relayed updates have ended; otherwise it
   /// waits for further updates. The log cannot serve all hosts of a large deployment, so most of
   /// them may read it only while no host that relays the topic can be reached.
@@ -120,8 +130,6 @@
   /// @brief Whether the relayed updates have ended or become too old, and this host has not read
   /// the log since.
   [[nodiscard]] bool IsOverdue() const { return m_wasRelayed && !m_relayed; }
-  /// @brief Another host relays the topic from now on.
-  void OnRelayChanged() { m_relayOutages.reset(); }
   /// @brief No other host relays the topic any longer: this host reads the log until the next
   /// usable update.
   void OnRelayEnded();
@@ -159,6 +167,11 @@
   /// Adds a received piece. @return whether m_partial is complete
   bool AddSnapshotPiece(const TopicUpdate& aUpdate);
   void OnContact(base::TimePoint aAt, bool aRecovered);
+  /// The log has answered a read of this host, even if records are still missing.
+  void OnAnswer();
+  /// Adds a period in which the log answered this host or the one that relays its records.
+  /// @param aUncertainty how much later than stated the period may have been
+  void AddContactPeriod(ContactPeriod aPeriod, base::Duration aUncertainty);
   [[nodiscard]] base::Duration CurrentPause() const;
   void OnUnreachable(const base::Failure& aFailure);
   /// @return at random up to aMax
@@ -186,9 +199,9 @@
   bool m_wasRelayed = false;     ///< this host has not read the log since it was relayed
   bool m_takeoverAllowed = true; ///< @see AllowTakeover
   std::minstd_rand m_random{ std::random_device{}() };
-  std::optional<base::TimePoint> m_lastContactAt; ///< latest known reply of the log to any host
-  std::uint64_t m_outages = 0;                    ///< number of times that the log recovered
-  std::optional<std::uint64_t> m_relayOutages;    ///< m_outages of the last relayed update
+  /// Begin of the latest read, of this host or the one that relays, that reached the topic's end.
+  std::optional<base::TimePoint> m_lastContactAt;
+  ContactHistory m_contacts;
   std::optional<base::TimePoint> m_lastServedAt;  ///< when another host last requested an update
   std::map<std::string, Record> m_newestByKey;    ///< newest delivered record of each key
   std::optional<PartialSnapshot> m_partial;
--- a/include/ferrytray/store/topic_update.hpp
+++ b/include/ferrytray/store/topic_update.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <cstdint> // for uint64_t
-#include <string>  // for string
-#include <vector>  // for vector
+#include <string> // for string
+#include <vector> // for vector
 
 #include "ferrytray/base/time.hpp"        // for Duration
 #include "ferrytray/store/record_log.hpp" // for Offset, Record
@@ -30,10 +29,12 @@
   bool m_isSnapshot = false;
   /// The log is unreachable from the relaying host. The requesting host has to read it.
   bool m_unavailable = false;
-  base::Duration m_age{};      ///< since the log last answered
-  std::uint64_t m_outages = 0; ///< how often the log recovered, as seen by the relaying host
-  std::string m_after{};       ///< of the cursor of the requesting host
-  bool m_hasMore = false;      ///< further records are available now
+  base::Duration m_age{}; ///< of the records: since the read that last reached the topic's end
+  /// Begin and end, as ages, of the relaying host's current contact period (@see ContactHistory).
+  base::Duration m_contactBeginAge{};
+  base::Duration m_contactEndAge{};
+  std::string m_after{};  ///< of the cursor of the requesting host
+  bool m_hasMore = false; ///< further records are available now
 };
 
 } // namespace ferrytray::store
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -1,6 +1,6 @@
 #include "ferrytray/fleet/directory.hpp"
 
-#include <algorithm> // for max
+#include <algorithm> // for max, min
 #include <utility>   // for exchange, move
 
 namespace ferrytray::fleet {
@@ -44,7 +44,9 @@
     version =
       isNewer || assumption == assumed.end() ? proven : std::max(proven, assumption->second);
   }
-  entry.m_removeAt.reset();
+  if (std::exchange(entry.m_removeAt, std::nullopt)) {
+    entry.m_returnedAt = aNow;
+  }
   m_missing.erase(current);
 }
 
@@ -82,15 +84,33 @@
     MarkGone(aIncarnation);
     return {};
   }
-  const bool mayReturn =
-    m_sourceRecoveredAt && aNow < *m_sourceRecoveredAt + m_options.m_returnWindow;
-  if (mayReturn) {
-    found->second.m_removeAt = *m_sourceRecoveredAt + m_options.m_returnWindow;
-    m_missing.insert(aIncarnation);
-    return *found->second.m_removeAt - aNow;
+  if (!MayReturn(found->second, aNow)) {
+    Erase(aIncarnation);
+    return {};
+  }
+  std::optional<base::TimePoint>& removeAt = found->second.m_removeAt;
+  const base::TimePoint windowEnd = *m_outageEnd + m_options.m_returnWindow;
+  removeAt = std::min(removeAt.value_or(windowEnd), windowEnd);
+  m_missing.insert(aIncarnation);
+  return *removeAt - aNow;
+}
+
+bool Directory::MayReturn(const Entry& aEntry, base::TimePoint aNow) const
+{
+  const bool inWindow = m_outageEnd && aNow < *m_outageEnd + m_options.m_returnWindow;
+  const bool hasReturned = aEntry.m_returnedAt && *aEntry.m_returnedAt >= *m_outageEnd;
+  return inWindow && !hasReturned;
+}
+
+void Directory::SetOutageEnd(std::optional<base::TimePoint> aAt)
+{
+  m_outageEnd = aAt;
+  const base::TimePoint windowEnd =
+    aAt ? *aAt + m_options.m_returnWindow : base::TimePoint::min();
+  for (const std::string& incarnation : m_missing) {
+    std::optional<base::TimePoint>& removeAt = m_entries.at(incarnation).m_removeAt;
+    removeAt = std::min(*removeAt, windowEnd);
   }
-  Erase(aIncarnation);
-  return {};
 }
 
 void Directory::Erase(const std::string& aIncarnation)
--- a/src/ferrytray/fleet/directory_test.cpp
+++ b/src/ferrytray/fleet/directory_test.cpp
@@ -47,7 +47,7 @@
 TEST(Directory, ARemovedEntryMayReturnWithinTheWindowAfterAnOutage)
 {
   m_directory.Upsert(MakeEngine("a"), kStart);
-  m_directory.OnSourceRecovered(kStart);
+  m_directory.SetOutageEnd(kStart);
   m_directory.Remove("a", kStart + 100ms);
   LONGS_EQUAL(1, m_directory.Usable("engines").size());
   m_directory.Upsert(MakeEngine("a"), kStart + 1s);
@@ -58,7 +58,7 @@
 TEST(Directory, ARemovedEntryIsDroppedAfterTheReturnWindow)
 {
   m_directory.Upsert(MakeEngine("a"), kStart);
-  m_directory.OnSourceRecovered(kStart);
+  m_directory.SetOutageEnd(kStart);
   m_directory.Remove("a", kStart + 100ms);
   m_directory.Expire(kStart + 2s);
   CHECK(m_directory.Usable("engines").empty());
@@ -67,11 +67,64 @@
 TEST(Directory, ARemovalWithoutARecentOutageIsImmediate)
 {
   m_directory.Upsert(MakeEngine("a"), kStart);
-  m_directory.OnSourceRecovered(kStart);
+  m_directory.SetOutageEnd(kStart);
   m_directory.Remove("a", kStart + 3s);
   CHECK(m_directory.Usable("engines").empty());
 }
 
+TEST(Directory, ALaterReportOfTheOutageDoesNotExtendTheReturnWindow)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart);
+  m_directory.SetOutageEnd(kStart);
+  CHECK(m_directory.Remove("a", kStart + 100ms) == 1900ms);
+  m_directory.SetOutageEnd(kStart + 1500ms);
+  CHECK(m_directory.Remove("a", kStart + 1600ms) == 400ms);
+  m_directory.RemoveUnlisted({}, kStart + 1700ms);
+  m_directory.Expire(kStart + 2s);
+  CHECK(m_directory.All().empty());
+}
+
+TEST(Directory, AnEarlierEndOfTheOutageShortensTheReturnWindow)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart);
+  m_directory.SetOutageEnd(kStart);
+  m_directory.Remove("a", kStart + 100ms);
+  m_directory.SetOutageEnd(kStart - 1500ms);
+  m_directory.Expire(kStart + 500ms);
+  CHECK(m_directory.All().empty());
+}
+
+TEST(Directory, ARefutedOutageDropsRemovedEntries)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart);
+  m_directory.SetOutageEnd(kStart);
+  m_directory.Remove("a", kStart + 100ms);
+  m_directory.SetOutageEnd(std::nullopt);
+  m_directory.Expire(kStart + 110ms);
+  CHECK(m_directory.All().empty());
+}
+
+// An endpoint that has renewed its entry since the outage and is removed then has shut down.
+TEST(Directory, ARemovalAfterTheReturnIsImmediate)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart - 5s);
+  m_directory.SetOutageEnd(kStart);
+  m_directory.Remove("a", kStart + 100ms);
+  m_directory.Upsert(MakeEngine("a"), kStart + 500ms);
+  CHECK(m_directory.Remove("a", kStart + 600ms) == 0ms);
+  CHECK(m_directory.All().empty());
+}
+
+TEST(Directory, EachOutageHasItsOwnReturnWindow)
+{
+  m_directory.Upsert(MakeEngine("a"), kStart - 5s);
+  m_directory.SetOutageEnd(kStart);
+  m_directory.Remove("a", kStart + 100ms);
+  m_directory.Upsert(MakeEngine("a"), kStart + 500ms);
+  m_directory.SetOutageEnd(kStart + 10s);
+  CHECK(m_directory.Remove("a", kStart + 10s) == 2s);
+}
+
 TEST(Directory, RemoveUnlistedDropsMissingIds)
 {
   m_directory.Upsert(MakeEngine("a"), kStart);
@@ -279,7 +332,7 @@
 TEST(Directory, AnnouncedShutdownOutlastsAnOutageOfTheSource)
 {
   m_directory.Upsert(MakeEngine("a"), kStart);
-  m_directory.OnSourceRecovered(kStart);
+  m_directory.SetOutageEnd(kStart);
   m_directory.Remove("a", kStart + 100ms); // may return for 2 s
   CHECK(m_directory.MarkLeaving("a"));
   m_directory.Expire(kStart + 3s);
--- a/src/ferrytray/peers/archive.hpp
+++ b/src/ferrytray/peers/archive.hpp
@@ -23,7 +23,7 @@
 
 /// Format version of the messages between hosts. All hosts run the same build except during an
 /// upgrade; messages of another version are rejected, and the hosts read the log instead.
-inline constexpr std::uint32_t kMessageVersion = 0x66740009;
+inline constexpr std::uint32_t kMessageVersion = 0x6674000a;
 
 /// @brief Serializes a message between hosts or a record.
 template<typename Message>
--- a/src/ferrytray/peers/messages_test.cpp
+++ b/src/ferrytray/peers/messages_test.cpp
@@ -69,7 +69,7 @@
   reply.m_stores.push_back({ "s:1", 1, 2, 3, true, 5ms, 77, { { { "m.1", "p" }, 400, true } } });
   reply.m_stores.push_back({ "s:2", 1, 2, 3, false, 5ms, {}, {} });
   reply.m_topics.push_back(
-    { "t", 8, 9, { { 8, "key", "value", false } }, true, false, 3ms, 2, "j", true });
+    { "t", 8, 9, { { 8, "key", "value", false } }, true, false, 3ms, 9ms, 2ms, "j", true });
   reply.m_sources.push_back({ "h", "z", "10.0.0.1:7", 3 });
   const auto readReply = peers::DecodeSyncReply(peers::Encode(reply));
   CHECK(readReply.has_value());
@@ -88,8 +88,8 @@
   CHECK(notice.m_endpoint == 4 && notice.m_version == 3 && notice.m_endsInMillis == 900);
   CHECK(notice.m_model == "m" && notice.m_revision == 17);
   const store::TopicUpdate& update = readReply->m_topics.at(0);
-  CHECK(update.m_from == 8 && update.m_end == 9 && update.m_age == 3ms && update.m_outages == 2 &&
-        !update.m_unavailable);
+  CHECK(update.m_from == 8 && update.m_end == 9 && update.m_age == 3ms && !update.m_unavailable);
+  CHECK(update.m_contactBeginAge == 9ms && update.m_contactEndAge == 2ms);
   STRCMP_EQUAL("value", update.m_records.at(0).m_value.c_str());
   CHECK(update.m_isSnapshot && update.m_hasMore);
   STRCMP_EQUAL("j", update.m_after.c_str());
--- a/src/ferrytray/peers/peer_exchange.cpp
+++ b/src/ferrytray/peers/peer_exchange.cpp
@@ -174,9 +174,6 @@
     // The new source reports the loads of the same hosts. Counted twice, all endpoints would look
     // busier.
     m_loads.OnReport(m_source, LoadScope::Summary, {}, aNow);
-    for (const auto& topic : m_topics) {
-      topic->OnRelayChanged();
-    }
     m_source = aSource.m_name;
     telemetry::LogLine("asks_host").Add("host", aSource.m_name).Add("address", aSource.m_address);
     m_sourceIncarnation = 0;
--- a/src/ferrytray/peers/peer_topics.cpp
+++ b/src/ferrytray/peers/peer_topics.cpp
@@ -34,6 +34,11 @@
   const bool wasActive = m_fallback.IsActive();
   bool usable = false;
   for (const store::TopicUpdate& update : aReply.m_topics) {
+    for (const auto& topic : m_topics) {
+      if (topic->Topic() == update.m_topic) {
+        topic->OnContactReport(update, aAskedAt);
+      }
+    }
     if (store::TopicFollower* topic = FindUsableTopic(update, aAskedAt)) {
       // Topics that this host reads from the log need no fallback.
       const bool wanted = topic->IsUnreachable() || topic->IsRelayed();
--- a/src/ferrytray/relay/exchange_leaving_test.cpp
+++ b/src/ferrytray/relay/exchange_leaving_test.cpp
@@ -54,7 +54,7 @@
   SendRequest("/once/x");
   const std::string leaving = AnswerLastCallAsLeaving();
   const base::TimePoint now = base::MonotonicNow();
-  m_core.m_directory.OnSourceRecovered(now);
+  m_core.m_directory.SetOutageEnd(now);
   m_core.m_directory.Upsert(support::MakeEndpoint(leaving), now);
   m_core.m_directory.Remove(leaving, now);
   m_core.m_directory.Upsert(support::MakeEndpoint(leaving), now);
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -39,6 +39,14 @@
 // begun to read the directory themselves.
 constexpr int kEndpointTakeoverPercent = 75;
 
+// An entry expires after three missed heartbeats. In an outage it misses the last two at least, and
+// the one before it may have been sent up to a quarter of the interval late.
+constexpr int kMinOutagePercent = 175;
+
+// A host whose source fails reads the log itself; its first read may fail on a connection that was
+// reset with the source's.
+constexpr base::Duration kFirstReadRetry = std::chrono::milliseconds(400);
+
 // Of the bound on operators' records, for the processing of a read.
 constexpr base::Duration kOperatorTakeoverMargin = std::chrono::milliseconds(200);
 
@@ -77,6 +85,10 @@
   options.m_endpointTakeoverDelay =
     std::max(PercentOf(aBounds.m_drain, kEndpointTakeoverPercent) - options.m_endpointPeerMaxAge,
              base::Duration::zero());
+  // A host that changes its source must not take its own time without an answer for an outage.
+  options.m_minEndpointOutage =
+    std::max(PercentOf(aBounds.m_heartbeat, kMinOutagePercent),
+             options.m_endpointPeerMaxAge + options.m_endpointTakeoverDelay + kFirstReadRetry);
   options.m_quarantineIsolatedInterval =
     PercentOf(aBounds.m_quarantineDue, kQuarantineIsolatedPercent);
   options.m_quarantineTakeoverDelay = options.m_quarantineIsolatedInterval;
--- a/src/ferrytray/relay/feed_options_test.cpp
+++ b/src/ferrytray/relay/feed_options_test.cpp
@@ -109,3 +109,25 @@
           2 * options.m_quarantineWait + options.m_quarantineGrace + 2 * m_pollInterval);
   }
 }
+
+// An entry expires after three heartbeat intervals without one, so only an outage of two intervals
+// or more removes entries of endpoints that are up. A host that loses its source and whose first
+// own read fails is without an answer for a shorter time.
+TEST(FeedOptions, OutageIsLongerThanChangeOfSourceAndRecognizedWhereEntriesExpire)
+{
+  constexpr base::Duration kAnswer = 100ms;
+  for (const base::Duration bound : m_bounds) {
+    for (const base::Duration heartbeat : { base::Duration(1200ms), base::Duration(2s) }) {
+      relay::PropagationBounds bounds = UniformBounds(bound);
+      bounds.m_heartbeat = heartbeat;
+      const relay::FeedOptions options = relay::FeedOptionsFor(bounds);
+      CHECK(options.m_minEndpointOutage >
+            options.m_endpointPeerMaxAge + options.m_endpointTakeoverDelay + m_retry + kAnswer);
+      CHECK(options.m_minEndpointOutage > options.m_endpointPause + m_retry + kAnswer);
+      // At longer bounds hosts read the log too rarely to notice such an outage.
+      if (bound <= 2s || (bound <= 3s && heartbeat >= 2s)) {
+        CHECK(options.m_minEndpointOutage < 2 * heartbeat);
+      }
+    }
+  }
+}
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -52,6 +52,7 @@
   endpoints.m_servingPause = aOptions.m_endpointServingPause;
   endpoints.m_maxUpdateAge = aOptions.m_endpointPeerMaxAge;
   endpoints.m_maxTakeoverDelay = aOptions.m_endpointTakeoverDelay;
+  endpoints.m_minOutage = aOptions.m_minEndpointOutage;
   store::FollowEvents onEndpoints = MakeFollowEvents(endpoints.m_topic);
   onEndpoints.m_onRecord = [this](const store::Record& aRecord) {
     return OnEndpointRecord(aRecord);
@@ -75,7 +76,6 @@
   store::FollowEvents events;
   const bool isDirectory = aTopic == m_format.EndpointTopic();
   events.m_onContact = [this, aTopic, isDirectory](bool aRecovered, base::TimePoint aAt) {
-    const base::TimePoint now = base::MonotonicNow();
     m_core.m_lastContact = std::max(m_core.m_lastContact.value_or(aAt), aAt);
     if (!isDirectory) {
       m_core.m_operatorsReadAt = aAt;
@@ -84,7 +84,6 @@
       return;
     }
     if (isDirectory) {
-      m_core.m_directory.OnSourceRecovered(now);
       m_operators->RestartRead();
     }
     const auto& topic = isDirectory ? m_endpoints : m_operators;
@@ -94,6 +93,9 @@
       .Add("via", topic->IsRelayed() ? "host" : "log");
   };
   if (isDirectory) {
+    events.m_onOutageEnd = [this, aTopic](const std::optional<store::LogOutage>& aOutage) {
+      OnOutageEnd(aTopic, aOutage);
+    };
     events.m_onSlow = [this](base::Duration) { m_operators->RestartRead(); };
   }
   events.m_onHeldReadFailed = [aTopic](base::Duration aOpen) {
@@ -113,6 +115,23 @@
   return events;
 }
 
+void StateFeeds::OnOutageEnd(const std::string& aTopic,
+                             const std::optional<store::LogOutage>& aOutage)
+{
+  m_core.m_directory.SetOutageEnd(aOutage ? std::optional(aOutage->m_end) : std::nullopt);
+  const bool isCorrection = aOutage && m_outageEnd && aOutage->m_end < *m_outageEnd;
+  m_outageEnd = aOutage ? std::optional(aOutage->m_end) : std::nullopt;
+  if (isCorrection) {
+    return;
+  }
+  telemetry::LogLine line("log_outage");
+  line.Add("topic", aTopic).Add("outcome", aOutage ? "ended" : "refuted");
+  if (aOutage) {
+    line.Add("took_ms", base::ToMillis(aOutage->m_end - aOutage->m_begin))
+      .Add("ended_ms_ago", base::ToMillis(base::MonotonicNow() - aOutage->m_end));
+  }
+}
+
 void StateFeeds::OnOperatorRecord(const store::Record& aRecord)
 {
   if (const auto zone = m_format.EvacuatedZone(aRecord.m_key)) {
--- a/src/ferrytray/relay/state_feeds_test.cpp
+++ b/src/ferrytray/relay/state_feeds_test.cpp
@@ -226,3 +226,91 @@
   LONGS_EQUAL(503, SendRequest("/none/x")->m_status);
   LONGS_EQUAL(503, SendRequest("/once/x", "wrong")->m_status);
 }
+
+namespace {
+
+/// A host that reads the endpoints' topic itself.
+std::shared_ptr<store::TopicFollower> MakeReader(net::Loop& aLoop, store::RecordLog& aLog)
+{
+  store::FollowOptions options;
+  options.m_topic = "endpoints";
+  options.m_pause = options.m_servingPause = 10ms;
+  options.m_retryMin = options.m_retryMax = 10ms;
+  store::FollowEvents events;
+  events.m_onRecord = [](const store::Record&) { return true; };
+  auto reader = std::make_shared<store::TopicFollower>(aLoop, aLog, options, std::move(events));
+  reader->Start();
+  return reader;
+}
+
+} // namespace
+
+// Guards against requests to endpoints that left: a removed entry was kept for two more seconds
+// after each failed read of the host that relays the log.
+TEST(StateFeeds, FailedReadOfSourceKeepsNoRemovedEndpoint)
+{
+  Append("operators", "configuration", "x");
+  Append("endpoints", "e", "1 z1");
+  Append("endpoints", "f", "1 z1");
+  StartFeeds();
+  const auto reader = MakeReader(m_core.m_loop, m_log);
+  const auto follower = m_feeds->Topics().back();
+  const auto relay = [&] {
+    const base::TimePoint now = base::MonotonicNow();
+    follower->OnUpdate(*reader->UpdateSince(follower->Cursor(), now), now);
+  };
+  relay();
+  m_log.m_down = true;
+  m_core.m_loop.RunFor(80ms);
+  CHECK(reader->IsUnreachable());
+  m_log.m_down = false;
+  m_core.m_loop.RunFor(40ms);
+  relay();
+  Append("endpoints", "e", "");
+  m_core.m_loop.RunFor(40ms);
+  relay();
+  LONGS_EQUAL(1, m_core.m_directory.Usable("s").size());
+  reader->Stop();
+}
+
+// The same for the host whose own read failed.
+TEST(StateFeeds, OwnFailedReadKeepsNoRemovedEndpoint)
+{
+  Append("operators", "configuration", "x");
+  Append("endpoints", "e", "1 z1");
+  Append("endpoints", "f", "1 z1");
+  relay::FeedOptions options;
+  options.m_endpointPause = options.m_endpointServingPause = 10ms;
+  StartFeeds(options);
+  m_log.m_down = true;
+  m_core.m_loop.RunFor(150ms);
+  CHECK(m_feeds->Topics().back()->IsUnreachable());
+  m_log.m_down = false;
+  Append("endpoints", "e", "");
+  m_core.m_loop.RunFor(700ms);
+  CHECK_FALSE(m_feeds->Topics().back()->IsUnreachable());
+  LONGS_EQUAL(1, m_core.m_directory.Usable("s").size());
+}
+
+// Entries that expired while the log was away return soon after it; requests go on meanwhile.
+TEST(StateFeeds, OutageKeepsExpiredEndpointsUntilTheyReturn)
+{
+  Append("operators", "configuration", "x");
+  Append("endpoints", "e", "1 z1");
+  Append("endpoints", "f", "1 z1");
+  relay::FeedOptions options;
+  options.m_endpointPause = options.m_endpointServingPause = 10ms;
+  options.m_minEndpointOutage = 200ms;
+  StartFeeds(options);
+  m_log.m_down = true;
+  m_core.m_loop.RunFor(300ms);
+  m_log.m_down = false;
+  Append("endpoints", "e", "");
+  Append("endpoints", "f", "");
+  m_core.m_loop.RunFor(600ms);
+  LONGS_EQUAL(2, m_core.m_directory.Usable("s").size());
+  Append("endpoints", "e", "1 z1");
+  m_core.m_loop.RunFor(40ms);
+  m_core.m_directory.Expire(base::MonotonicNow() + 2s);
+  LONGS_EQUAL(1, m_core.m_directory.Usable("s").size());
+}
--- a/src/ferrytray/store/topic_follower.cpp
+++ b/src/ferrytray/store/topic_follower.cpp
@@ -15,6 +15,7 @@
   , m_events(std::move(aEvents))
   , m_currentReplyTimeout(m_options.m_replyTimeout)
   , m_retryDelay(m_options.m_retryMin)
+  , m_contacts(m_options.m_minOutage)
 {
 }
 
@@ -52,6 +53,7 @@
     return;
   }
   m_wasRelayed = false;
+  OnAnswer();
   OnContact(m_readStartedAt, std::exchange(m_unreachable, false));
   DeliverSnapshot(aResult->m_records, aResult->m_end);
   m_shortWaitUntil = base::MonotonicNow() + m_options.m_shortWaitPeriod;
@@ -128,6 +130,7 @@
     LoadSnapshot();
     return;
   }
+  OnAnswer();
   const bool complete =
     aResult->m_records.empty() || aResult->m_records.back().m_offset + 1 >= aResult->m_end;
   // A reply that does not reach the end of the topic does not show that nothing newer exists.
@@ -190,7 +193,6 @@
   m_currentReplyTimeout = m_options.m_replyTimeout;
   m_lastContactAt = m_lastContactAt ? std::max(*m_lastContactAt, aAt) : aAt;
   if (aRecovered) {
-    ++m_outages;
     m_shortWaitUntil = base::MonotonicNow() + m_options.m_shortWaitPeriod;
   }
   if (m_events.m_onContact) {
@@ -198,6 +200,19 @@
   }
 }
 
+void TopicFollower::OnAnswer()
+{
+  const base::TimePoint now = base::MonotonicNow();
+  AddContactPeriod({ now, now }, base::Duration::zero());
+}
+
+void TopicFollower::AddContactPeriod(ContactPeriod aPeriod, base::Duration aUncertainty)
+{
+  if (m_contacts.Add(aPeriod, aUncertainty) && m_events.m_onOutageEnd) {
+    m_events.m_onOutageEnd(m_contacts.LastOutage());
+  }
+}
+
 base::Duration TopicFollower::CurrentPause() const
 {
   const bool serving =
--- a/src/ferrytray/store/topic_follower_test.cpp
+++ b/src/ferrytray/store/topic_follower_test.cpp
@@ -36,6 +36,9 @@
     events.m_onContact = [this](bool aRecovered, base::TimePoint) {
       m_events += aRecovered ? "back " : "";
     };
+    events.m_onOutageEnd = [this](const std::optional<store::LogOutage>&) {
+      m_events += "outage ";
+    };
     events.m_onUnreachable = [this](const base::Failure&) { m_events += "away "; };
     events.m_onSlow = [this](base::Duration) { m_events += "slow "; };
     m_follower =
@@ -165,3 +168,30 @@
   }
   CHECK(m_log.m_waits[5] > 0ms);
 }
+
+TEST(TopicFollower, GapBetweenAnswersIsAnOutageBeforeItsRecords)
+{
+  m_options.m_retryMin = m_options.m_retryMax = 30ms;
+  m_options.m_minOutage = 80ms;
+  m_log.m_snapshots.push_back(store::Snapshot{ 5, {} });
+  for (int i = 0; i < 4; ++i) {
+    m_log.m_batches.push_back(base::Fail(base::ErrorCode::PlatformUnavailable, "down"));
+  }
+  // The first answer after the outage does not reach the end of the topic.
+  m_log.m_batches.push_back(store::Batch{ 7, { support::MakeRecord(5, "a", "") } });
+  m_log.m_batches.push_back(store::Batch{ 7, { support::MakeRecord(6, "b", "") } });
+  Follow();
+  STRCMP_EQUAL("snapshot0 away outage back a- b- ", m_events.c_str());
+}
+
+TEST(TopicFollower, FailedReadIsNoOutage)
+{
+  m_options.m_minOutage = 10s;
+  m_log.m_snapshots.push_back(store::Snapshot{ 5, {} });
+  for (int i = 0; i < 3; ++i) {
+    m_log.m_batches.push_back(base::Fail(base::ErrorCode::PlatformUnavailable, "reset"));
+  }
+  m_log.m_batches.push_back(store::Batch{ 6, { support::MakeRecord(5, "a", "") } });
+  Follow();
+  STRCMP_EQUAL("snapshot0 away back a- ", m_events.c_str());
+}
--- a/src/ferrytray/store/topic_relay.cpp
+++ b/src/ferrytray/store/topic_relay.cpp
@@ -37,7 +37,7 @@
                                                       base::TimePoint aNow)
 {
   m_lastServedAt = aNow;
-  if (!m_loaded || !m_lastContactAt) {
+  if (!m_loaded || !m_lastContactAt || !m_contacts.Current()) {
     return std::nullopt;
   }
   TopicUpdate update;
@@ -45,7 +45,8 @@
   update.m_from = aFrom.m_next;
   update.m_end = m_tail.End();
   update.m_age = aNow - *m_lastContactAt;
-  update.m_outages = m_outages;
+  update.m_contactBeginAge = aNow - m_contacts.Current()->m_begin;
+  update.m_contactEndAge = aNow - m_contacts.Current()->m_end;
   update.m_unavailable = m_unreachable;
   std::optional<RecordTail::Piece> records = m_tail.Since(aFrom.m_next);
   if (!m_unreachable && (aFrom.m_unread || !records)) {
@@ -72,6 +73,7 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   const base::TimePoint contact = aAskedAt - aUpdate.m_age;
+  OnContactReport(aUpdate, aAskedAt);
   if (m_stopped || !IsUsable(aUpdate, aAskedAt, now)) {
     OnRelayEnded();
     return;
@@ -89,10 +91,8 @@
     Schedule(m_options.m_progressTime, &TopicFollower::OnRelayEnded);
     return;
   }
-  const bool recovered = m_relayOutages && *m_relayOutages != aUpdate.m_outages;
-  m_relayOutages = aUpdate.m_outages;
   OnContact(complete ? contact : m_lastContactAt.value_or(contact),
-            std::exchange(m_unreachable, false) || recovered);
+            std::exchange(m_unreachable, false));
   if (aUpdate.m_isSnapshot) {
     const PartialSnapshot snapshot = std::move(*m_partial);
     m_partial.reset();
@@ -106,6 +106,16 @@
            &TopicFollower::OnRelayEnded);
 }
 
+void TopicFollower::OnContactReport(const TopicUpdate& aUpdate, base::TimePoint aAskedAt)
+{
+  if (!m_stopped) {
+    // The ages count from some moment between the request and its reply.
+    const base::Duration end = std::max(aUpdate.m_contactEndAge, base::Duration::zero());
+    AddContactPeriod({ aAskedAt - std::max(aUpdate.m_contactBeginAge, end), aAskedAt - end },
+                     base::MonotonicNow() - aAskedAt);
+  }
+}
+
 bool TopicFollower::AddSnapshotPiece(const TopicUpdate& aUpdate)
 {
   if (!m_partial || aUpdate.m_after.empty()) {
@@ -148,7 +158,6 @@
 
 void TopicFollower::OnRelayEnded()
 {
-  m_relayOutages.reset();
   if (std::exchange(m_relayed, false) && !m_stopped) {
     m_timer.reset();
     // The cause of the other host's outage may have broken this host's idle connection to the log,
--- a/src/ferrytray/store/topic_snapshot_test.cpp
+++ b/src/ferrytray/store/topic_snapshot_test.cpp
@@ -107,7 +107,6 @@
   const auto first = MakeLoadedFollower(m_loop, m_log, 2000);
   const auto second = MakeLoadedFollower(m_loop, m_log, 2000);
   CHECK(RelayFrom(*first).m_hasMore);
-  m_follower->OnRelayChanged();
   const std::string after = m_follower->Cursor().m_after;
   CHECK(RelayFrom(*second).m_records.front().m_key > after);
   while (m_follower->Cursor().m_unread) {
--- a/src/ferrytray/store/topic_update_test.cpp
+++ b/src/ferrytray/store/topic_update_test.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr base::Duration kMinOutage = 200ms;
+
 store::TopicUpdate MakeUpdate(store::Offset aEnd, std::vector<store::Record> aRecords = {})
 {
   store::TopicUpdate update;
@@ -38,11 +40,15 @@
     options.m_topic = "t";
     options.m_pause = 1h;
     options.m_maxUpdateAge = 100ms;
+    options.m_minOutage = kMinOutage;
     store::FollowEvents events;
     events.m_onRecord = [this](const store::Record& aRecord) {
       m_events += aRecord.m_key + "=" + aRecord.m_value + " ";
       return aRecord.m_value != "same";
     };
+    events.m_onOutageEnd = [this](const std::optional<store::LogOutage>& aOutage) {
+      m_events += aOutage ? "outage " : "no-outage ";
+    };
     events.m_onContact = [this](bool aRecovered, base::TimePoint) {
       m_events += aRecovered ? "back " : "";
     };
@@ -102,25 +108,72 @@
   LONGS_EQUAL(5, m_follower->Cursor().m_next);
 }
 
-TEST(TopicUpdate, ReportsAnOutageSeenByTheOtherHost)
+TEST(TopicUpdate, ReportsOutageOfTheLogOnce)
 {
   Receive(MakeUpdate(5));
-  store::TopicUpdate after = MakeUpdate(5);
-  after.m_outages = 1;
+  m_loop.RunFor(kMinOutage + 20ms);
+  store::TopicUpdate after = MakeUpdate(6, { MakeRecord(5, "a", "2") });
+  after.m_contactBeginAge = 5ms; // the other host has reached the log again just now
   Receive(after);
-  STRCMP_EQUAL("back ", m_events.c_str());
+  STRCMP_EQUAL("outage a=2 ", m_events.c_str());
   Receive(after);
-  STRCMP_EQUAL("back ", m_events.c_str());
+  STRCMP_EQUAL("outage a=2 ", m_events.c_str());
+}
+
+// Guards against removed endpoints that stay usable after another host's own reads failed.
+TEST(TopicUpdate, FailedReadsOfAnotherHostAreNoOutage)
+{
+  for (const base::Duration age : { 150ms, 0ms, 180ms, 10ms, 190ms, 0ms }) {
+    store::TopicUpdate update = MakeUpdate(5);
+    update.m_unavailable = age > 0ms;
+    update.m_contactBeginAge = update.m_contactEndAge = age;
+    Receive(update);
+  }
+  STRCMP_EQUAL("", m_events.c_str());
 }
 
 TEST(TopicUpdate, SwitchingToAnotherHostIsNoOutage)
+{
+  for (const base::Duration begin : std::vector<base::Duration>{ 10s, 0s, 5s, 0s, 1h }) {
+    store::TopicUpdate other = MakeUpdate(5);
+    other.m_contactBeginAge = begin; // of a host that has just started or runs for long
+    Receive(other);
+    m_follower->OnRelayEnded();
+  }
+  STRCMP_EQUAL("", m_events.c_str());
+}
+
+TEST(TopicUpdate, UninterruptedContactOfAnotherHostRefutesOutage)
+{
+  Receive(MakeUpdate(5));
+  m_loop.RunFor(kMinOutage + 20ms);
+  Receive(MakeUpdate(5));
+  store::TopicUpdate other = MakeUpdate(5);
+  other.m_contactBeginAge = 1s;
+  Receive(other);
+  STRCMP_EQUAL("outage no-outage ", m_events.c_str());
+}
+
+// The source ended before it could report the outage; the one that replaces it started after it.
+TEST(TopicUpdate, OutageIsDetectedIfTheSourceWasReplaced)
 {
   Receive(MakeUpdate(5));
   m_follower->OnRelayEnded();
+  m_loop.RunFor(kMinOutage + 20ms);
   store::TopicUpdate other = MakeUpdate(5);
-  other.m_outages = 7;
+  other.m_contactBeginAge = 1ms;
   Receive(other);
-  STRCMP_EQUAL("", m_events.c_str());
+  STRCMP_EQUAL("outage ", m_events.c_str());
+}
+
+TEST(TopicUpdate, RelaysItsContactPeriod)
+{
+  store::TopicUpdate received = MakeUpdate(5);
+  received.m_contactBeginAge = 10s;
+  Receive(received);
+  const auto relayed = m_follower->UpdateSince({ "t", 5 }, base::MonotonicNow());
+  CHECK(relayed->m_contactBeginAge >= 10s);
+  CHECK(relayed->m_contactEndAge < kMinOutage);
 }
 
 TEST(TopicUpdate, RelayedRecordsAreRelayedAgain)
