Net, relay: the body of a request is held once

Cause: each body was held three times until the reply was complete, by the server's request, by CallerRequest and by the HTTP client's call.

Change: net::Body shares immutable bytes. The server's request owns them, the exchange and each send refer to them. The hop between hosts still encodes a copy.

The sum of all bodies has no bound yet.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -7,6 +7,7 @@
 #include <string_view> // for string_view
 
 #include "ferrytray/base/time.hpp"       // for Duration
+#include "ferrytray/net/body.hpp"        // for Body
 #include "ferrytray/net/http_server.hpp" // for Headers
 #include "ferrytray/net/loop.hpp"        // for Loop
 
@@ -18,7 +19,7 @@
   std::string m_method = "GET";
   std::string m_url;
   Headers m_headers;
-  std::string m_body;
+  Body m_body;
   std::string m_target = {}; ///< sent unchanged in place of the URL's path and query, if not empty
   base::Duration m_connectTimeout = std::chrono::seconds(2);
   base::Duration m_timeout = std::chrono::seconds(30);
--- a/include/ferrytray/net/http_server.hpp
+++ b/include/ferrytray/net/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include "ferrytray/base/error.hpp"  // for Result
 #include "ferrytray/net/address.hpp" // for Address
+#include "ferrytray/net/body.hpp"    // for Body
 #include "ferrytray/net/loop.hpp"    // for Loop
 
 namespace ferrytray::net {
@@ -25,7 +26,7 @@
   std::string m_path;
   std::string m_query;
   Headers m_headers;
-  std::string m_body;
+  Body m_body;
 
   /// @brief The first header of that name, compared case-insensitively; empty if absent.
   [[nodiscard]] std::string_view Header(std::string_view aName) const;
--- a/include/ferrytray/relay/caller_request.hpp
+++ b/include/ferrytray/relay/caller_request.hpp
@@ -39,7 +39,7 @@
   std::optional<Prompt> m_prompt;
   std::optional<std::uint64_t> m_resumeAfter; ///< id of the last event that the caller received
   net::Headers m_forwardedHeaders;            ///< end-to-end headers that callers may set
-  std::string m_body;
+  net::Body m_body;
 };
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/net/curl_call.hpp
+++ b/src/ferrytray/net/curl_call.hpp
@@ -15,7 +15,7 @@
   CallId m_id = 0;
   CURL* m_easy = nullptr;
   curl_slist* m_headerList = nullptr;
-  std::string m_body;
+  Body m_body;
   ClientEvents m_events;
   OpenSockets* m_openSockets = nullptr; ///< of the client
   bool m_statusReported = false;
--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -257,17 +257,20 @@
   bool m_closeAfter = false;
 };
 
-HttpRequest ToRequest(const restinio::request_t& aRequest)
+HttpRequest ToRequest(const restinio::request_handle_t& aHandle)
 {
+  const restinio::request_t& received = *aHandle;
   HttpRequest request;
-  request.m_method = aRequest.header().method().c_str();
-  request.m_target = aRequest.header().request_target();
-  request.m_path = std::string(aRequest.header().path());
-  request.m_query = std::string(aRequest.header().query());
-  aRequest.header().for_each_field([&](const auto& aField) {
+  request.m_method = received.header().method().c_str();
+  request.m_target = received.header().request_target();
+  request.m_path = std::string(received.header().path());
+  request.m_query = std::string(received.header().query());
+  received.header().for_each_field([&](const auto& aField) {
     request.m_headers.emplace_back(std::string(aField.name()), std::string(aField.value()));
   });
-  request.m_body = aRequest.body();
+  if (!received.body().empty()) {
+    request.m_body = Body::Share({ aHandle, &received.body() });
+  }
   return request;
 }
 
@@ -334,7 +337,7 @@
           return restinio::request_rejected();
         }
         tracker->OnRequestReceived(aRequest->connection_id());
-        HttpRequest request = ToRequest(*aRequest);
+        HttpRequest request = ToRequest(aRequest);
         (*handler)(std::move(request),
                    std::make_shared<RestinioReply>(std::move(aRequest), tracker));
         return restinio::request_accepted();
--- a/src/ferrytray/relay/forward_messages.cpp
+++ b/src/ferrytray/relay/forward_messages.cpp
@@ -12,6 +12,24 @@
 
 #include "ferrytray/peers/archive.hpp" // for ReadMessage, WriteMessage
 
+namespace ferrytray::net {
+
+template<typename Archive>
+void save(Archive& aArchive, const Body& aBody)
+{
+  aArchive(aBody.Bytes());
+}
+
+template<typename Archive>
+void load(Archive& aArchive, Body& aBody)
+{
+  std::string bytes;
+  aArchive(bytes);
+  aBody = Body(std::move(bytes));
+}
+
+} // namespace ferrytray::net
+
 namespace ferrytray::relay {
 
 namespace {
--- a/standins/service_main.cpp
+++ b/standins/service_main.cpp
@@ -40,7 +40,7 @@
       SendRefusal(aReply, m_retryAfter);
       return;
     }
-    if (aRequest.m_body.find("ends its service") != std::string::npos) {
+    if (aRequest.m_body.Bytes().find("ends its service") != std::string::npos) {
       std::_Exit(1);
     }
     const std::string request(aRequest.Header("X-Request-Id"));
