Relay: endpoints wait for callers that do not read their stream

Cause: nothing stopped the host from reading the endpoint's reply while the caller's connection accepted no more.

A caller that reads nothing for 3 s meanwhile is disconnected. Connections to endpoints have a receive buffer of 32 KB, since the system would receive megabytes for a paused reply.

Replies that are not streamed are not covered.

--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -34,6 +34,9 @@
   base::Duration m_maxIdle{};
   /// A peer that acknowledges nothing for this long counts as dead (zero: system default).
   base::Duration m_peerTimeout{};
+  /// Limit of the bytes that the system receives and this process has not read yet (zero: system
+  /// default). Applies if a new connection is opened.
+  int m_receiveBufferBytes = 0;
 };
 
 /// @brief How far the transfer of a request and its reply got.
@@ -103,6 +106,10 @@
   /// ends as BrokenReply, and its connection is closed, since further replies on it would be
   /// attributed to the wrong requests, too.
   virtual void Abandon(CallId aCall) = 0;
+  /// @brief Stops reading a request's reply until ResumeReading(), so that its sender has to wait.
+  /// Bytes that were received already may still be delivered.
+  virtual void PauseReading(CallId aCall) = 0;
+  virtual void ResumeReading(CallId aCall) = 0;
   /// @brief Bytes of all finished requests and their replies, headers included.
   [[nodiscard]] virtual std::uint64_t BytesTransferred() const = 0;
   /// @brief Sends a request and collects the body of the reply.
--- a/include/ferrytray/net/http_server.hpp
+++ b/include/ferrytray/net/http_server.hpp
@@ -53,6 +53,8 @@
   virtual void CloseAfterReply() = 0;
   /// @brief Bytes passed to Write() and not yet written to the connection.
   [[nodiscard]] virtual std::size_t PendingBytes() const = 0;
+  /// @brief Sets a callback that runs each time that bytes passed to Write() have been written.
+  virtual void OnWritten(std::function<void()> aCall) = 0;
   /// @brief Sets a callback that runs if the caller disconnects before the reply is finished.
   virtual void OnClosed(std::function<void()> aCall) = 0;
 };
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -137,6 +137,15 @@
   /// Records how the end of a reply was determined, for the log and the metrics.
   void RecordFraming(const Attempt& aAttempt, const net::ClientOutcome& aOutcome);
   void RecordAnswerStarted();
+
+  // Callers that read slowly (exchange_pacing.cpp)
+  /// Bytes that the caller may leave unread before the endpoint has to wait.
+  [[nodiscard]] std::size_t MaxUnreadBytes() const;
+  void PauseIfUnread();
+  void RestartUnreadTimer();
+  /// The connection has accepted a piece of the stream.
+  void OnReplyWritten();
+
   void Deliver(Attempt aAttempt);
   void ForwardEvents(std::string aEvents);
   [[nodiscard]] RetryContext RetryContextOf(AttemptOutcome aOutcome, const Attempt& aAttempt) const;
@@ -222,6 +231,8 @@
   std::array<std::uint64_t, cache::kPartOutcomes>
     m_lastTokensByOutcome{};                     ///< by cache::PartOutcome
   std::optional<base::TimePoint> m_firstEventAt; ///< when the reply's first event was forwarded
+  bool m_readingPaused = false;                  ///< of the endpoint's reply
+  net::TimerHandle m_unreadTimer;                ///< set meanwhile
   bool m_isProbe = false;                        ///< sent once although the request is quarantined
   bool m_done = false;
 };
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -45,6 +45,21 @@
 class PromptDispatcher;
 class SlotClient;
 
+/// @brief Limits of what callers have not read yet of their streams.
+struct UnreadLimits
+{
+  std::size_t m_allReplies = 32U << 20U;   ///< bytes; shared equally by the open requests
+  std::size_t m_minPerReply = 8U << 10U;   ///< bytes; several events
+  std::size_t m_maxPerReply = 256U << 10U; ///< bytes
+  /// A caller that reads nothing for this long is disconnected. Endpoints break off a reply that
+  /// they cannot write for some seconds.
+  base::Duration m_maxTime = std::chrono::seconds(3);
+  /// Receive buffer of a connection to an endpoint (bytes): what the system receives while the
+  /// endpoint has to wait. Linux grows it to megabytes otherwise.
+  int m_receiveBuffer = 32 << 10;
+};
+
+/// @brief Settings of a host's exchanges.
 struct RelayOptions
 {
   std::string m_zone;           ///< this host's availability zone
@@ -85,6 +100,7 @@
   /// m_coldSlack requests per second (settings).
   double m_coldOvershoot = 1;
   double m_coldSlack = 0;
+  UnreadLimits m_unread;
   /// A longer reply that is not streamed counts as broken (bytes).
   std::size_t m_maxReplyBytes = 16U << 20U;
 };
--- a/src/ferrytray/net/curl_call.cpp
+++ b/src/ferrytray/net/curl_call.cpp
@@ -83,6 +83,7 @@
   if (idle.count() > 0) {
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(idle.count()));
   }
+  aCall.m_receiveBufferBytes = aRequest.m_receiveBufferBytes;
   aCall.m_peerTimeoutMillis = base::ToMillis(aRequest.m_peerTimeout);
   if (aRequest.m_freshConnection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/ferrytray/net/curl_call.hpp
+++ b/src/ferrytray/net/curl_call.hpp
@@ -27,6 +27,7 @@
   bool m_unexpectedInput = false; ///< on the connection, before the request was sent
   bool m_restarted = false;       ///< on a new connection, because of that
   long m_peerTimeoutMillis = 0;
+  int m_receiveBufferBytes = 0;
   std::string m_etag;
   std::string m_retryAfter;
   Headers m_headers;
--- a/src/ferrytray/net/http_client.cpp
+++ b/src/ferrytray/net/http_client.cpp
@@ -1,10 +1,11 @@
 #include "ferrytray/net/http_client.hpp"
 
-#include <algorithm> // for min
-#include <map>       // for map
-#include <strings.h> // for strcasecmp
-#include <unistd.h>  // for close
-#include <utility>   // for move
+#include <algorithm>    // for min
+#include <map>          // for map
+#include <strings.h>    // for strcasecmp
+#include <sys/socket.h> // for setsockopt
+#include <unistd.h>     // for close
+#include <utility>      // for move
 
 #include <asio/post.hpp>         // for post
 #include <asio/steady_timer.hpp> // for steady_timer
@@ -95,6 +96,26 @@
     }
   }
 
+  void PauseReading(CallId aCall) override
+  {
+    const auto found = m_calls.find(aCall);
+    if (found != m_calls.end()) {
+      curl_easy_pause(found->second->m_easy, CURLPAUSE_RECV);
+    }
+  }
+
+  void ResumeReading(CallId aCall) override
+  {
+    // Not within libcurl's callbacks, since it delivers what was received meanwhile.
+    asio::post(m_context, [this, aCall] {
+      const auto found = m_calls.find(aCall);
+      if (found != m_calls.end()) {
+        s_current = this;
+        curl_easy_pause(found->second->m_easy, CURLPAUSE_CONT);
+      }
+    });
+  }
+
   [[nodiscard]] std::uint64_t BytesTransferred() const override { return m_bytes; }
 
 private:
@@ -195,6 +216,13 @@
     if (call.m_peerTimeoutMillis > 0) {
       SetPeerTimeout(aSocket, call.m_peerTimeoutMillis);
     }
+    if (call.m_receiveBufferBytes > 0) {
+      setsockopt(aSocket,
+                 SOL_SOCKET,
+                 SO_RCVBUF,
+                 &call.m_receiveBufferBytes,
+                 sizeof call.m_receiveBufferBytes);
+    }
     call.m_openSockets->Add(aSocket);
     return CURL_SOCKOPT_OK;
   }
--- a/src/ferrytray/net/http_client_test.cpp
+++ b/src/ferrytray/net/http_client_test.cpp
@@ -234,3 +234,40 @@
   m_loop.RunFor(50ms);
   LONGS_EQUAL(3, replies.size());
 }
+
+TEST(HttpClient, PausedReplyIsNotReadUntilItIsResumed)
+{
+  std::shared_ptr<net::HttpReply> reply;
+  m_handler = [&](const net::HttpRequest&, std::shared_ptr<net::HttpReply> aReply) {
+    reply = std::move(aReply);
+    reply->StartStream(200, kChunks);
+    reply->Write("first");
+  };
+  net::ClientRequest request;
+  request.m_url = net::HttpBaseUrl(m_server.ListenAddress()) + "/";
+  net::CallId call = 0;
+  net::ClientEvents events;
+  events.m_onData = [&](std::string_view aPiece) {
+    m_body += aPiece;
+    m_client->PauseReading(call);
+  };
+  events.m_onEnd = [&](const net::ClientOutcome& aOutcome) { m_outcome = aOutcome; };
+  call = m_client->Start(std::move(request), std::move(events));
+  for (int i = 0; i < 400 && m_body.empty(); ++i) {
+    m_loop.RunFor(5ms);
+  }
+  m_loop.RunFor(20ms);
+  reply->Write("second");
+  reply->Finish();
+  m_loop.RunFor(100ms);
+  STRCMP_EQUAL("first", m_body.c_str());
+  CHECK_FALSE(m_outcome.has_value());
+  m_client->ResumeReading(call);
+  for (int i = 0; i < 400 && m_body == "first"; ++i) {
+    m_loop.RunFor(5ms);
+  }
+  STRCMP_EQUAL("firstsecond", m_body.c_str());
+  m_client->ResumeReading(call);
+  RunUntilOutcome();
+  CHECK(m_outcome->m_end == WireEnd::Complete);
+}
--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -186,7 +186,7 @@
     m_pendingBytes += size;
     m_chunkedResponse->append_chunk(std::move(aPiece));
     m_chunkedResponse->flush(
-      [self = shared_from_this(), size](const auto&) { self->m_pendingBytes -= size; });
+      [self = shared_from_this(), size](const auto&) { self->OnPieceWritten(size); });
   }
 
   void Finish() override
@@ -215,6 +215,8 @@
 
   [[nodiscard]] std::size_t PendingBytes() const override { return m_pendingBytes; }
 
+  void OnWritten(std::function<void()> aCall) override { m_onWritten = std::move(aCall); }
+
   void OnClosed(std::function<void()> aCall) override
   {
     std::weak_ptr<RestinioReply> weak = weak_from_this();
@@ -228,6 +230,14 @@
   }
 
 private:
+  void OnPieceWritten(std::size_t aBytes)
+  {
+    m_pendingBytes -= aBytes;
+    if (!m_done && m_onWritten) {
+      m_onWritten();
+    }
+  }
+
   void MarkDone()
   {
     m_done = true;
@@ -253,6 +263,7 @@
   std::uint64_t m_connection;
   std::unique_ptr<ChunkedBuilder> m_chunkedResponse;
   std::size_t m_pendingBytes = 0;
+  std::function<void()> m_onWritten;
   bool m_done = false;
   bool m_closeAfter = false;
 };
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -175,6 +175,7 @@
                                ? m_core.m_options.m_suspectConnectTimeout
                                : m_core.m_options.m_connectTimeout;
   request.m_peerTimeout = m_core.m_options.m_peerTimeout;
+  request.m_receiveBufferBytes = m_core.m_options.m_unread.m_receiveBuffer;
   request.m_maxIdle = call.m_maxIdle;
   request.m_sendOnce = true;
   // A late second reply to the earlier send has the same request id.
@@ -221,6 +222,8 @@
       self->OnEnd(aOutcome);
     }
   };
+  m_readingPaused = false;
+  m_unreadTimer.reset();
   m_attempt->m_callId = m_core.m_client.Start(std::move(aCall), std::move(events));
 }
 
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -196,6 +196,7 @@
 {
   m_done = true;
   m_deadlineTimer.reset();
+  m_unreadTimer.reset();
   StopWaitingForSlot();
   const base::Duration duration = base::MonotonicNow() - m_arrivedAt;
   m_core.m_metrics.Count("requests_total{outcome=\"" + std::string(aOutcome) + "\"}");
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -158,9 +158,15 @@
     }
     m_core.m_metrics.Observe("first_event_seconds",
                              base::Seconds(base::MonotonicNow() - m_arrivedAt));
+    m_reply->OnWritten([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->OnReplyWritten();
+      }
+    });
     m_reply->StartStream(m_attempt->m_head->m_status, ReplyHeaders(*m_attempt));
   }
   m_reply->Write(std::move(aEvents));
+  PauseIfUnread();
 }
 
 bool Exchange::IsComplete(const Attempt& aAttempt, const net::ClientOutcome& aOutcome)
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -44,10 +44,11 @@
     }
     return request;
   }
-  [[nodiscard]] net::ClientRequest WriteCall(const relay::CallerRequest&,
+  [[nodiscard]] net::ClientRequest WriteCall(const relay::CallerRequest& aRequest,
                                              const relay::EndpointCall& aCall) const override
   {
     net::ClientRequest request;
+    request.m_body = aRequest.m_body;
     request.m_url = aCall.m_address;
     request.m_headers = { { "to", aCall.m_endpointId },
                           { "after",
--- a/tests/support/fake_http.hpp
+++ b/tests/support/fake_http.hpp
@@ -20,7 +20,8 @@
     ferrytray::net::ClientEvents m_events;
     bool m_cancelled = false;
     bool m_abandoned = false;
-    int m_status = 0; ///< of the reply
+    bool m_paused = false; ///< its reply is not read
+    int m_status = 0;      ///< of the reply
   };
 
   ferrytray::net::CallId Start(ferrytray::net::ClientRequest aRequest,
@@ -31,6 +32,8 @@
   }
   void Cancel(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_cancelled = true; }
   void Abandon(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_abandoned = true; }
+  void PauseReading(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_paused = true; }
+  void ResumeReading(ferrytray::net::CallId aCall) override { m_calls[aCall - 1].m_paused = false; }
   [[nodiscard]] std::uint64_t BytesTransferred() const override { return 0; }
 
   /// Replies to the newest call. Copies the events, as their owner may start the next call
@@ -81,7 +84,8 @@
   void Finish() override { m_finished = true; }
   void Abort() override { m_aborted = true; }
   void CloseAfterReply() override { m_closesConnection = true; }
-  [[nodiscard]] std::size_t PendingBytes() const override { return 0; }
+  [[nodiscard]] std::size_t PendingBytes() const override { return m_pendingBytes; }
+  void OnWritten(std::function<void()> aCall) override { m_onWritten = std::move(aCall); }
   void OnClosed(std::function<void()> aCall) override { m_onClosed = std::move(aCall); }
 
   [[nodiscard]] std::string Header(const std::string& aName) const
@@ -100,6 +104,8 @@
   bool m_finished = false;
   bool m_aborted = false;
   bool m_closesConnection = false;
+  std::size_t m_pendingBytes = 0;
+  std::function<void()> m_onWritten;
   std::function<void()> m_onClosed;
 };
 
--- a/tests/support/raw_http_server.cpp
+++ b/tests/support/raw_http_server.cpp
@@ -278,6 +278,7 @@
 
   void CloseAfterReply() override {}
   [[nodiscard]] std::size_t PendingBytes() const override { return 0; }
+  void OnWritten(std::function<void()>) override {}
   void OnClosed(std::function<void()> aCall) override
   {
     if (m_connection) {
