Net, relay, fleet: formatter and linter clean

Cause: the formatter had run on new files only, and clang-tidy rejects the names of std::string and cereal's save and load in new code. Change: layout; the names are marked, save and load became one serialize().

--- a/include/ferrytray/fleet/directory.hpp
+++ b/include/ferrytray/fleet/directory.hpp
@@ -137,7 +137,7 @@
   struct Entry
   {
     Endpoint m_endpoint;
-    base::TimePoint m_listedSince;             ///< when it was first listed
+    base::TimePoint m_listedSince;               ///< when it was first listed
     std::optional<base::TimePoint> m_removeAt;   ///< missing; dropped then unless it returns
     std::optional<base::TimePoint> m_returnedAt; ///< last time that it returned
     /// By model: guesses that the endpoint has refused since its weights were last known.
@@ -158,8 +158,8 @@
 
   DirectoryOptions m_options;
   std::optional<base::TimePoint> m_outageEnd; ///< of the source's last outage
-  std::map<std::string, Entry> m_entries; ///< by incarnation
-  std::set<std::string> m_missing;        ///< incarnations that are dropped unless they return
+  std::map<std::string, Entry> m_entries;     ///< by incarnation
+  std::set<std::string> m_missing;            ///< incarnations that are dropped unless they return
   /// By service; computed on demand and dropped with each change of the entries.
   mutable std::map<std::string, UsableEndpoints> m_usable;
   std::map<std::string, std::string> m_currentById;          ///< last known incarnation, by id
--- a/include/ferrytray/net/body.hpp
+++ b/include/ferrytray/net/body.hpp
@@ -39,9 +39,11 @@
     static const std::string none;
     return m_bytes ? *m_bytes : none;
   }
+  // NOLINTBEGIN(readability-identifier-naming): as in std::string
   [[nodiscard]] std::size_t size() const { return Bytes().size(); }
   [[nodiscard]] bool empty() const { return Bytes().empty(); }
   [[nodiscard]] const char* c_str() const { return Bytes().c_str(); }
+  // NOLINTEND(readability-identifier-naming)
 
   friend bool operator==(const Body& aLeft, std::string_view aRight)
   {
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -202,8 +202,8 @@
   /// Begin of the latest read, of this host or the one that relays, that reached the topic's end.
   std::optional<base::TimePoint> m_lastContactAt;
   ContactHistory m_contacts;
-  std::optional<base::TimePoint> m_lastServedAt;  ///< when another host last requested an update
-  std::map<std::string, Record> m_newestByKey;    ///< newest delivered record of each key
+  std::optional<base::TimePoint> m_lastServedAt; ///< when another host last requested an update
+  std::map<std::string, Record> m_newestByKey;   ///< newest delivered record of each key
   std::optional<PartialSnapshot> m_partial;
   net::TimerHandle m_timer;
 };
--- a/src/ferrytray/fleet/directory.cpp
+++ b/src/ferrytray/fleet/directory.cpp
@@ -105,8 +105,7 @@
 void Directory::SetOutageEnd(std::optional<base::TimePoint> aAt)
 {
   m_outageEnd = aAt;
-  const base::TimePoint windowEnd =
-    aAt ? *aAt + m_options.m_returnWindow : base::TimePoint::min();
+  const base::TimePoint windowEnd = aAt ? *aAt + m_options.m_returnWindow : base::TimePoint::min();
   for (const std::string& incarnation : m_missing) {
     std::optional<base::TimePoint>& removeAt = m_entries.at(incarnation).m_removeAt;
     removeAt = std::min(*removeAt, windowEnd);
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -57,8 +57,7 @@
 {
   aArchive(
     aUpdate.m_topic, aUpdate.m_from, aUpdate.m_end, aUpdate.m_records, aUpdate.m_unavailable);
-  aArchive(
-    aUpdate.m_age, aUpdate.m_contactBeginAge, aUpdate.m_contactEndAge, aUpdate.m_isSnapshot);
+  aArchive(aUpdate.m_age, aUpdate.m_contactBeginAge, aUpdate.m_contactEndAge, aUpdate.m_isSnapshot);
   aArchive(aUpdate.m_after, aUpdate.m_hasMore);
 }
 
--- a/src/ferrytray/relay/forward_messages.cpp
+++ b/src/ferrytray/relay/forward_messages.cpp
@@ -15,17 +15,15 @@
 namespace ferrytray::net {
 
 template<typename Archive>
-void save(Archive& aArchive, const Body& aBody)
-{
-  aArchive(aBody.Bytes());
-}
-
-template<typename Archive>
-void load(Archive& aArchive, Body& aBody)
-{
-  std::string bytes;
-  aArchive(bytes);
-  aBody = Body(std::move(bytes));
+void serialize(Archive& aArchive, Body& aBody)
+{
+  if constexpr (Archive::is_saving::value) {
+    aArchive(aBody.Bytes());
+  } else {
+    std::string bytes;
+    aArchive(bytes);
+    aBody = Body(std::move(bytes));
+  }
 }
 
 } // namespace ferrytray::net
