--- a/include/ferrytray/net/http_client.hpp
+++ b/include/ferrytray/net/http_client.hpp
@@ -7,6 +7,7 @@
 #include <string_view> // for string_view
 
 #include "ferrytray/base/time.hpp"       // for Duration
+#include "ferrytray/net/body.hpp"        // for Body
 #include "ferrytray/net/http_server.hpp" // for Headers
 #include "ferrytray/net/loop.hpp"        // for Loop
 
@@ -18,7 +19,7 @@
   std::string m_method = "GET";
   std::string m_url;
   Headers m_headers;
-  std::string m_body;
+  Body m_body;
   std::string m_target = {}; ///< sent unchanged in place of the URL's path and query, if not empty
   base::Duration m_connectTimeout = std::chrono::seconds(2);
   base::Duration m_timeout = std::chrono::seconds(30);
@@ -33,6 +34,9 @@
   base::Duration m_maxIdle{};
   /// A peer that acknowledges nothing for this long counts as dead (zero: system default).
   base::Duration m_peerTimeout{};
+  /// Limit of the bytes that the system receives and this process has not read yet (zero: system
+  /// default). Applies if a new connection is opened.
+  int m_receiveBufferBytes = 0;
 };
 
 /// @brief How far the transfer of a request and its reply got.
@@ -102,6 +106,10 @@
   /// ends as BrokenReply, and its connection is closed, since further replies on it would be
   /// attributed to the wrong requests, too.
   virtual void Abandon(CallId aCall) = 0;
+  /// @brief Stops reading a request's reply until ResumeReading(), so that its sender has to wait.
+  /// Bytes that were received already may still be delivered.
+  virtual void PauseReading(CallId aCall) = 0;
+  virtual void ResumeReading(CallId aCall) = 0;
   /// @brief Bytes of all finished requests and their replies, headers included.
   [[nodiscard]] virtual std::uint64_t BytesTransferred() const = 0;
   /// @brief Sends a request and collects the body of the reply.
--- a/include/ferrytray/net/http_server.hpp
+++ b/include/ferrytray/net/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include "ferrytray/base/error.hpp"  // for Result
 #include "ferrytray/net/address.hpp" // for Address
+#include "ferrytray/net/body.hpp"    // for Body
 #include "ferrytray/net/loop.hpp"    // for Loop
 
 namespace ferrytray::net {
@@ -25,7 +26,7 @@
   std::string m_path;
   std::string m_query;
   Headers m_headers;
-  std::string m_body;
+  Body m_body;
 
   /// @brief The first header of that name, compared case-insensitively; empty if absent.
   [[nodiscard]] std::string_view Header(std::string_view aName) const;
@@ -52,6 +53,8 @@
   virtual void CloseAfterReply() = 0;
   /// @brief Bytes passed to Write() and not yet written to the connection.
   [[nodiscard]] virtual std::size_t PendingBytes() const = 0;
+  /// @brief Sets a callback that runs each time that bytes passed to Write() have been written.
+  virtual void OnWritten(std::function<void()> aCall) = 0;
   /// @brief Sets a callback that runs if the caller disconnects before the reply is finished.
   virtual void OnClosed(std::function<void()> aCall) = 0;
 };
--- a/src/ferrytray/net/curl_call.hpp
+++ b/src/ferrytray/net/curl_call.hpp
@@ -15,7 +15,7 @@
   CallId m_id = 0;
   CURL* m_easy = nullptr;
   curl_slist* m_headerList = nullptr;
-  std::string m_body;
+  Body m_body;
   ClientEvents m_events;
   OpenSockets* m_openSockets = nullptr; ///< of the client
   bool m_statusReported = false;
@@ -27,6 +27,7 @@
   bool m_unexpectedInput = false; ///< on the connection, before the request was sent
   bool m_restarted = false;       ///< on a new connection, because of that
   long m_peerTimeoutMillis = 0;
+  int m_receiveBufferBytes = 0;
   std::string m_etag;
   std::string m_retryAfter;
   Headers m_headers;
--- a/src/ferrytray/net/http_server.cpp
+++ b/src/ferrytray/net/http_server.cpp
@@ -186,7 +186,7 @@
     m_pendingBytes += size;
     m_chunkedResponse->append_chunk(std::move(aPiece));
     m_chunkedResponse->flush(
-      [self = shared_from_this(), size](const auto&) { self->m_pendingBytes -= size; });
+      [self = shared_from_this(), size](const auto&) { self->OnPieceWritten(size); });
   }
 
   void Finish() override
@@ -215,6 +215,8 @@
 
   [[nodiscard]] std::size_t PendingBytes() const override { return m_pendingBytes; }
 
+  void OnWritten(std::function<void()> aCall) override { m_onWritten = std::move(aCall); }
+
   void OnClosed(std::function<void()> aCall) override
   {
     std::weak_ptr<RestinioReply> weak = weak_from_this();
@@ -228,6 +230,14 @@
   }
 
 private:
+  void OnPieceWritten(std::size_t aBytes)
+  {
+    m_pendingBytes -= aBytes;
+    if (!m_done && m_onWritten) {
+      m_onWritten();
+    }
+  }
+
   void MarkDone()
   {
     m_done = true;
@@ -253,21 +263,25 @@
   std::uint64_t m_connection;
   std::unique_ptr<ChunkedBuilder> m_chunkedResponse;
   std::size_t m_pendingBytes = 0;
+  std::function<void()> m_onWritten;
   bool m_done = false;
   bool m_closeAfter = false;
 };
 
-HttpRequest ToRequest(const restinio::request_t& aRequest)
+HttpRequest ToRequest(const restinio::request_handle_t& aHandle)
 {
+  const restinio::request_t& received = *aHandle;
   HttpRequest request;
-  request.m_method = aRequest.header().method().c_str();
-  request.m_target = aRequest.header().request_target();
-  request.m_path = std::string(aRequest.header().path());
-  request.m_query = std::string(aRequest.header().query());
-  aRequest.header().for_each_field([&](const auto& aField) {
+  request.m_method = received.header().method().c_str();
+  request.m_target = received.header().request_target();
+  request.m_path = std::string(received.header().path());
+  request.m_query = std::string(received.header().query());
+  received.header().for_each_field([&](const auto& aField) {
     request.m_headers.emplace_back(std::string(aField.name()), std::string(aField.value()));
   });
-  request.m_body = aRequest.body();
+  if (!received.body().empty()) {
+    request.m_body = Body::Share({ aHandle, &received.body() });
+  }
   return request;
 }
 
@@ -334,7 +348,7 @@
           return restinio::request_rejected();
         }
         tracker->OnRequestReceived(aRequest->connection_id());
-        HttpRequest request = ToRequest(*aRequest);
+        HttpRequest request = ToRequest(aRequest);
         (*handler)(std::move(request),
                    std::make_shared<RestinioReply>(std::move(aRequest), tracker));
         return restinio::request_accepted();
--- a/src/ferrytray/relay/forward_messages.cpp
+++ b/src/ferrytray/relay/forward_messages.cpp
@@ -12,6 +12,22 @@
 
 #include "ferrytray/peers/archive.hpp" // for ReadMessage, WriteMessage
 
+namespace ferrytray::net {
+
+template<typename Archive>
+void serialize(Archive& aArchive, Body& aBody)
+{
+  if constexpr (Archive::is_saving::value) {
+    aArchive(aBody.Bytes());
+  } else {
+    std::string bytes;
+    aArchive(bytes);
+    aBody = Body(std::move(bytes));
+  }
+}
+
+} // namespace ferrytray::net
+
 namespace ferrytray::relay {
 
 namespace {
