--- a/include/ferrytray/store/contact_history.hpp
+++ b/include/ferrytray/store/contact_history.hpp
@@ -23,12 +23,11 @@
 /// @brief Detects outages of a log from the answers that this host and others received. Does no
 /// I/O.
 ///
-/// A failed read shows only that the log did not answer this host: its link, or a log that rejects
-/// some hosts, may be the reason. The log was away only while it answered nobody, so the contact
-/// periods of all hosts are united. An outage is what is left between two of them. It is identified
-/// by its time, which does not depend on the host that reports it. Hence a change of the source, a
-/// restart of it or a second source can end an outage earlier or refute it, but never start it
-/// again.
+/// A failed read shows only that the log did not answer this host: its link may have failed, or the
+/// log may reject some hosts. An outage is a time in which the log answered no host, so it is a gap
+/// in the union of the contact periods of all hosts. It is identified by its time, which does not
+/// depend on the host that reports it. Hence a change of the source, a restart of the source or a
+/// second source can shorten or refute an outage, but never start it again.
 class ContactHistory
 {
 public:
--- a/include/ferrytray/store/topic_follower.hpp
+++ b/include/ferrytray/store/topic_follower.hpp
@@ -120,7 +120,7 @@
   /// the log.
   /// @param aAskedAt when that host was sent the request
   void OnUpdate(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
-  /// @brief Uses only what another host's update says of the log's answers, not its records.
+  /// @brief Takes the contact period of another host's update, but not its records.
   /// @param aAskedAt when that host was sent the request
   void OnContactReport(const TopicUpdate& aUpdate, base::TimePoint aAskedAt);
   /// @brief Sets whether this host may read the log when relayed updates have ended; otherwise it
--- a/src/ferrytray/relay/exchange_pacing.cpp
+++ b/src/ferrytray/relay/exchange_pacing.cpp
@@ -1,5 +1,5 @@
-// Callers that read their reply slowly: the endpoint has to wait for them, and one that stops
-// reading is disconnected.
+// Callers that read a stream slowly: the endpoint has to wait, and a caller that stops reading is
+// disconnected.
 #include "ferrytray/relay/exchange.hpp"
 
 #include <algorithm> // for clamp, max
--- a/src/ferrytray/relay/feed_options.cpp
+++ b/src/ferrytray/relay/feed_options.cpp
@@ -39,8 +39,8 @@
 // begun to read the directory themselves.
 constexpr int kEndpointTakeoverPercent = 75;
 
-// An entry expires after three missed heartbeats. In an outage it misses the last two at least, and
-// the one before it may have been sent up to a quarter of the interval late.
+// An entry expires three heartbeat intervals after its last heartbeat. That may be up to 1.25
+// intervals old when an outage begins, so shorter outages remove no entry.
 constexpr int kMinOutagePercent = 175;
 
 // A host whose source fails reads the log itself; its first read may fail on a connection that was
