--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p "$out"
 flags="-std=c++20 -O1 -Wall -Wextra -pthread"
 g++ $flags -c -o "$out/world.o" review/standins-2/world.cpp
-for case in pipelined isolation crashing; do
+for case in isolation crashing memory; do
   g++ $flags -o "$out/$case" "review/standins-2/${case}_main.cpp" "$out/world.o"
 done
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -152,6 +152,9 @@
     return false;
   }
   m_buffer.append(bytes.data(), static_cast<std::size_t>(size));
+  if (m_pause > 0) {
+    SleepMs(m_pause * size / static_cast<long>(bytes.size()));
+  }
   return true;
 }
 
@@ -244,9 +247,15 @@
   return text + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
-Server::Server(std::string aIp, std::uint16_t aPort, Handler aHandler)
+Server::Server(std::string aIp,
+               std::uint16_t aPort,
+               Handler aHandler,
+               long aPause,
+               std::function<void(const std::string&)> aOnHead)
   : m_ip(std::move(aIp))
   , m_handler(std::move(aHandler))
+  , m_pause(aPause)
+  , m_onHead(std::move(aOnHead))
   , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
   const int yes = 1;
@@ -305,10 +314,14 @@
 void Server::Serve(int aSocket)
 {
   Reader reader(aSocket);
+  reader.SetPause(m_pause);
   Request request;
   std::string line;
   while (!m_stopped && reader.ReadHead(line, request.m_headers)) {
     request.m_body.clear();
+    if (m_onHead && request.m_headers.contains("request-id")) {
+      m_onHead(request.m_headers["request-id"]);
+    }
     if (!reader.ReadBody(request.m_headers, request.m_body)) {
       break;
     }
@@ -482,10 +495,14 @@
 void Worker::Start()
 {
   const std::lock_guard lock(m_mutex);
-  m_server =
-    std::make_unique<Server>(m_traits.m_ip, m_port, [this](const Request& aRequest, int aSocket) {
+  m_server = std::make_unique<Server>(
+    m_traits.m_ip,
+    m_port,
+    [this](const Request& aRequest, int aSocket) {
       return IsForThis(aRequest, aSocket) ? m_handler(*this, aRequest, aSocket) : true;
-    });
+    },
+    m_traits.m_pause,
+    m_traits.m_onHead);
   m_port = m_server->Port();
   m_born = UnixMs();
   m_sequence = 0;
@@ -766,6 +783,17 @@
   return false;
 }
 
+long Host::Memory() const
+{
+  std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("RssAnon:")) {
+      return std::stol(line.substr(line.find_first_of("0123456789")));
+    }
+  }
+  return 0;
+}
+
 bool Host::Runs()
 {
   int status = 0;
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -53,6 +53,8 @@
     : m_socket(aSocket)
   {
   }
+  /// Waits this long after each 64 KiB.
+  void SetPause(long aMillis) { m_pause = aMillis; }
   /// @return false if the connection ended before a whole head
   bool ReadHead(std::string& aFirstLine, std::map<std::string, std::string>& aHeaders);
   /// @return false if the connection ended before the whole body
@@ -64,6 +66,7 @@
   bool ReadBytes(std::size_t aCount, std::string& aTo);
 
   int m_socket;
+  long m_pause = 0;
   std::string m_buffer;
 };
 
@@ -80,7 +83,13 @@
   /// @return false: the server closes the connection
   using Handler = std::function<bool(const Request&, int aSocket)>;
 
-  Server(std::string aIp, std::uint16_t aPort, Handler aHandler);
+  /// @param aPause in milliseconds after each 64 KiB that are read
+  /// @param aOnHead called with the Request-Id of each request whose head has been read
+  Server(std::string aIp,
+         std::uint16_t aPort,
+         Handler aHandler,
+         long aPause = 0,
+         std::function<void(const std::string&)> aOnHead = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -96,6 +105,8 @@
   std::string m_ip;
   std::uint16_t m_port = 0;
   Handler m_handler;
+  long m_pause;
+  std::function<void(const std::string&)> m_onHead;
   int m_listener = -1;
   std::atomic<bool> m_stopped{ false };
   std::mutex m_mutex;
@@ -148,6 +159,8 @@
     int m_slots = 6;
     json m_models; ///< null: none
     std::string m_ip = "127.0.0.1";
+    long m_pause = 0; ///< in milliseconds after each 64 KiB that are read
+    std::function<void(const std::string&)> m_onHead; ///< called with the id of each request
   };
   using Handler = std::function<bool(Worker&, const Request&, int aSocket)>;
 
@@ -230,6 +243,8 @@
   void Signal(int aSignal) const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool AwaitReady(long aMillis) const;
+  /// Memory of the process itself, without files that it maps, in KiB; zero if it has ended.
+  [[nodiscard]] long Memory() const;
   /// Whether the process still runs.
   [[nodiscard]] bool Runs();
   [[nodiscard]] std::string Front() const;
