--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -187,6 +187,8 @@
   std::condition_variable m_wake;
   bool m_up = false;
   bool m_ending = false;
+  bool m_listed = false;   ///< has an entry in the store, which expires when nothing renews it
+  long m_registeredAt = 0; ///< last time
   long m_born = 0;
   std::uint64_t m_sequence = 0;
   std::uint16_t m_port = 0;
