--- a/src/ferrytray/relay/exchange_retry.cpp
+++ b/src/ferrytray/relay/exchange_retry.cpp
@@ -1,12 +1,33 @@
 // Retries of failed attempts, and the retry budget that they need.
 #include "ferrytray/relay/exchange.hpp"
 
-#include <utility> // for move
+#include <algorithm> // for min
+#include <span>      // for span
+#include <utility>   // for move
 
 #include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::relay {
 
+namespace {
+
+/// Ids of the prompt's parts in order, for the log.
+std::string PartIds(const CallerRequest& aRequest)
+{
+  constexpr std::size_t kMaxLogged = 16; // a caller may name hundreds
+  std::string ids;
+  if (aRequest.m_prompt) {
+    for (const PromptPart& part :
+         std::span(aRequest.m_prompt->m_parts)
+           .first(std::min(kMaxLogged, aRequest.m_prompt->m_parts.size()))) {
+      ids += (ids.empty() ? "" : ",") + part.m_id;
+    }
+  }
+  return ids;
+}
+
+} // namespace
+
 bool Exchange::ReserveRetry()
 {
   if (m_mayHaveArrived && !m_retryReserved) {
@@ -59,6 +80,7 @@
   telemetry::LogLine("attempt_failed")
     .Add("request", m_request.m_id)
     .Add("request_key", base::ToHex(m_requestKey))
+    .Add("parts", PartIds(m_request))
     .Add("service", m_service)
     .Add("endpoint", aAttempt.m_incarnation)
     .Add("host", aAttempt.m_host)
