--- a/include/ferrytray/gate/crash_log_client.hpp
+++ b/include/ferrytray/gate/crash_log_client.hpp
@@ -2,10 +2,10 @@
 
 #include <string> // for string
 
-#include "ferrytray/gate/options.hpp"           // for GateOptions
-#include "ferrytray/quarantine/crash_board.hpp" // for CrashTracker
-#include "ferrytray/wire/log_client.hpp"        // for LogClient
-#include "ferrytray/wire/log_follower.hpp"      // for LogFollower
+#include "ferrytray/gate/options.hpp"             // for GateOptions
+#include "ferrytray/quarantine/crash_tracker.hpp" // for CrashTracker
+#include "ferrytray/wire/log_client.hpp"          // for LogClient
+#include "ferrytray/wire/log_follower.hpp"        // for LogFollower
 
 namespace ferrytray::gate {
 
@@ -19,20 +19,20 @@
   CrashLogClient(net::Loop& aLoop, net::HttpClient& aHttp, const GateOptions& aOptions);
   void Start();
 
-  [[nodiscard]] bool IsQuarantined(const quarantine::RequestKey& aRequest) const
+  [[nodiscard]] bool IsQuarantined(const quarantine::ContentKey& aRequest) const
   {
     return m_tracker.IsQuarantined(aRequest);
   }
   /// @brief An endpoint closed the connection while it ran the request.
   /// @param aEndpointIncarnation the endpoint's name and incarnation
   /// @param aSentAt when this gate sent the request
-  void OnConnectionLost(const quarantine::RequestKey& aRequest,
+  void OnConnectionLost(const quarantine::ContentKey& aRequest,
                         const std::string& aEndpointIncarnation,
                         base::TimePoint aSentAt);
   /// @brief An endpoint returned a complete response to the request.
-  void OnCompleteResponse(const quarantine::RequestKey& aRequest);
+  void OnCompleteResponse(const quarantine::ContentKey& aRequest);
   /// @brief An endpoint's response seems complete but ended with its connection.
-  void OnClosedResponse(const quarantine::RequestKey& aRequest,
+  void OnClosedResponse(const quarantine::ContentKey& aRequest,
                         const std::string& aEndpointIncarnation);
   /// @brief An endpoint replied to a request that this gate sent at aSentAt.
   void OnReply(const std::string& aEndpointIncarnation, base::TimePoint aSentAt);
--- a/include/ferrytray/gate/model_exchange.hpp
+++ b/include/ferrytray/gate/model_exchange.hpp
@@ -97,7 +97,7 @@
   std::string m_workerIncarnation;
   double m_workerTokensPerSecond = 1;
   std::uint32_t m_workerCachedBlocks = 0;
-  quarantine::RequestKey m_requestKey; ///< shared by identical requests
+  quarantine::ContentKey m_requestKey; ///< shared by identical requests
   base::TimePoint m_sentAt{};
   std::set<std::string> m_tried;
   base::TimePoint m_deadline;
--- a/include/ferrytray/gate/service_exchange.hpp
+++ b/include/ferrytray/gate/service_exchange.hpp
@@ -50,7 +50,7 @@
   ServiceCall m_call;
   std::shared_ptr<net::HttpReply> m_reply;
   std::shared_ptr<OnceGuard> m_guard;
-  quarantine::RequestKey m_requestKey; ///< shared by identical requests
+  quarantine::ContentKey m_requestKey; ///< shared by identical requests
   std::string m_endpointIncarnation;   ///< name and incarnation of the endpoint used
   base::TimePoint m_sentAt{};
   std::set<std::string> m_tried;
--- a/include/ferrytray/peers/messages.hpp
+++ b/include/ferrytray/peers/messages.hpp
@@ -6,18 +6,18 @@
 #include <string_view> // for string_view
 #include <vector>      // for vector
 
-#include "ferrytray/base/error.hpp"              // for Result
-#include "ferrytray/cache/contents_delta.hpp"    // for ContentsCursor, ContentsDelta
-#include "ferrytray/limits/brittle_services.hpp" // for BrittleReports
-#include "ferrytray/limits/endpoint_limits.hpp"  // for LimitReports
-#include "ferrytray/peers/backoff_table.hpp"     // for BackoffNotices
-#include "ferrytray/peers/incarnation_table.hpp" // for IncarnationNotices
-#include "ferrytray/peers/load_table.hpp"        // for EndpointLoads, LoadScope
-#include "ferrytray/peers/reload_table.hpp"      // for ReloadNotices
-#include "ferrytray/peers/roster.hpp"            // for Peer
-#include "ferrytray/quarantine/crash_board.hpp"  // for CrashNotices, Suspicion
-#include "ferrytray/quarantine/notice_log.hpp"   // for NoticeOffset
-#include "ferrytray/store/topic_update.hpp"      // for TopicCursor, TopicUpdate
+#include "ferrytray/base/error.hpp"               // for Result
+#include "ferrytray/cache/contents_delta.hpp"     // for ContentsCursor, ContentsDelta
+#include "ferrytray/limits/brittle_services.hpp"  // for BrittleReports
+#include "ferrytray/limits/endpoint_limits.hpp"   // for LimitReports
+#include "ferrytray/peers/backoff_table.hpp"      // for BackoffNotices
+#include "ferrytray/peers/incarnation_table.hpp"  // for IncarnationNotices
+#include "ferrytray/peers/load_table.hpp"         // for EndpointLoads, LoadScope
+#include "ferrytray/peers/reload_table.hpp"       // for ReloadNotices
+#include "ferrytray/peers/roster.hpp"             // for Peer
+#include "ferrytray/quarantine/crash_tracker.hpp" // for CrashNotices, Suspicion
+#include "ferrytray/quarantine/notice_log.hpp"    // for NoticeOffset
+#include "ferrytray/store/topic_update.hpp"       // for TopicCursor, TopicUpdate
 
 namespace ferrytray::peers {
 
@@ -72,7 +72,7 @@
 std::string Encode(const Peer& aPeer);
 std::string Encode(const SyncRequest& aRequest);
 std::string Encode(const SyncReply& aReply);
-/// @brief Encodes the record that the record log keeps of a request that crashes endpoints.
+/// @brief Encodes the record that the record log keeps of content that crashes endpoints.
 std::string Encode(const quarantine::Suspicion& aSuspicion);
 /// @return PeerMalformed if the bytes are not such a message
 base::Result<Peer> DecodePeer(std::string_view aBytes);
--- a/include/ferrytray/peers/peer_exchange.hpp
+++ b/include/ferrytray/peers/peer_exchange.hpp
@@ -21,7 +21,7 @@
 #include "ferrytray/peers/reload_table.hpp"       // for ReloadTable
 #include "ferrytray/peers/roster.hpp"             // for Roster
 #include "ferrytray/peers/slot_messages.hpp"      // for SlotReply
-#include "ferrytray/quarantine/crash_board.hpp"   // for CrashTracker
+#include "ferrytray/quarantine/crash_tracker.hpp" // for CrashTracker
 #include "ferrytray/store/record_log.hpp"         // for RecordLog
 #include "ferrytray/store/topic_follower.hpp"     // for TopicFollower
 #include "ferrytray/store/unreadable_records.hpp" // for UnreadableRecords
--- a/include/ferrytray/quarantine/record_keeper.hpp
+++ b/include/ferrytray/quarantine/record_keeper.hpp
@@ -7,16 +7,16 @@
 #include <unordered_map> // for unordered_map
 #include <vector>        // for vector
 
-#include "ferrytray/base/digest.hpp"            // for DigestHash
-#include "ferrytray/base/time.hpp"              // for Duration, TimePoint
-#include "ferrytray/quarantine/crash_board.hpp" // for CrashTracker, Suspicion
+#include "ferrytray/base/digest.hpp"              // for DigestHash
+#include "ferrytray/base/time.hpp"                // for Duration, TimePoint
+#include "ferrytray/quarantine/crash_tracker.hpp" // for CrashTracker, Suspicion
 
 namespace ferrytray::quarantine {
 
-/// @brief A host's role in recording a request; later roles take over if earlier ones fail.
+/// @brief A host's role in recording content; later roles take over if earlier ones fail.
 enum class WriterRole : std::uint8_t
 {
-  Primary,   ///< among the first hosts in the request's hash order
+  Primary,   ///< among the first hosts in the content's hash order
   LogReader, ///< reads the record log on behalf of other hosts
   NonWriter, ///< records only what it observed itself
 };
@@ -26,8 +26,10 @@
   /// A single crash is not recorded: every broken connection has one, and hosts exchange them
   /// directly.
   std::size_t m_minCrashesToRecord = 2;
-  /// A host that observed a crash itself records it without delay.
+  /// A host that observed a crash itself records it without delay, unless it is of a part.
   base::Duration m_primaryDelay = std::chrono::milliseconds(700);
+  /// For a host that observed a crash with a part itself. Popular parts are cleared before that.
+  base::Duration m_partDelay = std::chrono::milliseconds(250);
   base::Duration m_readerDelay = std::chrono::milliseconds(2500);
   base::Duration m_retryDelay = std::chrono::milliseconds(500);
 };
@@ -35,7 +37,7 @@
 /// @brief A record to write, or to remove if there is no suspicion.
 struct RecordWrite
 {
-  RequestKey m_request;
+  ContentKey m_content;
   std::optional<Suspicion> m_suspicion;
 };
 
@@ -49,22 +51,22 @@
   {
   }
 
-  /// @brief This host observed a crash during the request or a complete answer to it.
-  void OnLocalObservation(const RequestKey& aRequest)
+  /// @brief This host observed a crash with the content or a complete answer.
+  void OnLocalObservation(const ContentKey& aContent)
   {
-    m_entries[aRequest].m_observedLocally = true;
+    m_entries[aContent].m_observedLocally = true;
   }
-  /// @brief The request's record was read; empty if the log has none.
-  void OnRecordRead(const RequestKey& aRequest, std::optional<Suspicion> aRecorded);
+  /// @brief The content's record was read; empty if the log has none.
+  void OnRecordRead(const ContentKey& aContent, std::optional<Suspicion> aRecorded);
   /// @brief A write has finished. @param aSucceeded whether it is confirmed
   void OnWriteFinished(const RecordWrite& aWrite, bool aSucceeded, base::TimePoint aNow);
   /// @brief Returns the writes that this host has to start now.
   [[nodiscard]] std::vector<RecordWrite> DueWrites(
     const CrashTracker& aTracker,
-    const std::function<WriterRole(const RequestKey&)>& aRoleOf,
+    const std::function<WriterRole(const ContentKey&)>& aRoleOf,
     base::TimePoint aNow);
-  /// @brief Returns the requests that have a record in the log.
-  [[nodiscard]] std::vector<RequestKey> RecordedRequests() const;
+  /// @brief Returns the content that has a record in the log.
+  [[nodiscard]] std::vector<ContentKey> RecordedContent() const;
 
 private:
   struct Entry
@@ -77,11 +79,13 @@
   };
 
   [[nodiscard]] std::optional<Suspicion> DesiredRecord(const CrashTracker& aTracker,
-                                                       const RequestKey& aRequest) const;
-  [[nodiscard]] std::optional<base::Duration> DelayOf(const Entry& aEntry, WriterRole aRole) const;
+                                                       const ContentKey& aContent) const;
+  [[nodiscard]] std::optional<base::Duration> DelayOf(const ContentKey& aContent,
+                                                      const Entry& aEntry,
+                                                      WriterRole aRole) const;
 
   RecordReconcilerOptions m_options;
-  std::unordered_map<RequestKey, Entry, base::DigestHash> m_entries;
+  std::unordered_map<ContentKey, Entry, base::DigestHash> m_entries;
 };
 
 } // namespace ferrytray::quarantine
--- a/include/ferrytray/quarantine/served_table.hpp
+++ b/include/ferrytray/quarantine/served_table.hpp
@@ -4,7 +4,7 @@
 #include <cstdint> // for uint64_t
 #include <vector>  // for vector
 
-#include "ferrytray/quarantine/request_key.hpp" // for RequestKey
+#include "ferrytray/quarantine/content_key.hpp" // for ContentKey
 
 namespace ferrytray::quarantine {
 
@@ -20,14 +20,14 @@
   {
   }
 
-  void Add(const RequestKey& aRequest) { m_slots[SlotOf(aRequest)] = aRequest.m_high; }
-  [[nodiscard]] bool Contains(const RequestKey& aRequest) const
+  void Add(const ContentKey& aRequest) { m_slots[SlotOf(aRequest)] = aRequest.m_high; }
+  [[nodiscard]] bool Contains(const ContentKey& aRequest) const
   {
     return m_slots[SlotOf(aRequest)] == aRequest.m_high;
   }
 
 private:
-  [[nodiscard]] std::size_t SlotOf(const RequestKey& aRequest) const
+  [[nodiscard]] std::size_t SlotOf(const ContentKey& aRequest) const
   {
     return aRequest.m_low % m_slots.size();
   }
--- a/include/ferrytray/quarantine/unconfirmed_answers.hpp
+++ b/include/ferrytray/quarantine/unconfirmed_answers.hpp
@@ -5,7 +5,7 @@
 #include <vector>  // for vector
 
 #include "ferrytray/base/time.hpp"               // for TimePoint
-#include "ferrytray/quarantine/crash_notice.hpp" // for EndpointKey, RequestKey
+#include "ferrytray/quarantine/crash_notice.hpp" // for EndpointKey, ContentKey
 
 namespace ferrytray::quarantine {
 
@@ -20,15 +20,15 @@
   {
   }
 
-  void Add(const RequestKey& aRequest, EndpointKey aEndpoint, base::TimePoint aEndedAt);
+  void Add(const ContentKey& aRequest, EndpointKey aEndpoint, base::TimePoint aEndedAt);
   /// @brief An endpoint replied to a request that was sent at aSentAt.
   /// @return the requests whose answers this confirms; they are removed
-  std::vector<RequestKey> OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt);
+  std::vector<ContentKey> OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt);
 
 private:
   struct Answer
   {
-    RequestKey m_request;
+    ContentKey m_request;
     EndpointKey m_endpoint = 0;
     base::TimePoint m_endedAt{};
   };
--- a/include/ferrytray/relay/crash_reporter.hpp
+++ b/include/ferrytray/relay/crash_reporter.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <span>   // for span
 #include <vector> // for vector
 
 #include "ferrytray/base/time.hpp"               // for Duration, TimePoint
-#include "ferrytray/quarantine/crash_notice.hpp" // for EndpointKey, RequestKey
+#include "ferrytray/quarantine/crash_notice.hpp" // for ContentKey, EndpointKey
 #include "ferrytray/relay/relay_core.hpp"        // for RelayCore
 
 namespace ferrytray::relay {
@@ -31,7 +32,7 @@
   }
 
   /// @param aSentAt when this host sent the request
-  void OnConnectionBroken(const quarantine::RequestKey& aRequest,
+  void OnConnectionBroken(std::span<const quarantine::ContentKey> aContent,
                           quarantine::EndpointKey aEndpoint,
                           base::TimePoint aSentAt,
                           base::TimePoint aNow);
@@ -44,7 +45,7 @@
 private:
   struct BrokenConnection
   {
-    quarantine::RequestKey m_request;
+    std::vector<quarantine::ContentKey> m_content; ///< of the request
     quarantine::EndpointKey m_endpoint = 0;
     base::TimePoint m_sentAt;
     base::TimePoint m_brokenAt;
--- a/include/ferrytray/relay/exchange.hpp
+++ b/include/ferrytray/relay/exchange.hpp
@@ -5,8 +5,10 @@
 #include <memory>      // for shared_ptr
 #include <optional>    // for optional
 #include <set>         // for set
+#include <span>        // for span
 #include <string>      // for string
 #include <string_view> // for string_view
+#include <vector>      // for vector
 
 #include "ferrytray/base/error.hpp"             // for Failure
 #include "ferrytray/net/http_server.hpp"        // for HttpReply
@@ -18,6 +20,7 @@
 #include "ferrytray/relay/forward_messages.hpp" // for ForwardFailure
 #include "ferrytray/relay/relay_core.hpp"       // for RelayCore
 #include "ferrytray/relay/reply_body.hpp"       // for ReplyBody
+#include "ferrytray/relay/request_content.hpp"  // for RequestContent
 #include "ferrytray/relay/route_match.hpp"      // for RouteMatch
 #include "ferrytray/relay/wire_format.hpp"      // for GeneratedReply
 
@@ -169,29 +172,30 @@
   void AbortReply(std::string_view aWhy);
   void Finish(std::string_view aOutcome, std::string_view aWhy = "");
   [[nodiscard]] base::Duration Remaining() const;
-  /// Records a crash, since the endpoint broke the connection during the request. Does nothing if
-  /// the endpoint is leaving.
+  /// Applies the admission limit, then sends, or first requests an engine for a long prompt.
+  void Admit();
+
+  // Content that crashes endpoints (exchange_quarantine.cpp)
+  /// Records that the endpoint broke the connection during the request. Does nothing if the
+  /// endpoint is leaving.
   void RecordCrash(const Attempt& aAttempt);
   void RecordSuccess(const Attempt& aAttempt, net::WireEnd aEnd);
-  /// Answers without sending, because requests with the same key crashed the endpoints that ran
+  /// Returns the quarantined content that this request must not be sent with.
+  [[nodiscard]] std::vector<quarantine::ContentKey> BlockedContent() const;
+  [[nodiscard]] bool IsBlockedByQuarantine() const { return !BlockedContent().empty(); }
+  /// Sends the request as a probe if that is allowed, otherwise refuses it.
+  void ProbeOrRefuse();
+  /// Answers without sending, because requests with the same content crashed the endpoints that ran
   /// them.
   void RefuseQuarantined();
-  /// Picks a service and excludes its endpoints that may be down, since a probe is sent only once.
+  /// Picks a service and excludes its endpoints that may be down, since probes are few.
   /// @return whether a usable endpoint remains
-  bool PrepareProbe();
-  /// Asks whether this host may send the quarantined request once as a probe.
-  void ClaimProbe();
-  /// Applies the admission limit, then sends, or first requests an engine for a long prompt.
-  void Admit();
-  [[nodiscard]] bool IsBlockedByQuarantine() const
-  {
-    return !m_isProbe && m_core.m_crashes.IsQuarantined(m_requestKey);
-  }
+  bool PrepareProbe(std::span<const quarantine::ContentKey> aContent);
 
   RelayCore& m_core;
   CallerRequest m_request;
   RouteMatch m_routeMatch;
-  quarantine::RequestKey m_requestKey; ///< equal for requests that count as identical
+  RequestContent m_content; ///< what may crash the endpoints that run the request
   CallPlanner m_planner;
   std::shared_ptr<net::HttpReply> m_reply;
   base::TimePoint m_arrivedAt;
@@ -234,7 +238,8 @@
   std::optional<base::TimePoint> m_firstEventAt; ///< when the reply's first event was forwarded
   bool m_readingPaused = false;                  ///< of the endpoint's reply
   net::TimerHandle m_unreadTimer;                ///< set meanwhile
-  bool m_isProbe = false;                        ///< sent once although the request is quarantined
+  /// Quarantined content that the request may be sent with, once.
+  std::vector<quarantine::ContentKey> m_probedContent;
   bool m_done = false;
 };
 
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -6,6 +6,7 @@
 #include <map>        // for map
 #include <optional>   // for optional
 #include <random>     // for mt19937_64
+#include <span>       // for span
 #include <string>     // for string
 
 #include "ferrytray/base/known_age.hpp"            // for MayBeBehind
@@ -27,7 +28,7 @@
 #include "ferrytray/peers/incarnation_table.hpp"   // for IncarnationTable
 #include "ferrytray/peers/load_table.hpp"          // for LoadTable
 #include "ferrytray/peers/reload_table.hpp"        // for ReloadTable
-#include "ferrytray/quarantine/crash_board.hpp"    // for CrashTracker
+#include "ferrytray/quarantine/crash_tracker.hpp"  // for CrashTracker
 #include "ferrytray/relay/attempt_policy.hpp"      // for AttemptLimits
 #include "ferrytray/relay/prompt_placement.hpp"    // for PromptPlacement
 #include "ferrytray/relay/wire_format.hpp"         // for WireFormat
@@ -91,6 +92,8 @@
   base::Duration m_retryAfterDelay = std::chrono::milliseconds(250);
   /// Retry-After of quarantined requests; an early retry would be refused again.
   base::Duration m_quarantineRetryAfterDelay = std::chrono::seconds(60);
+  /// The same after the time of the next probe, whose answer may end the quarantine.
+  base::Duration m_probedRetryAfterDelay = std::chrono::seconds(1);
   /// Fraction of the route's target latency in which fetches of a prompt's parts must end; the rest
   /// is left for recomputing the parts. A slow or congested store thus delays replies but seldom
   /// beyond the target: with one store slowed to a quarter on calm days, 1.4 in 100 short prompts
@@ -140,17 +143,18 @@
   std::function<bool(const std::string& aName, std::size_t aFirst)> m_isAmongFirstHosts;
   /// Called when another endpoint answered at the incarnation's address. May be unset.
   std::function<void(const std::string& aIncarnation)> m_onEndpointReplaced;
-  quarantine::CrashTracker m_crashes;       ///< requests that crash the endpoints that run them
+  quarantine::CrashTracker m_crashes;       ///< content that crashes the endpoints that run it
   CrashReporter* m_crashReporter = nullptr; ///< null: broken connections are reported at once
   /// Whether the crash tracker holds the quarantine records of the record log. Nothing is sent to
   /// endpoints before that: hosts that restart one after the other, or all at once, would each send
   /// quarantined requests again.
   bool m_crashesLoaded = false;
   /// Called when this host changed the crash tracker. May be unset.
-  std::function<void(const quarantine::RequestKey&)> m_onCrashesChanged;
-  /// Asks whether this host may send a quarantined request as a probe; the callback is called once.
-  /// If unset: no probes.
-  std::function<void(const quarantine::RequestKey&, std::function<void(bool)>)> m_claimProbe;
+  std::function<void(std::span<const quarantine::ContentKey>)> m_onCrashesChanged;
+  /// Asks whether this host may send a request with quarantined content as a probe; the callback is
+  /// called once. If unset: no probes.
+  std::function<void(std::span<const quarantine::ContentKey>, std::function<void(bool)>)>
+    m_claimProbe;
   peers::LoadTable m_peerLoads; ///< load of the other hosts
   peers::ReloadTable m_reloads; ///< engines that are loading weights
   limits::RetryWindow m_retryWindow;
--- a/include/ferrytray/relay/relay_host.hpp
+++ b/include/ferrytray/relay/relay_host.hpp
@@ -95,7 +95,7 @@
   /// records if these have not been read by then.
   void ServeWithoutQuarantine();
   /// Schedules a notice to other hosts about this host's changes to the crash tracker.
-  void OnCrashesChanged(const quarantine::RequestKey& aRequest);
+  void OnCrashesChanged(std::span<const quarantine::ContentKey> aContent);
 
   net::Loop& m_loop;
   HostOptions m_options;
--- a/include/ferrytray/store/metered_log.hpp
+++ b/include/ferrytray/store/metered_log.hpp
@@ -34,6 +34,11 @@
                    std::string_view aKey,
                    std::string_view aValue,
                    Done<AppendResult> aDone) override;
+  void AppendKeyedAt(const std::string& aTopic,
+                     std::string_view aKey,
+                     std::string_view aValue,
+                     Offset aExpectedEnd,
+                     Done<AppendResult> aDone) override;
 
 private:
   void Count(std::string_view aCall, const std::string& aTopic);
--- a/include/ferrytray/store/record_log.hpp
+++ b/include/ferrytray/store/record_log.hpp
@@ -78,6 +78,13 @@
                            std::string_view aKey,
                            std::string_view aValue,
                            Done<AppendResult> aDone) = 0;
+  /// @brief Appends a record to a keyed topic if that ends at aExpectedEnd. A failure means the
+  /// same as that of Append().
+  virtual void AppendKeyedAt(const std::string& aTopic,
+                             std::string_view aKey,
+                             std::string_view aValue,
+                             Offset aExpectedEnd,
+                             Done<AppendResult> aDone) = 0;
 };
 
 } // namespace ferrytray::store
--- a/src/ferrytray/gate/crash_log_client.cpp
+++ b/src/ferrytray/gate/crash_log_client.cpp
@@ -31,7 +31,7 @@
   json all = json::array();
   for (const CrashNotice& notice : aNotices) {
     all.push_back({ static_cast<int>(notice.m_kind),
-                    base::ToHex(notice.m_request),
+                    base::ToHex(notice.m_content),
                     notice.m_endpoint,
                     notice.m_sequence });
   }
@@ -45,7 +45,7 @@
   for (const json& row : json::parse(aText)) {
     const auto request = base::DigestFromHex(row.at(1).get<std::string>());
     notices.push_back({ static_cast<quarantine::NoticeKind>(row.at(0).get<std::uint8_t>()),
-                        request.value_or(quarantine::RequestKey{}),
+                        request.value_or(quarantine::ContentKey{}),
                         row.at(2).get<quarantine::EndpointKey>(),
                         row.at(3).get<std::uint64_t>() });
   }
@@ -97,7 +97,7 @@
   }
 }
 
-void CrashLogClient::OnConnectionLost(const quarantine::RequestKey& aRequest,
+void CrashLogClient::OnConnectionLost(const quarantine::ContentKey& aRequest,
                                       const std::string& aEndpointIncarnation,
                                       base::TimePoint aSentAt)
 {
@@ -111,14 +111,14 @@
   QueueNoticesSince(before);
 }
 
-void CrashLogClient::OnCompleteResponse(const quarantine::RequestKey& aRequest)
+void CrashLogClient::OnCompleteResponse(const quarantine::ContentKey& aRequest)
 {
   const quarantine::NoticeOffset before = m_tracker.Notices().End();
   m_tracker.OnCompleteAnswer(aRequest);
   QueueNoticesSince(before);
 }
 
-void CrashLogClient::OnClosedResponse(const quarantine::RequestKey& aRequest,
+void CrashLogClient::OnClosedResponse(const quarantine::ContentKey& aRequest,
                                       const std::string& aEndpointIncarnation)
 {
   m_tracker.OnClosedAnswer(aRequest, EndpointKeyOf(aEndpointIncarnation), base::MonotonicNow());
--- a/src/ferrytray/peers/messages.cpp
+++ b/src/ferrytray/peers/messages.cpp
@@ -68,14 +68,14 @@
 template<typename Archive>
 void serialize(Archive& aArchive, CrashNotice& aNotice)
 {
-  aArchive(aNotice.m_kind, aNotice.m_request.m_high, aNotice.m_request.m_low);
+  aArchive(aNotice.m_kind, aNotice.m_content.m_high, aNotice.m_content.m_low);
   aArchive(aNotice.m_endpoint, aNotice.m_sequence);
 }
 
 template<typename Archive>
 void serialize(Archive& aArchive, Suspicion& aSuspicion)
 {
-  aArchive(aSuspicion.m_crashedEndpoints, aSuspicion.m_knownGood, aSuspicion.m_probed);
+  aArchive(aSuspicion.m_crashedEndpoints, aSuspicion.m_knownGood, aSuspicion.m_probes);
 }
 
 } // namespace ferrytray::quarantine
--- a/src/ferrytray/quarantine/notice_log.cpp
+++ b/src/ferrytray/quarantine/notice_log.cpp
@@ -11,8 +11,8 @@
 std::uint64_t NoticeLog::HashOf(const CrashNotice& aNotice)
 {
   const std::array<std::uint64_t, 5> words{ static_cast<std::uint64_t>(aNotice.m_kind),
-                                            aNotice.m_request.m_high,
-                                            aNotice.m_request.m_low,
+                                            aNotice.m_content.m_high,
+                                            aNotice.m_content.m_low,
                                             aNotice.m_endpoint,
                                             aNotice.m_sequence };
   return base::Hash64("notice",
--- a/src/ferrytray/quarantine/record_keeper.cpp
+++ b/src/ferrytray/quarantine/record_keeper.cpp
@@ -4,16 +4,16 @@
 
 namespace ferrytray::quarantine {
 
-void RecordReconciler::OnRecordRead(const RequestKey& aRequest, std::optional<Suspicion> aRecorded)
+void RecordReconciler::OnRecordRead(const ContentKey& aContent, std::optional<Suspicion> aRecorded)
 {
-  m_entries[aRequest].m_recorded = std::move(aRecorded);
+  m_entries[aContent].m_recorded = std::move(aRecorded);
 }
 
 void RecordReconciler::OnWriteFinished(const RecordWrite& aWrite,
                                        bool aSucceeded,
                                        base::TimePoint aNow)
 {
-  Entry& entry = m_entries[aWrite.m_request];
+  Entry& entry = m_entries[aWrite.m_content];
   entry.m_writing = false;
   if (aSucceeded) {
     entry.m_recorded = aWrite.m_suspicion;
@@ -24,17 +24,19 @@
 }
 
 std::optional<Suspicion> RecordReconciler::DesiredRecord(const CrashTracker& aTracker,
-                                                         const RequestKey& aRequest) const
+                                                         const ContentKey& aContent) const
 {
-  std::optional<Suspicion> known = aTracker.Find(aRequest);
+  std::optional<Suspicion> known = aTracker.Find(aContent);
   return known && known->m_crashedEndpoints.size() >= m_options.m_minCrashesToRecord ? known
                                                                                      : std::nullopt;
 }
 
-std::optional<base::Duration> RecordReconciler::DelayOf(const Entry& aEntry, WriterRole aRole) const
+std::optional<base::Duration> RecordReconciler::DelayOf(const ContentKey& aContent,
+                                                        const Entry& aEntry,
+                                                        WriterRole aRole) const
 {
   if (aEntry.m_observedLocally) {
-    return base::Duration::zero();
+    return IsPart(aContent) ? m_options.m_partDelay : base::Duration::zero();
   }
   switch (aRole) {
     case WriterRole::Primary:
@@ -49,15 +51,15 @@
 
 std::vector<RecordWrite> RecordReconciler::DueWrites(
   const CrashTracker& aTracker,
-  const std::function<WriterRole(const RequestKey&)>& aRoleOf,
+  const std::function<WriterRole(const ContentKey&)>& aRoleOf,
   base::TimePoint aNow)
 {
-  for (const RequestKey& request : aTracker.RequestsWithCrashes(m_options.m_minCrashesToRecord)) {
-    m_entries.try_emplace(request);
+  for (const ContentKey& content : aTracker.ContentWithCrashes(m_options.m_minCrashesToRecord)) {
+    m_entries.try_emplace(content);
   }
   std::vector<RecordWrite> due;
-  for (auto& [request, entry] : m_entries) {
-    std::optional<Suspicion> wanted = DesiredRecord(aTracker, request);
+  for (auto& [content, entry] : m_entries) {
+    std::optional<Suspicion> wanted = DesiredRecord(aTracker, content);
     if (entry.m_writing) {
       continue;
     }
@@ -67,11 +69,11 @@
       continue;
     }
     entry.m_outOfDateSince = entry.m_outOfDateSince.value_or(aNow);
-    const std::optional<base::Duration> delay = DelayOf(entry, aRoleOf(request));
+    const std::optional<base::Duration> delay = DelayOf(content, entry, aRoleOf(content));
     const bool backingOff = entry.m_retryAt && aNow < *entry.m_retryAt;
     if (delay && !backingOff && aNow >= *entry.m_outOfDateSince + *delay) {
       entry.m_writing = true;
-      due.push_back({ request, std::move(wanted) });
+      due.push_back({ content, std::move(wanted) });
     }
   }
   std::erase_if(m_entries, [](const auto& aPair) {
@@ -81,15 +83,15 @@
   return due;
 }
 
-std::vector<RequestKey> RecordReconciler::RecordedRequests() const
+std::vector<ContentKey> RecordReconciler::RecordedContent() const
 {
-  std::vector<RequestKey> requests;
-  for (const auto& [request, entry] : m_entries) {
+  std::vector<ContentKey> contents;
+  for (const auto& [content, entry] : m_entries) {
     if (entry.m_recorded) {
-      requests.push_back(request);
+      contents.push_back(content);
     }
   }
-  return requests;
+  return contents;
 }
 
 } // namespace ferrytray::quarantine
--- a/src/ferrytray/quarantine/unconfirmed_answers.cpp
+++ b/src/ferrytray/quarantine/unconfirmed_answers.cpp
@@ -2,7 +2,7 @@
 
 namespace ferrytray::quarantine {
 
-void UnconfirmedAnswers::Add(const RequestKey& aRequest,
+void UnconfirmedAnswers::Add(const ContentKey& aRequest,
                              EndpointKey aEndpoint,
                              base::TimePoint aEndedAt)
 {
@@ -12,10 +12,10 @@
   m_answers.push_back({ aRequest, aEndpoint, aEndedAt });
 }
 
-std::vector<RequestKey> UnconfirmedAnswers::OnEndpointReply(EndpointKey aEndpoint,
+std::vector<ContentKey> UnconfirmedAnswers::OnEndpointReply(EndpointKey aEndpoint,
                                                             base::TimePoint aSentAt)
 {
-  std::vector<RequestKey> confirmed;
+  std::vector<ContentKey> confirmed;
   std::erase_if(m_answers, [&](const Answer& aAnswer) {
     const bool isConfirmed = aAnswer.m_endpoint == aEndpoint && aSentAt > aAnswer.m_endedAt;
     if (isConfirmed) {
--- a/src/ferrytray/relay/crash_reporter.cpp
+++ b/src/ferrytray/relay/crash_reporter.cpp
@@ -7,20 +7,22 @@
 
 namespace ferrytray::relay {
 
-void CrashReporter::OnConnectionBroken(const quarantine::RequestKey& aRequest,
+void CrashReporter::OnConnectionBroken(std::span<const quarantine::ContentKey> aContent,
                                        quarantine::EndpointKey aEndpoint,
                                        base::TimePoint aSentAt,
                                        base::TimePoint aNow)
 {
-  m_pending.push_back({ aRequest, aEndpoint, aSentAt, aNow });
+  m_pending.push_back({ { aContent.begin(), aContent.end() }, aEndpoint, aSentAt, aNow });
 }
 
 void CrashReporter::Report(const BrokenConnection& aBroken)
 {
-  m_core.m_crashes.OnConnectionBroken(
-    aBroken.m_request, aBroken.m_endpoint, aBroken.m_sentAt, aBroken.m_brokenAt);
+  for (const quarantine::ContentKey& content : aBroken.m_content) {
+    m_core.m_crashes.OnConnectionBroken(
+      content, aBroken.m_endpoint, aBroken.m_sentAt, aBroken.m_brokenAt);
+  }
   if (m_core.m_onCrashesChanged) {
-    m_core.m_onCrashesChanged(aBroken.m_request);
+    m_core.m_onCrashesChanged(aBroken.m_content);
   }
 }
 
--- a/src/ferrytray/relay/exchange.cpp
+++ b/src/ferrytray/relay/exchange.cpp
@@ -19,12 +19,7 @@
   : m_core(aCore)
   , m_request(std::move(aRequest))
   , m_routeMatch(std::move(aRouteMatch))
-  , m_requestKey(
-      quarantine::KeyOf({ m_routeMatch.m_account == nullptr ? "" : m_routeMatch.m_account->m_name,
-                          m_request.m_method,
-                          m_request.m_hostName,
-                          m_request.m_target,
-                          m_request.m_body }))
+  , m_content(m_request, m_routeMatch.m_account)
   , m_planner(m_core, m_request, m_routeMatch)
   , m_reply(std::move(aReply))
   , m_arrivedAt(base::MonotonicNow())
@@ -67,13 +62,10 @@
   });
   // The reply's callback keeps the exchange alive until the reply is complete.
   m_reply->OnClosed([self = shared_from_this()] { self->OnCallerDisconnected(); });
-  if (!IsBlockedByQuarantine()) {
-    Admit();
-  } else if (m_core.m_claimProbe && !IsForwarded() && !ShouldForward() &&
-             m_core.m_crashes.MayProbe(m_requestKey, m_arrivedAt) && PrepareProbe()) {
-    ClaimProbe();
+  if (IsBlockedByQuarantine()) {
+    ProbeOrRefuse();
   } else {
-    RefuseQuarantined(); // without using an admission slot
+    Admit();
   }
 }
 
@@ -164,6 +156,10 @@
 
 void Exchange::SendTo(const Target& aTarget)
 {
+  if (IsBlockedByQuarantine()) { // begun while the request waited for a permit or a slot
+    RefuseQuarantined();
+    return;
+  }
   if (!ReserveRetry()) {
     FailWithoutRetry();
     return;
--- a/src/ferrytray/relay/exchange_end.cpp
+++ b/src/ferrytray/relay/exchange_end.cpp
@@ -4,21 +4,12 @@
 
 #include <utility> // for move
 
-#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
-#include "ferrytray/relay/crash_reporter.hpp"    // for CrashReporter
-#include "ferrytray/relay/forwarder.hpp"         // for Forwarder
-#include "ferrytray/relay/slot_client.hpp"       // for SlotClient
-#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
+#include "ferrytray/relay/forwarder.hpp"    // for Forwarder
+#include "ferrytray/relay/slot_client.hpp"  // for SlotClient
+#include "ferrytray/telemetry/log_line.hpp" // for LogLine
 
 namespace ferrytray::relay {
 
-namespace {
-
-/// An endpoint that replied within this time is assumed to be up.
-constexpr base::Duration kRecentReplyWindow = std::chrono::seconds(1);
-
-} // namespace
-
 void Exchange::ReleaseAttempt(const Attempt& aAttempt, bool aRejected)
 {
   if (!aAttempt.m_host.empty()) {
@@ -41,84 +32,6 @@
   }
 }
 
-void Exchange::RecordCrash(const Attempt& aAttempt)
-{
-  const fleet::Endpoint* endpoint = m_core.m_directory.Find(aAttempt.m_incarnation);
-  if (endpoint != nullptr && endpoint->m_leaving) {
-    return; // closed by its shutdown, not by a crash
-  }
-  const base::TimePoint now = base::MonotonicNow();
-  const peers::IncarnationKey key = peers::KeyOf(aAttempt.m_incarnation);
-  if (m_core.m_crashReporter != nullptr) {
-    m_core.m_reachability.OnBroken(now);
-    m_core.m_crashReporter->OnConnectionBroken(m_requestKey, key, aAttempt.m_sentAt, now);
-    return;
-  }
-  m_core.m_crashes.OnConnectionBroken(m_requestKey, key, aAttempt.m_sentAt, now);
-  if (m_core.m_onCrashesChanged) {
-    m_core.m_onCrashesChanged(m_requestKey);
-  }
-}
-
-void Exchange::RecordSuccess(const Attempt& aAttempt, net::WireEnd aEnd)
-{
-  if (aEnd == net::WireEnd::Closed) {
-    m_core.m_crashes.OnClosedAnswer(
-      m_requestKey, peers::KeyOf(aAttempt.m_incarnation), base::MonotonicNow());
-    return;
-  }
-  const bool suspected = m_core.m_crashes.Find(m_requestKey).has_value();
-  m_core.m_crashes.OnCompleteAnswer(m_requestKey);
-  if (suspected && m_core.m_onCrashesChanged) {
-    m_core.m_onCrashesChanged(m_requestKey);
-  }
-}
-
-bool Exchange::PrepareProbe()
-{
-  const bool anywhere = m_core.m_crashes.MayProbeAnyEndpoint(m_requestKey, m_arrivedAt);
-  for (const fleet::Endpoint* endpoint : m_core.m_directory.Usable(m_service)) {
-    const std::string& incarnation = endpoint->m_incarnation;
-    const bool repliedRecently = anywhere || m_core.m_endpointTracker.AnsweredSince(
-                                               incarnation, m_arrivedAt - kRecentReplyWindow);
-    if (!repliedRecently || m_core.m_crashes.HasCrashed(peers::KeyOf(incarnation))) {
-      m_triedEndpoints.insert(incarnation);
-    }
-  }
-  return m_planner.PickTarget(m_service, m_triedEndpoints, m_assigned).m_endpoint != nullptr;
-}
-
-void Exchange::ClaimProbe()
-{
-  m_core.m_claimProbe(m_requestKey, [weak = weak_from_this()](bool aGranted) {
-    const auto self = weak.lock();
-    if (!self || self->m_done) {
-      return;
-    }
-    self->m_isProbe = aGranted;
-    if (aGranted) {
-      self->Admit();
-    } else {
-      self->RefuseQuarantined();
-    }
-  });
-}
-
-void Exchange::RefuseQuarantined()
-{
-  const char* why = "quarantined: identical requests crashed the endpoints that ran them";
-  if (m_replyStarted) {
-    AbortReply(why);
-  } else if (m_mayHaveRun) {
-    FailUnknown(base::ErrorCode::EndpointBroke, why);
-  } else {
-    SendFailure({ base::ErrorCode::RequestQuarantined,
-                  why,
-                  base::RunState::NotRun,
-                  m_core.m_options.m_quarantineRetryAfterDelay });
-  }
-}
-
 void Exchange::OnDeadline()
 {
   if (m_done) {
@@ -204,7 +117,7 @@
   const base::TimePoint lastContact = m_core.m_lastContact.value_or(m_arrivedAt);
   telemetry::LogLine line("request");
   line.Add("request", m_request.m_id)
-    .Add("request_key", base::ToHex(m_requestKey))
+    .Add("request_key", base::ToHex(m_content.Request()))
     .Add("route", m_routeMatch.m_route->m_name)
     .Add("configuration", m_routeMatch.m_configuration->Get().m_version)
     .Add("endpoint", m_lastEndpoint)
--- a/src/ferrytray/relay/exchange_retry.cpp
+++ b/src/ferrytray/relay/exchange_retry.cpp
@@ -62,7 +62,9 @@
   if (verdict != RetryVerdict::Allowed) {
     return verdict;
   }
-  if (m_core.m_crashes.IsQuarantined(m_requestKey)) {
+  // A probe that no endpoint received may be sent again; one that arrived may not.
+  const bool arrived = aContext.m_outcome != AttemptOutcome::NotSent;
+  if (IsBlockedByQuarantine() || (arrived && !m_probedContent.empty())) {
     return RetryVerdict::Quarantined;
   }
   return ReserveRetry() ? RetryVerdict::Allowed : RetryVerdict::BudgetExhausted;
@@ -79,7 +81,7 @@
                          std::string(ToString(aVerdict)) + "\"}");
   telemetry::LogLine("attempt_failed")
     .Add("request", m_request.m_id)
-    .Add("request_key", base::ToHex(m_requestKey))
+    .Add("request_key", base::ToHex(m_content.Request()))
     .Add("parts", PartIds(m_request))
     .Add("service", m_service)
     .Add("endpoint", aAttempt.m_incarnation)
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -1,9 +1,11 @@
 #include "ferrytray/relay/quarantine_feed.hpp"
 
-#include <utility> // for exchange, move
+#include <algorithm> // for binary_search, count_if
+#include <utility>   // for move
 
-#include "ferrytray/peers/messages.hpp"     // for DecodeSuspicion, Encode
-#include "ferrytray/telemetry/log_line.hpp" // for LogLine
+#include "ferrytray/peers/incarnation_table.hpp" // for KeyOf
+#include "ferrytray/peers/messages.hpp"          // for DecodeSuspicion, Encode
+#include "ferrytray/telemetry/log_line.hpp"      // for LogLine
 
 namespace ferrytray::relay {
 
@@ -12,11 +14,25 @@
 /// Interval of checks for changes to record. Changes made by this host are recorded at once.
 constexpr base::Duration kRecordInterval = std::chrono::milliseconds(500);
 
-void LogChange(const quarantine::RequestKey& aRequest, const char* aOutcome)
+void LogChange(const RelayCore& aCore, const quarantine::ContentKey& aContent, const char* aOutcome)
 {
+  const std::optional<quarantine::Suspicion> known = aCore.m_crashes.Find(aContent);
+  std::string endpoints;
+  for (const fleet::Endpoint* endpoint : aCore.m_directory.All()) {
+    const quarantine::EndpointKey key = peers::KeyOf(endpoint->m_incarnation);
+    if (known && std::binary_search(
+                   known->m_crashedEndpoints.begin(), known->m_crashedEndpoints.end(), key)) {
+      endpoints += (endpoints.empty() ? "" : ",") + endpoint->m_incarnation;
+    }
+  }
   telemetry::LogLine("quarantine")
-    .Add("request_key", base::ToHex(aRequest))
-    .Add("outcome", aOutcome);
+    .Add("content", quarantine::IsPart(aContent) ? "part" : "request")
+    .Add("key", base::ToHex(aContent))
+    .Add("outcome", aOutcome)
+    .Add("crashes", known ? known->m_crashedEndpoints.size() : 0)
+    .Add("listed_endpoints", endpoints)
+    .Add("answered_before", known && known->m_knownGood ? "yes" : "no")
+    .Add("probes", known ? known->m_probes : 0);
 }
 
 } // namespace
@@ -28,7 +44,7 @@
   : m_core(aCore)
   , m_log(aLog)
   , m_topicName(std::move(aTopic))
-  , m_roleOf([](const quarantine::RequestKey&) { return quarantine::WriterRole::NonWriter; })
+  , m_roleOf([](const quarantine::ContentKey&) { return quarantine::WriterRole::NonWriter; })
 {
   store::FollowOptions follow;
   follow.m_topic = m_topicName;
@@ -73,9 +89,11 @@
   m_topic->Stop();
 }
 
-void QuarantineFeed::OnLocalChange(const quarantine::RequestKey& aRequest)
+void QuarantineFeed::OnLocalChange(std::span<const quarantine::ContentKey> aContent)
 {
-  m_reconciler.OnLocalObservation(aRequest);
+  for (const quarantine::ContentKey& content : aContent) {
+    m_reconciler.OnLocalObservation(content);
+  }
   OnTrackerChanged();
 }
 
@@ -95,61 +113,85 @@
 {
   const std::string value = aWrite.m_suspicion ? peers::Encode(*aWrite.m_suspicion) : "";
   m_log.AppendKeyed(m_topicName,
-                    base::ToHex(aWrite.m_request),
+                    base::ToHex(aWrite.m_content),
                     value,
                     [this, aWrite](const base::Result<store::AppendResult>& aResult) {
                       m_reconciler.OnWriteFinished(
                         aWrite, aResult.has_value(), base::MonotonicNow());
                       if (!aResult) {
                         telemetry::LogLine("quarantine")
-                          .Add("request_key", base::ToHex(aWrite.m_request))
+                          .Add("key", base::ToHex(aWrite.m_content))
                           .Add("outcome", "not_recorded")
                           .Add("why", aResult.error().m_message);
                       }
                     });
 }
 
-void QuarantineFeed::ClaimProbe(const quarantine::RequestKey& aRequest,
+void QuarantineFeed::ClaimProbe(std::span<const quarantine::ContentKey> aContent,
                                 std::function<void(bool)> aDone)
 {
-  std::optional<quarantine::Suspicion> known = m_core.m_crashes.Find(aRequest);
-  if (m_stopped || !known || !m_pendingClaims.insert(aRequest).second) {
+  const store::TopicCursor cursor = m_topic->Cursor();
+  if (m_stopped || m_isClaiming || cursor.m_unread) {
     aDone(false);
     return;
   }
-  // Recorded before the send, so that no host probes again even if all hosts crash after it.
-  known->m_probed = true;
-  m_log.AppendKeyed(
+  m_isClaiming = true;
+  ContinueClaim({ aContent.begin(), aContent.end() }, 0, cursor.m_next, std::move(aDone));
+}
+
+void QuarantineFeed::ContinueClaim(std::vector<quarantine::ContentKey> aContent,
+                                   std::size_t aNext,
+                                   store::Offset aTopicEnd,
+                                   std::function<void(bool)> aDone)
+{
+  const bool isDone = aNext == aContent.size();
+  std::optional<quarantine::Suspicion> known =
+    isDone ? std::nullopt : m_core.m_crashes.Find(aContent[aNext]);
+  if (isDone || !known || m_stopped) {
+    m_isClaiming = false;
+    aDone(isDone && !m_stopped);
+    return;
+  }
+  // Recorded before the send, so that the number of probes holds even if all hosts crash after it.
+  ++known->m_probes;
+  const quarantine::ContentKey content = aContent[aNext];
+  const std::uint8_t probes = known->m_probes;
+  m_log.AppendKeyedAt(
     m_topicName,
-    base::ToHex(aRequest),
+    base::ToHex(content),
     peers::Encode(*known),
-    [this, aRequest, done = std::move(aDone)](const base::Result<store::AppendResult>& aResult) {
-      m_pendingClaims.erase(aRequest);
-      // The topic may return this record before the append is acknowledged, so a set
-      // m_probed flag does not mean that another host probed. Only the first host in the hash order
-      // claims, or two if hosts disagree on it.
-      const bool granted = aResult && m_core.m_crashes.IsQuarantined(aRequest) && !m_stopped;
-      if (granted) {
-        m_core.m_crashes.OnProbeStarted(aRequest, base::MonotonicNow());
-        LogChange(aRequest, "tried");
+    aTopicEnd,
+    [this, aContent = std::move(aContent), aNext, content, probes, done = std::move(aDone)](
+      const base::Result<store::AppendResult>& aResult) mutable {
+      const bool isClaimed = aResult && aResult->m_appended;
+      if (!isClaimed) {
+        m_isClaiming = false;
+        telemetry::LogLine("quarantine")
+          .Add("key", base::ToHex(content))
+          .Add("outcome", "not_claimed")
+          .Add("why", aResult ? "another record was appended" : aResult.error().m_message);
+        done(false);
+        return;
       }
-      done(granted);
+      m_core.m_crashes.OnProbeStarted(content, probes, base::MonotonicNow());
+      LogChange(m_core, content, "probed");
+      ContinueClaim(std::move(aContent), aNext + 1, aResult->m_offset + 1, std::move(done));
     });
 }
 
 void QuarantineFeed::OnRecord(const store::Record& aRecord)
 {
-  const std::optional<quarantine::RequestKey> request = base::DigestFromHex(aRecord.m_key);
-  if (!request) {
+  const std::optional<quarantine::ContentKey> content = base::DigestFromHex(aRecord.m_key);
+  if (!content) {
     m_core.m_unreadable.Note(
       aRecord,
-      base::Fail(base::ErrorCode::PlatformMalformed, "the record key is not a request key")
+      base::Fail(base::ErrorCode::PlatformMalformed, "the record key is not the key of content")
         .value());
     return;
   }
   if (aRecord.m_removed) {
-    m_core.m_crashes.OnRecordRemoved(*request);
-    m_reconciler.OnRecordRead(*request, std::nullopt);
+    m_core.m_crashes.OnRecordRemoved(*content);
+    m_reconciler.OnRecordRead(*content, std::nullopt);
     LogChanges();
     return;
   }
@@ -158,18 +200,18 @@
     m_core.m_unreadable.Note(aRecord, read.error());
     return;
   }
-  m_core.m_crashes.OnRecord(*request, *read, base::MonotonicNow());
-  m_reconciler.OnRecordRead(*request, std::move(*read));
+  m_core.m_crashes.OnRecord(*content, *read, base::MonotonicNow());
+  m_reconciler.OnRecordRead(*content, std::move(*read));
   LogChanges();
 }
 
 void QuarantineFeed::OnSnapshot(const std::set<std::string>& aKeys)
 {
   m_core.m_crashesLoaded = true;
-  for (const quarantine::RequestKey& request : m_reconciler.RecordedRequests()) {
-    if (!aKeys.contains(base::ToHex(request))) {
-      m_core.m_crashes.OnRecordRemoved(request);
-      m_reconciler.OnRecordRead(request, std::nullopt);
+  for (const quarantine::ContentKey& content : m_reconciler.RecordedContent()) {
+    if (!aKeys.contains(base::ToHex(content))) {
+      m_core.m_crashes.OnRecordRemoved(content);
+      m_reconciler.OnRecordRead(content, std::nullopt);
     }
   }
   LogChanges();
@@ -177,25 +219,25 @@
 
 void QuarantineFeed::LogChanges()
 {
-  std::set<quarantine::RequestKey> now;
-  for (const quarantine::RequestKey& request : m_core.m_crashes.QuarantinedRequests()) {
-    now.insert(request);
-  }
-  if (now == m_loggedRequests) {
+  const std::set<quarantine::ContentKey>& now = m_core.m_crashes.Quarantined();
+  if (now == m_loggedContent) {
     return;
   }
-  for (const quarantine::RequestKey& request : now) {
-    if (!m_loggedRequests.contains(request)) {
-      LogChange(request, "begun");
+  for (const quarantine::ContentKey& content : now) {
+    if (!m_loggedContent.contains(content)) {
+      LogChange(m_core, content, "begun");
     }
   }
-  for (const quarantine::RequestKey& request : m_loggedRequests) {
-    if (!now.contains(request)) {
-      LogChange(request, "ended");
+  for (const quarantine::ContentKey& content : m_loggedContent) {
+    if (!now.contains(content)) {
+      LogChange(m_core, content, "ended");
     }
   }
-  m_loggedRequests = std::move(now);
-  m_core.m_metrics.Set("quarantined_requests", static_cast<double>(m_loggedRequests.size()));
+  m_loggedContent = now;
+  const auto parts = std::count_if(now.begin(), now.end(), quarantine::IsPart);
+  m_core.m_metrics.Set("quarantined_parts", static_cast<double>(parts));
+  m_core.m_metrics.Set("quarantined_requests",
+                       static_cast<double>(now.size()) - static_cast<double>(parts));
 }
 
 } // namespace ferrytray::relay
--- a/src/ferrytray/relay/relay_host_quarantine.cpp
+++ b/src/ferrytray/relay/relay_host_quarantine.cpp
@@ -36,25 +36,21 @@
 
 void RelayHost::StartQuarantine()
 {
-  m_core.m_onCrashesChanged = [this](const quarantine::RequestKey& aRequest) {
-    OnCrashesChanged(aRequest);
+  m_core.m_onCrashesChanged = [this](std::span<const quarantine::ContentKey> aContent) {
+    OnCrashesChanged(aContent);
   };
   m_peerExchange.OnCrashes([this] { m_quarantine.OnTrackerChanged(); });
-  m_quarantine.SetRoleFunction([this](const quarantine::RequestKey& aRequest) {
+  m_quarantine.SetRoleFunction([this](const quarantine::ContentKey& aContent) {
     constexpr std::size_t kFirstWriters = 2;
-    if (m_peerExchange.IsAmongFirst(base::ToHex(aRequest), kFirstWriters)) {
+    if (m_peerExchange.IsAmongFirst(base::ToHex(aContent), kFirstWriters)) {
       return quarantine::WriterRole::Primary;
     }
     return m_peerExchange.IsReader() ? quarantine::WriterRole::LogReader
                                      : quarantine::WriterRole::NonWriter;
   });
-  m_core.m_claimProbe = [this](const quarantine::RequestKey& aRequest,
+  m_core.m_claimProbe = [this](std::span<const quarantine::ContentKey> aContent,
                                std::function<void(bool)> aDone) {
-    if (m_peerExchange.IsAmongFirst(base::ToHex(aRequest), 1)) {
-      m_quarantine.ClaimProbe(aRequest, std::move(aDone));
-    } else {
-      aDone(false);
-    }
+    m_quarantine.ClaimProbe(aContent, std::move(aDone));
   };
   m_quarantine.Start();
   const base::Duration interval = m_options.m_feeds.m_quarantineIsolatedInterval;
@@ -65,9 +61,9 @@
   });
 }
 
-void RelayHost::OnCrashesChanged(const quarantine::RequestKey& aRequest)
+void RelayHost::OnCrashesChanged(std::span<const quarantine::ContentKey> aContent)
 {
-  m_quarantine.OnLocalChange(aRequest);
+  m_quarantine.OnLocalChange(aContent);
   if (!m_crashNoticeTimer) {
     m_crashNoticeTimer = m_loop.After(kCrashNoticeDelay, [this] {
       m_crashNoticeTimer.reset();
--- a/src/ferrytray/store/metered_log.cpp
+++ b/src/ferrytray/store/metered_log.cpp
@@ -46,4 +46,14 @@
   m_log.AppendKeyed(aTopic, aKey, aValue, std::move(aDone));
 }
 
+void MeteredLog::AppendKeyedAt(const std::string& aTopic,
+                               std::string_view aKey,
+                               std::string_view aValue,
+                               Offset aExpectedEnd,
+                               Done<AppendResult> aDone)
+{
+  Count("append_keyed", aTopic);
+  m_log.AppendKeyedAt(aTopic, aKey, aValue, aExpectedEnd, std::move(aDone));
+}
+
 } // namespace ferrytray::store
--- a/tests/support/fake_record_log.hpp
+++ b/tests/support/fake_record_log.hpp
@@ -51,6 +51,13 @@
                    ferrytray::store::Done<ferrytray::store::AppendResult>) override
   {
   }
+  void AppendKeyedAt(const std::string&,
+                     std::string_view,
+                     std::string_view,
+                     ferrytray::store::Offset,
+                     ferrytray::store::Done<ferrytray::store::AppendResult>) override
+  {
+  }
 
   std::deque<ferrytray::base::Result<ferrytray::store::Snapshot>> m_snapshots;
   std::deque<ferrytray::base::Result<ferrytray::store::Batch>> m_batches;
--- a/tests/support/memory_record_log.hpp
+++ b/tests/support/memory_record_log.hpp
@@ -82,6 +82,19 @@
     aDone(ferrytray::store::AppendResult{ true, topic.size() - 1, topic.size() });
   }
 
+  void AppendKeyedAt(const std::string& aTopic,
+                     std::string_view aKey,
+                     std::string_view aValue,
+                     ferrytray::store::Offset aExpectedEnd,
+                     ferrytray::store::Done<ferrytray::store::AppendResult> aDone) override
+  {
+    if (!m_down && m_topics[aTopic].size() != aExpectedEnd) {
+      aDone(ferrytray::store::AppendResult{ false, 0, m_topics[aTopic].size() });
+      return;
+    }
+    AppendKeyed(aTopic, aKey, aValue, std::move(aDone));
+  }
+
   bool m_down = false;
   std::string
     m_unansweredTopic; ///< reads of this topic, except of its snapshot, are never answered
--- a/tests/support/rollout_fixture.hpp
+++ b/tests/support/rollout_fixture.hpp
@@ -54,6 +54,13 @@
                    store::Done<store::AppendResult>) override
   {
   }
+  void AppendKeyedAt(const std::string&,
+                     std::string_view,
+                     std::string_view,
+                     store::Offset,
+                     store::Done<store::AppendResult>) override
+  {
+  }
 
   std::size_t m_reads = 0;
   std::vector<std::string> m_records;
