Relay: a crash is revoked only by a reply of the incarnation that is listed

A reply to a request that was sent after the break revoked the crash, although the next incarnation may have sent it: neither the request nor the reply names the incarnation, only its id. A third path is new with this: a stream without a length whose endpoint crashed after an event looked complete and was no evidence at all.

Change: CrashReporter waits until it is certain. A reply proves that the listed incarnation is alive once a read of the directory that began 500 ms later still lists it, or if the request was in progress at the break. Reports that a partition may explain are decided by the directory: an endpoint that crashed leaves it, or returns with a later start time. Answers that ended with their connection are decided the same way. No message is added. Routing uses an endpoint again with its first reply, as before.

--- a/include/ferrytray/quarantine/crash_tracker.hpp
+++ b/include/ferrytray/quarantine/crash_tracker.hpp
@@ -81,6 +81,9 @@
   /// @brief The incarnation answered a request that this host sent at aSentAt: crashes before that
   /// are revoked, closed answers before that are confirmed.
   void OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt);
+  /// @brief An endpoint, perhaps its next incarnation, answered a request that this host sent at
+  /// aSentAt: it is no longer down.
+  void OnEndpointUp(EndpointKey aEndpoint, base::TimePoint aSentAt);
   /// @brief Merges another host's observation. @return whether it was new
   bool OnNotice(const CrashNotice& aNotice, base::TimePoint aNow);
   /// @brief Merges a suspicion read from the record log.
@@ -104,7 +107,10 @@
   {
     return m_crashes.contains(aEndpoint);
   }
-  /// @brief Whether HasCrashed() holds and the latest crash is within the assumed downtime.
+  /// @brief Returns when this host first learned of the endpoint's crash, if HasCrashed() holds.
+  [[nodiscard]] std::optional<base::TimePoint> CrashedAt(EndpointKey aEndpoint) const;
+  /// @brief Whether HasCrashed() holds, the latest crash is within the assumed downtime, and the
+  /// endpoint has not answered since.
   [[nodiscard]] bool IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const;
   /// @brief Whether HasCrashed() holds for any endpoint.
   [[nodiscard]] bool AnyCrashed() const { return !m_crashes.empty(); }
@@ -133,6 +139,7 @@
     std::vector<ContentKey> m_content; ///< of the requests whose connections it closed early
     base::TimePoint m_firstSeenAt{};   ///< when this host learned of the first of them
     base::TimePoint m_lastSeenAt{};    ///< when this host learned of the latest of them
+    bool m_answeredSince = false;      ///< the endpoint or its next incarnation
   };
 
   void AddCrash(const ContentKey& aContent, EndpointKey aEndpoint, base::TimePoint aNow);
--- a/include/ferrytray/relay/relay_core.hpp
+++ b/include/ferrytray/relay/relay_core.hpp
@@ -182,6 +182,8 @@
   std::map<std::string, fleet::WeightVersion> m_desiredWeights; ///< newest named version, by model
   fleet::NamedWeightsHistory m_namedWeights;                    ///< when versions were named
   std::optional<base::TimePoint> m_lastContact;                 ///< with the record log
+  /// All entries of the directory that were written before this time are known.
+  std::optional<base::TimePoint> m_directoryReadAt;
   /// All operator records written before this time are known: the last completed read of the topic
   /// began then, at this host or at the host that forwards the records.
   std::optional<base::TimePoint> m_operatorsReadAt;
--- a/src/ferrytray/quarantine/crash_tracker.cpp
+++ b/src/ferrytray/quarantine/crash_tracker.cpp
@@ -68,6 +68,14 @@
   }
 }
 
+void CrashTracker::OnEndpointUp(EndpointKey aEndpoint, base::TimePoint aSentAt)
+{
+  const auto found = m_crashes.find(aEndpoint);
+  if (found != m_crashes.end() && aSentAt > found->second.m_lastSeenAt) {
+    found->second.m_answeredSince = true;
+  }
+}
+
 bool CrashTracker::OnNotice(const CrashNotice& aNotice, base::TimePoint aNow)
 {
   const ContentKey& content = aNotice.m_content;
@@ -172,10 +180,16 @@
   return *m_quarantined;
 }
 
+std::optional<base::TimePoint> CrashTracker::CrashedAt(EndpointKey aEndpoint) const
+{
+  const auto found = m_crashes.find(aEndpoint);
+  return found == m_crashes.end() ? std::nullopt : std::optional(found->second.m_firstSeenAt);
+}
+
 bool CrashTracker::IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const
 {
   const auto found = m_crashes.find(aEndpoint);
-  return found != m_crashes.end() &&
+  return found != m_crashes.end() && !found->second.m_answeredSince &&
          aNow < found->second.m_lastSeenAt + m_options.m_assumedDowntime;
 }
 
@@ -216,9 +230,10 @@
     m_notices.Add({ NoticeKind::KnownGood, aContent, 0, 0 });
   }
   EndpointCrash& crash =
-    m_crashes.try_emplace(aEndpoint, EndpointCrash{ {}, aNow, aNow }).first->second;
+    m_crashes.try_emplace(aEndpoint, EndpointCrash{ {}, aNow, aNow, false }).first->second;
   crash.m_content.push_back(aContent);
   crash.m_lastSeenAt = aNow;
+  crash.m_answeredSince = false;
 }
 
 void CrashTracker::MarkKnownGood(const ContentKey& aContent)
--- a/src/ferrytray/quarantine/crash_tracker_test.cpp
+++ b/src/ferrytray/quarantine/crash_tracker_test.cpp
@@ -248,6 +248,18 @@
   CHECK_FALSE(other.IsQuarantined(m_sharedPart));
 }
 
+TEST(CrashTracker, EndpointThatAnswersIsNotDownWhileItsCrashStands)
+{
+  BreakConnection(m_crashing, 1);
+  CHECK(m_tracker.IsDown(1, kStart + 1s));
+  m_tracker.OnEndpointUp(1, kStart - 1ms); // sent before the crash
+  CHECK(m_tracker.IsDown(1, kStart + 1s));
+  m_tracker.OnEndpointUp(1, kStart + 1ms);
+  CHECK_FALSE(m_tracker.IsDown(1, kStart + 1s));
+  CHECK(m_tracker.HasCrashed(1));
+  LONGS_EQUAL(1, m_tracker.Find(m_crashing)->m_crashedEndpoints.size());
+}
+
 // All hosts answer prompts with a popular part before they hear that another one has.
 TEST(CrashTracker, NoticesOfAClearedPartDoNotGrowWithHosts)
 {
--- a/src/ferrytray/relay/exchange_quarantine.cpp
+++ b/src/ferrytray/relay/exchange_quarantine.cpp
@@ -26,7 +26,7 @@
   if (m_core.m_crashReporter != nullptr) {
     m_core.m_reachability.OnBroken(now);
     m_core.m_crashReporter->OnConnectionBroken(
-      content, peers::KeyOf(aAttempt.m_incarnation), aAttempt.m_sentAt, now);
+      { aAttempt.m_incarnation, { content.begin(), content.end() }, aAttempt.m_sentAt, now });
     return;
   }
   for (const quarantine::ContentKey& key : content) {
@@ -42,6 +42,11 @@
 {
   const base::TimePoint now = base::MonotonicNow();
   const std::span<const quarantine::ContentKey> content = m_content.Keys();
+  if (aEnd == net::WireEnd::Closed && m_core.m_crashReporter != nullptr) {
+    m_core.m_crashReporter->OnClosedAnswer(
+      { aAttempt.m_incarnation, { content.begin(), content.end() }, aAttempt.m_sentAt, now });
+    return;
+  }
   std::vector<quarantine::ContentKey> cleared;
   for (const quarantine::ContentKey& key : content) {
     if (aEnd == net::WireEnd::Closed) {
--- a/src/ferrytray/relay/exchange_reply.cpp
+++ b/src/ferrytray/relay/exchange_reply.cpp
@@ -77,8 +77,12 @@
   const bool replaced = aHead.m_misdirected && !aHead.m_endpointId.empty() &&
                         aHead.m_endpointId != m_attempt->m_endpointId;
   if (!replaced) {
-    m_core.m_crashes.OnEndpointReply(peers::KeyOf(m_attempt->m_incarnation), m_attempt->m_sentAt);
     const base::TimePoint now = base::MonotonicNow();
+    if (m_core.m_crashReporter != nullptr) {
+      m_core.m_crashReporter->OnReply(m_attempt->m_incarnation, m_attempt->m_sentAt, now);
+    } else {
+      m_core.m_crashes.OnEndpointReply(peers::KeyOf(m_attempt->m_incarnation), m_attempt->m_sentAt);
+    }
     if (const fleet::Endpoint* endpoint = m_core.m_directory.Find(m_attempt->m_incarnation)) {
       RecordBrittleness(m_core, *endpoint, aHead, m_attempt->m_sentAt, now);
     }
--- a/src/ferrytray/relay/state_feeds.cpp
+++ b/src/ferrytray/relay/state_feeds.cpp
@@ -77,9 +77,7 @@
   const bool isDirectory = aTopic == m_format.EndpointTopic();
   events.m_onContact = [this, aTopic, isDirectory](bool aRecovered, base::TimePoint aAt) {
     m_core.m_lastContact = std::max(m_core.m_lastContact.value_or(aAt), aAt);
-    if (!isDirectory) {
-      m_core.m_operatorsReadAt = aAt;
-    }
+    (isDirectory ? m_core.m_directoryReadAt : m_core.m_operatorsReadAt) = aAt;
     if (!aRecovered) {
       return;
     }
