Quarantine: crashes are explained with little content; claims of probes back off

Content with equally many crashes was quarantined together.

Change: the selection proceeds from most crashes to fewest and takes of equals one. If that is the wrong one, the next crash gives the true cause more crashes than it, and sound content is released.

Each refused request tried to claim a probe, and all such appends failed while this host lacked a record. A failed claim now reads the topic at once and is tried again after 300 ms.

--- a/include/ferrytray/relay/quarantine_feed.hpp
+++ b/include/ferrytray/relay/quarantine_feed.hpp
@@ -67,6 +67,7 @@
   std::shared_ptr<store::TopicFollower> m_topic;
   std::set<quarantine::ContentKey> m_loggedContent; ///< quarantined content as last logged
   bool m_isClaiming = false;
+  base::TimePoint m_nextClaimAt{}; ///< after a claim that was not granted
   bool m_stopped = false;
   net::TimerHandle m_recordTimer;
 };
--- a/src/ferrytray/quarantine/quarantine_rule.cpp
+++ b/src/ferrytray/quarantine/quarantine_rule.cpp
@@ -13,15 +13,27 @@
   return aSuspect.m_suspicion->m_crashedEndpoints.size();
 }
 
-/// Orders content that was never answered first, then by descending number of crashes.
+/// Orders content that was never answered first, then by descending number of crashes. Of equals, a
+/// whole request comes before the parts that only it has.
 bool IsJudgedEarlier(const Suspect& aLeft, const Suspect& aRight)
 {
   const auto rank = [](const Suspect& aSuspect) {
-    return std::tuple(!aSuspect.m_suspicion->m_knownGood, CrashCount(aSuspect));
+    return std::tuple(!aSuspect.m_suspicion->m_knownGood,
+                      CrashCount(aSuspect),
+                      !IsPart(aSuspect.m_content),
+                      aSuspect.m_content);
   };
   return rank(aLeft) > rank(aRight);
 }
 
+bool IsCertain(const Suspect& aSuspect, const QuarantineThresholds& aThresholds)
+{
+  return !aSuspect.m_suspicion->m_knownGood &&
+         CrashCount(aSuspect) >= (IsPart(aSuspect.m_content)
+                                    ? aThresholds.m_explainedPartCrashes
+                                    : aThresholds.m_explainedRequestCrashes);
+}
+
 } // namespace
 
 std::set<ContentKey> SelectQuarantined(std::span<const Suspect> aSuspects,
@@ -36,26 +48,20 @@
   std::sort(candidates.begin(), candidates.end(), IsJudgedEarlier);
   std::set<ContentKey> quarantined;
   std::set<EndpointKey> explained;
-  for (auto first = candidates.begin(); first != candidates.end();) {
-    const auto last = std::find_if(first, candidates.end(), [first](const Suspect& aSuspect) {
-      return IsJudgedEarlier(*first, aSuspect);
-    });
-    std::set<EndpointKey> explainedByGroup;
-    for (; first != last; ++first) {
-      const std::vector<EndpointKey>& crashes = first->m_suspicion->m_crashedEndpoints;
-      const auto unexplained =
-        std::count_if(crashes.begin(), crashes.end(), [&](EndpointKey aEndpoint) {
-          return !explained.contains(aEndpoint);
-        });
-      if (static_cast<std::size_t>(unexplained) < aThresholds.Of(*first->m_suspicion)) {
-        continue;
-      }
-      quarantined.insert(first->m_content);
-      if (!first->m_suspicion->m_knownGood) {
-        explainedByGroup.insert(crashes.begin(), crashes.end());
-      }
+  for (const Suspect& candidate : candidates) {
+    const std::vector<EndpointKey>& crashes = candidate.m_suspicion->m_crashedEndpoints;
+    const auto unexplained =
+      std::count_if(crashes.begin(), crashes.end(), [&](EndpointKey aEndpoint) {
+        return !explained.contains(aEndpoint);
+      });
+    if (static_cast<std::size_t>(unexplained) < aThresholds.Of(*candidate.m_suspicion) &&
+        !IsCertain(candidate, aThresholds)) {
+      continue;
+    }
+    quarantined.insert(candidate.m_content);
+    if (!candidate.m_suspicion->m_knownGood) {
+      explained.insert(crashes.begin(), crashes.end());
     }
-    explained.merge(explainedByGroup);
   }
   return quarantined;
 }
--- a/src/ferrytray/relay/quarantine_feed.cpp
+++ b/src/ferrytray/relay/quarantine_feed.cpp
@@ -14,6 +14,9 @@
 /// Interval of checks for changes to record. Changes made by this host are recorded at once.
 constexpr base::Duration kRecordInterval = std::chrono::milliseconds(500);
 
+/// After a claim that was not granted; every append is charged.
+constexpr base::Duration kClaimBackoff = std::chrono::milliseconds(300);
+
 void LogChange(const RelayCore& aCore, const quarantine::ContentKey& aContent, const char* aOutcome)
 {
   const std::optional<quarantine::Suspicion> known = aCore.m_crashes.Find(aContent);
@@ -131,7 +134,7 @@
                                 std::function<void(bool)> aDone)
 {
   const store::TopicCursor cursor = m_topic->Cursor();
-  if (m_stopped || m_isClaiming || cursor.m_unread) {
+  if (m_stopped || m_isClaiming || cursor.m_unread || base::MonotonicNow() < m_nextClaimAt) {
     aDone(false);
     return;
   }
@@ -166,6 +169,8 @@
       const bool isClaimed = aResult && aResult->m_appended;
       if (!isClaimed) {
         m_isClaiming = false;
+        m_nextClaimAt = base::MonotonicNow() + kClaimBackoff;
+        m_topic->RestartRead(); // this host lacks a record of the topic
         telemetry::LogLine("quarantine")
           .Add("key", base::ToHex(content))
           .Add("outcome", "not_claimed")
--- a/src/ferrytray/relay/quarantine_feed_test.cpp
+++ b/src/ferrytray/relay/quarantine_feed_test.cpp
@@ -119,6 +119,9 @@
   CHECK(m_core.m_crashes.MayProbe(m_request, later));
   m_log.m_down = false;
   m_feed->ClaimProbe(Content(), [&](bool aGranted) { granted = aGranted; });
+  CHECK(granted == false); // backs off
+  m_loop.RunFor(400ms);
+  m_feed->ClaimProbe(Content(), [&](bool aGranted) { granted = aGranted; });
   CHECK(granted == true);
   LONGS_EQUAL(1, m_core.m_crashes.Find(m_request)->m_probes);
   StartFeed();
