Quarantine: endpoints that break off streams and go on hide no crash and do not stop probes

A break is not counted if the request was sent while its endpoint was down; the check took the first break ever seen as the beginning of the downtime and the latest one as its end, so at endpoints that break off streams now and then requests sent in between were ignored. A downtime now begins anew once the endpoint has answered or the assumed time has passed.

--- a/include/ferrytray/quarantine/crash_tracker.hpp
+++ b/include/ferrytray/quarantine/crash_tracker.hpp
@@ -33,9 +33,9 @@
   /// Probe delay when no endpoint is known to be answering.
   base::Duration m_probeAnyEndpointDelay = std::chrono::seconds(15);
   std::uint8_t m_maxProbes = 2;
-  /// The same for a whole request that was answered before. It is quarantined two crashes later
-  /// than others, and each probe may be a crash.
-  std::uint8_t m_maxKnownGoodRequestProbes = 1;
+  /// A whole request with more crashes is not probed: each probe may be a crash, and a request that
+  /// was quarantined late has had some more.
+  std::size_t m_maxProbedRequestCrashes = 5;
   /// How long an endpoint that closed connections and has not answered since is considered down.
   /// By then most crashed endpoints are no longer listed, and the others may have restarted.
   base::Duration m_assumedDowntime = std::chrono::seconds(2);
@@ -107,10 +107,12 @@
   {
     return m_crashes.contains(aEndpoint);
   }
-  /// @brief Returns when this host first learned of the endpoint's crash, if HasCrashed() holds.
+  /// @brief Whether HasCrashed() holds and neither the endpoint nor its next incarnation has
+  /// answered this host since.
+  [[nodiscard]] bool IsSilentSinceCrash(EndpointKey aEndpoint) const;
+  /// @brief Returns when this host learned of the endpoint's latest crash, if HasCrashed() holds.
   [[nodiscard]] std::optional<base::TimePoint> CrashedAt(EndpointKey aEndpoint) const;
-  /// @brief Whether HasCrashed() holds, the latest crash is within the assumed downtime, and the
-  /// endpoint has not answered since.
+  /// @brief Whether IsSilentSinceCrash() holds and the crash is within the assumed downtime.
   [[nodiscard]] bool IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const;
   /// @brief Whether HasCrashed() holds for any endpoint.
   [[nodiscard]] bool AnyCrashed() const { return !m_crashes.empty(); }
@@ -137,9 +139,9 @@
   struct EndpointCrash
   {
     std::vector<ContentKey> m_content; ///< of the requests whose connections it closed early
-    base::TimePoint m_firstSeenAt{};   ///< when this host learned of the first of them
-    base::TimePoint m_lastSeenAt{};    ///< when this host learned of the latest of them
-    bool m_answeredSince = false;      ///< the endpoint or its next incarnation
+    base::TimePoint m_downSince{};  ///< when this host learned of the first one of the latest crash
+    base::TimePoint m_lastSeenAt{}; ///< when this host learned of the latest of them
+    bool m_answeredSince = false;   ///< the endpoint or its next incarnation
   };
 
   void AddCrash(const ContentKey& aContent, EndpointKey aEndpoint, base::TimePoint aNow);
--- a/include/ferrytray/quarantine/quarantine_rule.hpp
+++ b/include/ferrytray/quarantine/quarantine_rule.hpp
@@ -19,8 +19,7 @@
   std::size_t m_knownGoodCrashes = 5;
   /// Crashes after which content that was never answered is quarantined even if other content
   /// explains them. Two kinds of content may crash the same endpoints by chance, but not for long.
-  std::size_t m_explainedRequestCrashes = 4;
-  std::size_t m_explainedPartCrashes = 5;
+  std::size_t m_explainedCrashes = 5;
   [[nodiscard]] std::size_t Of(const Suspicion& aSuspicion) const
   {
     return aSuspicion.m_knownGood ? m_knownGoodCrashes : m_crashes;
--- a/src/ferrytray/quarantine/crash_tracker.cpp
+++ b/src/ferrytray/quarantine/crash_tracker.cpp
@@ -34,7 +34,7 @@
                                       base::TimePoint aNow)
 {
   const auto crash = m_crashes.find(aEndpoint);
-  if (crash != m_crashes.end() && aSentAt > crash->second.m_firstSeenAt &&
+  if (crash != m_crashes.end() && aSentAt > crash->second.m_downSince &&
       IsDown(aEndpoint, aSentAt)) {
     return; // the endpoint was down before the request reached it
   }
@@ -130,10 +130,9 @@
     return std::nullopt;
   }
   const auto& [suspicion, lastCrashAt, lastProbeAt] = found->second;
-  const std::uint8_t maxProbes = suspicion.m_knownGood && !IsPart(aContent)
-                                   ? m_options.m_maxKnownGoodRequestProbes
-                                   : m_options.m_maxProbes;
-  if (suspicion.m_probes >= maxProbes) {
+  const bool hasTooManyCrashes =
+    !IsPart(aContent) && suspicion.m_crashedEndpoints.size() > m_options.m_maxProbedRequestCrashes;
+  if (suspicion.m_probes >= m_options.m_maxProbes || hasTooManyCrashes) {
     return std::nullopt;
   }
   const base::Duration delay =
@@ -183,14 +182,19 @@
 std::optional<base::TimePoint> CrashTracker::CrashedAt(EndpointKey aEndpoint) const
 {
   const auto found = m_crashes.find(aEndpoint);
-  return found == m_crashes.end() ? std::nullopt : std::optional(found->second.m_firstSeenAt);
+  return found == m_crashes.end() ? std::nullopt : std::optional(found->second.m_downSince);
 }
 
-bool CrashTracker::IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const
+bool CrashTracker::IsSilentSinceCrash(EndpointKey aEndpoint) const
 {
   const auto found = m_crashes.find(aEndpoint);
-  return found != m_crashes.end() && !found->second.m_answeredSince &&
-         aNow < found->second.m_lastSeenAt + m_options.m_assumedDowntime;
+  return found != m_crashes.end() && !found->second.m_answeredSince;
+}
+
+bool CrashTracker::IsDown(EndpointKey aEndpoint, base::TimePoint aNow) const
+{
+  return IsSilentSinceCrash(aEndpoint) &&
+         aNow < m_crashes.at(aEndpoint).m_lastSeenAt + m_options.m_assumedDowntime;
 }
 
 std::optional<Suspicion> CrashTracker::Find(const ContentKey& aContent) const
@@ -231,6 +235,9 @@
   }
   EndpointCrash& crash =
     m_crashes.try_emplace(aEndpoint, EndpointCrash{ {}, aNow, aNow, false }).first->second;
+  const bool wasUp =
+    crash.m_answeredSince || aNow >= crash.m_lastSeenAt + m_options.m_assumedDowntime;
+  crash.m_downSince = wasUp ? aNow : crash.m_downSince;
   crash.m_content.push_back(aContent);
   crash.m_lastSeenAt = aNow;
   crash.m_answeredSince = false;
--- a/src/ferrytray/quarantine/quarantine_rule.cpp
+++ b/src/ferrytray/quarantine/quarantine_rule.cpp
@@ -29,9 +29,7 @@
 bool IsCertain(const Suspect& aSuspect, const QuarantineThresholds& aThresholds)
 {
   return !aSuspect.m_suspicion->m_knownGood &&
-         CrashCount(aSuspect) >= (IsPart(aSuspect.m_content)
-                                    ? aThresholds.m_explainedPartCrashes
-                                    : aThresholds.m_explainedRequestCrashes);
+         CrashCount(aSuspect) >= aThresholds.m_explainedCrashes;
 }
 
 } // namespace
--- a/src/ferrytray/relay/crash_reporter.cpp
+++ b/src/ferrytray/relay/crash_reporter.cpp
@@ -79,26 +79,27 @@
 {
   const quarantine::EndpointKey endpoint = peers::KeyOf(aIncarnation);
   m_core.m_crashes.OnEndpointUp(endpoint, aSentAt);
-  const auto survives = [&](const EndedConnection& aEnded) {
-    return aEnded.m_incarnation == aIncarnation && aSentAt < aEnded.m_endedAt &&
-           aNow >= aEnded.m_endedAt + m_options.m_minDelay;
-  };
-  Extract(m_pending, [&](const Pending& aPending) { return survives(aPending.m_broken); });
-  for (const EndedConnection& closed : Extract(m_closedAnswers, survives)) {
-    ReportComplete(closed);
+  const bool hasEnded = std::any_of(m_pending.begin(),
+                                    m_pending.end(),
+                                    [&](const Pending& aPending) {
+                                      return aPending.m_broken.m_incarnation == aIncarnation;
+                                    }) ||
+                        std::any_of(m_closedAnswers.begin(),
+                                    m_closedAnswers.end(),
+                                    [&](const EndedConnection& aClosed) {
+                                      return aClosed.m_incarnation == aIncarnation;
+                                    });
+  if (hasEnded) {
+    const auto survives = [&](const EndedConnection& aEnded) {
+      return aEnded.m_incarnation == aIncarnation && aSentAt < aEnded.m_endedAt &&
+             aNow >= aEnded.m_endedAt + m_options.m_minDelay;
+    };
+    Extract(m_pending, [&](const Pending& aPending) { return survives(aPending.m_broken); });
+    for (const EndedConnection& closed : Extract(m_closedAnswers, survives)) {
+      ReportComplete(closed);
+    }
   }
-  const bool isOfInterest = m_core.m_crashes.HasCrashed(endpoint) ||
-                            std::any_of(m_pending.begin(),
-                                        m_pending.end(),
-                                        [&](const Pending& aPending) {
-                                          return aPending.m_broken.m_incarnation == aIncarnation;
-                                        }) ||
-                            std::any_of(m_closedAnswers.begin(),
-                                        m_closedAnswers.end(),
-                                        [&](const EndedConnection& aClosed) {
-                                          return aClosed.m_incarnation == aIncarnation;
-                                        });
-  if (isOfInterest) {
+  if (hasEnded || m_core.m_crashes.HasCrashed(endpoint)) {
     m_unverified.try_emplace(aIncarnation, UnverifiedReply{ aSentAt, aNow });
   }
 }
--- a/src/ferrytray/relay/exchange_quarantine.cpp
+++ b/src/ferrytray/relay/exchange_quarantine.cpp
@@ -89,7 +89,7 @@
     const std::string& incarnation = endpoint->m_incarnation;
     const bool repliedRecently = anywhere || m_core.m_endpointTracker.AnsweredSince(
                                                incarnation, m_arrivedAt - kRecentReplyWindow);
-    if (!repliedRecently || m_core.m_crashes.HasCrashed(peers::KeyOf(incarnation))) {
+    if (!repliedRecently || m_core.m_crashes.IsSilentSinceCrash(peers::KeyOf(incarnation))) {
       m_triedEndpoints.insert(incarnation);
     }
   }
