--- a/include/ferrytray/quarantine/crash_tracker.hpp
+++ b/include/ferrytray/quarantine/crash_tracker.hpp
@@ -32,9 +32,9 @@
   base::Duration m_secondProbeDelay = std::chrono::seconds(30);
   /// Probe delay when no endpoint is known to be answering.
   base::Duration m_probeAnyEndpointDelay = std::chrono::seconds(15);
+  /// Of all hosts together. A second one, since the first may fail for other reasons.
   std::uint8_t m_maxProbes = 2;
-  /// A whole request with more crashes is not probed: each probe may be a crash, and a request that
-  /// was quarantined late has had some more.
+  /// A whole request with more crashes is not probed, since each probe may be another crash.
   std::size_t m_maxProbedRequestCrashes = 5;
   /// How long an endpoint that closed connections and has not answered since is considered down.
   /// By then most crashed endpoints are no longer listed, and the others may have restarted.
@@ -139,9 +139,9 @@
   struct EndpointCrash
   {
     std::vector<ContentKey> m_content; ///< of the requests whose connections it closed early
-    base::TimePoint m_downSince{};  ///< when this host learned of the first one of the latest crash
-    base::TimePoint m_lastSeenAt{}; ///< when this host learned of the latest of them
-    bool m_answeredSince = false;   ///< the endpoint or its next incarnation
+    base::TimePoint m_downSince{};     ///< when this host first learned of the latest crash
+    base::TimePoint m_lastSeenAt{};    ///< when this host last learned of a broken connection
+    bool m_answeredSince = false;      ///< the endpoint or its next incarnation
   };
 
   void AddCrash(const ContentKey& aContent, EndpointKey aEndpoint, base::TimePoint aNow);
--- a/include/ferrytray/quarantine/record_keeper.hpp
+++ b/include/ferrytray/quarantine/record_keeper.hpp
@@ -26,10 +26,10 @@
   /// A single crash is not recorded: every broken connection has one, and hosts exchange them
   /// directly.
   std::size_t m_minCrashesToRecord = 2;
-  /// A host that observed a crash itself records it without delay, unless it is of a part.
-  base::Duration m_primaryDelay = std::chrono::milliseconds(700);
-  /// For a host that observed a crash with a part itself. Popular parts are cleared before that.
+  /// For parts at a host that observed the crash itself, which records whole requests without
+  /// delay. Popular parts are cleared before that.
   base::Duration m_partDelay = std::chrono::milliseconds(250);
+  base::Duration m_primaryDelay = std::chrono::milliseconds(700);
   base::Duration m_readerDelay = std::chrono::milliseconds(2500);
   base::Duration m_retryDelay = std::chrono::milliseconds(500);
 };
--- a/include/ferrytray/quarantine/served_table.hpp
+++ b/include/ferrytray/quarantine/served_table.hpp
@@ -8,10 +8,10 @@
 
 namespace ferrytray::quarantine {
 
-/// @brief Fixed-size hash table of recently completed requests. Performs no I/O.
+/// @brief Fixed-size hash table of content that was answered completely. Performs no I/O.
 ///
-/// A newer request overwrites the one in its slot, so a lookup may miss a completed request but
-/// does not report one that never completed.
+/// Newer content overwrites the one in its slot, so a lookup may miss content that was answered but
+/// does not report any that never was.
 class ServedTable
 {
 public:
@@ -20,16 +20,16 @@
   {
   }
 
-  void Add(const ContentKey& aRequest) { m_slots[SlotOf(aRequest)] = aRequest.m_high; }
-  [[nodiscard]] bool Contains(const ContentKey& aRequest) const
+  void Add(const ContentKey& aContent) { m_slots[SlotOf(aContent)] = aContent.m_high; }
+  [[nodiscard]] bool Contains(const ContentKey& aContent) const
   {
-    return m_slots[SlotOf(aRequest)] == aRequest.m_high;
+    return m_slots[SlotOf(aContent)] == aContent.m_high;
   }
 
 private:
-  [[nodiscard]] std::size_t SlotOf(const ContentKey& aRequest) const
+  [[nodiscard]] std::size_t SlotOf(const ContentKey& aContent) const
   {
-    return aRequest.m_low % m_slots.size();
+    return aContent.m_low % m_slots.size();
   }
 
   std::vector<std::uint64_t> m_slots;
--- a/include/ferrytray/quarantine/unconfirmed_answers.hpp
+++ b/include/ferrytray/quarantine/unconfirmed_answers.hpp
@@ -20,15 +20,15 @@
   {
   }
 
-  void Add(const ContentKey& aRequest, EndpointKey aEndpoint, base::TimePoint aEndedAt);
+  void Add(const ContentKey& aContent, EndpointKey aEndpoint, base::TimePoint aEndedAt);
   /// @brief An endpoint replied to a request that was sent at aSentAt.
-  /// @return the requests whose answers this confirms; they are removed
+  /// @return the content whose answers this confirms; it is removed
   std::vector<ContentKey> OnEndpointReply(EndpointKey aEndpoint, base::TimePoint aSentAt);
 
 private:
   struct Answer
   {
-    ContentKey m_request;
+    ContentKey m_content;
     EndpointKey m_endpoint = 0;
     base::TimePoint m_endedAt{};
   };
